Add the frame: design, settings, declaration, links, time line

Cause: the project is new; every subsystem needs the same settings format, the same process-to-process links and the same vocabulary.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# make demo and make test need Go alone; the other targets also use the tools module.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+GOFILES = $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: build test demo format check-format lint proto capacity fuzz
+
+build:
+	$(GO) build -o bin/cranberrypath ./cmd/cranberrypath
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+demo:
+	$(GO) run ./cmd/cranberrypath demo
+
+format:
+	$(TOOL) gofumpt -w $(GOFILES)
+
+check-format:
+	@out=$$($(TOOL) gofumpt -l $(GOFILES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+
+# Needs protoc (Debian package protobuf-compiler). Its output is committed.
+proto:
+	$(GO) build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	for f in $$(git ls-files -co --exclude-standard '*.proto'); do \
+		protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative $$f || exit 1; done
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,68 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/clock"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// Guards against a time line in which an effect at a node with a slow clock
+// stands before its cause.
+func TestMergeKeepsCauseBeforeEffect(t *testing.T) {
+	a := NewLog("a", &clock.Clock{}, 10, nil)
+	b := NewLog("b", &clock.Clock{}, 10, nil)
+	a.Add(Of("cause").WithRequest("r1"), start.Add(time.Minute))
+	b.Clock().Observe(a.Events(Filter{})[0].Stamp)
+	b.Add(Of("effect").WithRequest("r1"), start)
+	merged := Merge(b.Events(Filter{}), a.Events(Filter{}), a.Events(Filter{}))
+	if len(merged) != 2 || merged[0].Kind != "cause" || merged[1].Kind != "effect" {
+		t.Fatalf("wrong order: %+v", merged)
+	}
+}
+
+// Guards against a ring that returns events out of order once it has wrapped.
+func TestRingKeepsNewest(t *testing.T) {
+	l := NewLog("a", &clock.Clock{}, 3, nil)
+	for _, k := range []string{"1", "2", "3", "4", "5"} {
+		l.Add(Of(k), start)
+	}
+	var kinds []string
+	for _, e := range l.Events(Filter{}) {
+		kinds = append(kinds, e.Kind)
+	}
+	if got := strings.Join(kinds, ""); got != "345" {
+		t.Fatalf("kept %q, want the newest three in order", got)
+	}
+}
+
+// Guards against a crash in the middle of a write making the whole file unreadable,
+// and against damage in the middle passing unnoticed.
+func TestReadCutAndDamaged(t *testing.T) {
+	var b bytes.Buffer
+	l := NewLog("a", &clock.Clock{}, 3, &b)
+	l.Add(Of("x"), start)
+	l.Add(Of("y"), start)
+	whole := b.String()
+	tests := []struct {
+		name, in string
+		n        int
+		fails    bool
+	}{
+		{"whole", whole, 2, false},
+		{"cut", whole[:len(whole)-5], 1, false},
+		{"damaged", "{\n" + whole, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			events, err := Read(strings.NewReader(tt.in))
+			if (err != nil) != tt.fails || len(events) != tt.n {
+				t.Fatalf("read %d events, error %v", len(events), err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,194 @@
+// Package jsonc decodes JSON with comments strictly and says where a mistake
+// stands, because a setting that is silently ignored is worse than a process
+// that refuses to start.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("jsonc")
+
+// Problem is one mistake in a document.
+type Problem struct {
+	File string
+	Line int    // 1-based; 0 if the document has no such place
+	Key  string // dotted path, such as "listen.callers"
+	Text string // what is wrong and what is allowed
+}
+
+func (p Problem) Error() string {
+	switch {
+	case p.Key == "":
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Text)
+	case p.Line == 0:
+		return fmt.Sprintf("%s: %s: %s", p.File, p.Key, p.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Text)
+}
+
+// Doc is a decoded document that can locate its keys.
+type Doc struct {
+	file  string
+	bytes []byte
+	root  hujson.Value
+}
+
+// Decode parses b, rejects keys that v does not have and fills v, a pointer to
+// a struct. All unknown keys are reported together.
+func Decode(file string, b []byte, v any) (*Doc, error) {
+	root, err := hujson.Parse(b)
+	if err != nil {
+		return nil, syntaxProblem(file, err)
+	}
+	d := &Doc{file: file, bytes: b, root: root}
+	var found []error
+	d.checkKeys(&d.root, reflect.TypeOf(v), "", &found)
+	if len(found) > 0 {
+		return nil, errors.Join(found...)
+	}
+	standard := root.Clone()
+	standard.Standardize()
+	dec := json.NewDecoder(bytes.NewReader(standard.Pack()))
+	if err := dec.Decode(v); err != nil {
+		return nil, d.typeProblem(err)
+	}
+	return d, nil
+}
+
+// Problem returns a mistake at the value with the given dotted path. If the
+// document lacks the key, the nearest enclosing value is named.
+func (d *Doc) Problem(key, format string, args ...any) Problem {
+	p := Problem{File: d.file, Key: key, Text: fmt.Sprintf(format, args...)}
+	for path := "/" + strings.ReplaceAll(key, ".", "/"); ; {
+		if v := d.root.Find(path); v != nil {
+			p.Line = d.line(v.StartOffset)
+			return p
+		}
+		i := strings.LastIndexByte(path, '/')
+		if i <= 0 {
+			p.Line = 1
+			return p
+		}
+		path = path[:i]
+	}
+}
+
+func (d *Doc) line(offset int) int {
+	return 1 + bytes.Count(d.bytes[:min(offset, len(d.bytes))], []byte("\n"))
+}
+
+func (d *Doc) checkKeys(v *hujson.Value, t reflect.Type, path string, found *[]error) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch x := v.Value.(type) {
+	case *hujson.Object:
+		seen := map[string]bool{}
+		for i := range x.Members {
+			m := &x.Members[i]
+			name := m.Name.Value.(hujson.Literal).String()
+			key := strings.TrimPrefix(path+"."+name, ".")
+			if seen[name] {
+				*found = append(*found, Problem{d.file, d.line(m.Name.StartOffset), key, "the key stands twice"})
+			}
+			seen[name] = true
+			var ft reflect.Type
+			switch t.Kind() {
+			case reflect.Struct:
+				ft = fieldType(t, name)
+			case reflect.Map:
+				ft = t.Elem()
+			default:
+				return // the decoder reports the type mismatch
+			}
+			if ft == nil {
+				*found = append(*found, Problem{d.file, d.line(m.Name.StartOffset), key, "unknown key; allowed: " + strings.Join(fieldNames(t), ", ")})
+				continue
+			}
+			d.checkKeys(&m.Value, ft, key, found)
+		}
+	case *hujson.Array:
+		if t.Kind() != reflect.Slice && t.Kind() != reflect.Array {
+			return
+		}
+		for i := range x.Elements {
+			d.checkKeys(&x.Elements[i], t.Elem(), path+"."+strconv.Itoa(i), found)
+		}
+	}
+}
+
+func fieldType(t reflect.Type, name string) reflect.Type {
+	for i := range t.NumField() {
+		if jsonName(t.Field(i)) == name {
+			return t.Field(i).Type
+		}
+	}
+	return nil
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		if n := jsonName(t.Field(i)); n != "" {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	switch {
+	case name == "-" || !f.IsExported():
+		return ""
+	case name == "":
+		return f.Name
+	}
+	return name
+}
+
+func (d *Doc) typeProblem(err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return d.Problem(te.Field, "is a %s, want %s", te.Value, kindName(te.Type))
+	}
+	return Problem{File: d.file, Line: 1, Text: err.Error()}
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice, reflect.Array:
+		return "a list"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
+
+// syntaxProblem takes the line from a hujson error, which has the form
+// "hujson: line L, column C: text".
+func syntaxProblem(file string, err error) error {
+	p := Problem{File: file, Line: 1, Text: err.Error()}
+	var line, column int
+	if n, _ := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); n == 2 {
+		p.Line = line
+	}
+	return p
+}
