--- /dev/null
+++ b/internal/stream/answer_test.go
@@ -0,0 +1,225 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// delivery is one chunk or final mark on its way from an engine.
+type delivery struct {
+	attempt, pos uint64
+	tokens       []string
+	end          bool
+}
+
+// naive is the record as one map per attempt.
+type naive struct {
+	attempt uint64
+	done    []string
+	got     map[uint64]string
+	end     int // position of the final mark; -1 without
+	ended   bool
+}
+
+func (n *naive) next(attempt uint64) { n.attempt, n.got, n.end = attempt, map[uint64]string{}, -1 }
+
+func (n *naive) deliver(d delivery) {
+	if n.ended || d.attempt != n.attempt {
+		return
+	}
+	for i, t := range d.tokens {
+		n.got[d.pos+uint64(i)] = t
+	}
+	if d.end {
+		n.end = int(d.pos)
+	}
+	for t, ok := n.got[uint64(len(n.done))]; ok; t, ok = n.got[uint64(len(n.done))] {
+		n.done = append(n.done, t)
+	}
+	n.ended = n.end == len(n.done)
+}
+
+func readAll(ctx context.Context, a *Answer, from uint64) ([]string, error) {
+	var out []string
+	for {
+		chunks, done, err := a.Read(ctx, from)
+		if err != nil {
+			return out, err
+		}
+		for _, c := range chunks {
+			if c.Pos != from {
+				return out, fmt.Errorf("token %d where %d is next", c.Pos, from)
+			}
+			out = append(out, c.Text)
+			from++
+		}
+		if done {
+			return out, nil
+		}
+	}
+}
+
+// Guards against a record that loses, repeats, reorders or mixes tokens when
+// chunks are delayed, duplicated, reordered and cut over several attempts, and
+// against an end without its final mark. An engine samples, so each attempt
+// continues with other texts.
+func TestSchedulesAgainstNaive(t *testing.T) {
+	for seed := range uint64(4000) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		a, want := New("r", Request{Body: []byte("x")}, start), &naive{}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		var wg sync.WaitGroup
+		read := make([][]string, 3)
+		for i := range read {
+			wg.Go(func() { read[i], _ = readAll(ctx, a, 0) })
+		}
+		var old []delivery
+		for attempts := 1; !want.ended; attempts++ {
+			n := a.Attempt()
+			want.next(n)
+			work := engineOutput(rnd, n, a.Position())
+			cut := rnd.IntN(2) == 0 && attempts < 5
+			if cut {
+				work = work[:rnd.IntN(len(work))]
+			}
+			work = append(work, work[:rnd.IntN(len(work)+1)]...)
+			late := append(slices.Clone(work), old...)
+			rnd.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
+			for _, d := range late {
+				want.deliver(d)
+				deliver(t, seed, a, d)
+				if p := a.Position(); p != uint64(len(want.done)) {
+					t.Fatalf("seed %d: position %d, want %d", seed, p, len(want.done))
+				}
+			}
+			old = append(old, work...)
+			if _, ended := a.Ended(); ended != want.ended {
+				t.Fatalf("seed %d: ended %v, want %v", seed, ended, want.ended)
+			}
+		}
+		wg.Wait()
+		cancel()
+		for _, got := range read {
+			if !slices.Equal(got, want.done) {
+				t.Fatalf("seed %d: read %q, want %q", seed, got, want.done)
+			}
+		}
+		if a.bytes != a.req.bytes()+sizeOf(want.done) {
+			t.Fatalf("seed %d: charged %d bytes, want %d", seed, a.bytes, a.req.bytes()+sizeOf(want.done))
+		}
+	}
+}
+
+func engineOutput(rnd *rand.Rand, attempt, from uint64) []delivery {
+	var out []delivery
+	pos := from
+	for range 1 + rnd.IntN(12) {
+		d := delivery{attempt: attempt, pos: pos}
+		for range 1 + rnd.IntN(4) {
+			d.tokens = append(d.tokens, fmt.Sprintf("%d/%d ", attempt, pos))
+			pos++
+		}
+		out = append(out, d)
+	}
+	return append(out, delivery{attempt: attempt, pos: pos, end: true})
+}
+
+func deliver(t *testing.T, seed uint64, a *Answer, d delivery) {
+	t.Helper()
+	var err error
+	if d.end {
+		err = a.End(d.attempt, d.pos, "stop")
+	} else {
+		_, err = a.Append(d.attempt, d.pos, d.tokens)
+	}
+	if err != nil && !errors.Is(err, ErrStale) && !errors.Is(err, ErrEnded) {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+}
+
+// Guards against accepting contradictions, ends without a mark and unbounded
+// buffering, and against readers that hang when an answer is broken off.
+func TestRefusals(t *testing.T) {
+	a := New("r", Request{}, start)
+	if _, err := a.Append(0, 0, []string{"x"}); !errors.Is(err, ErrStale) {
+		t.Fatalf("before the first attempt: %v", err)
+	}
+	n := a.Attempt()
+	steps := []struct {
+		name string
+		do   func() error
+		want error
+	}{
+		{"first", func() error { _, err := a.Append(n, 0, []string{"a", "b"}); return err }, nil},
+		{"other text", func() error { _, err := a.Append(n, 1, []string{"c"}); return err }, ErrMismatch},
+		{"no mark", func() error { return a.End(n, 2, "") }, ErrNotFinal},
+		{"end before tokens", func() error { return a.End(n, 1, "stop") }, ErrMismatch},
+		{"far ahead", func() error { _, err := a.Append(n, 9, []string{strings.Repeat("x", aheadBytes)}); return err }, ErrGap},
+		{"overflow", func() error { _, err := a.Append(n, 1<<64-1, []string{"x", "y"}); return err }, ErrMismatch},
+		{"late end", func() error { return a.End(n, 3, "stop") }, nil},
+		{"beyond the end", func() error { _, err := a.Append(n, 3, []string{"x"}); return err }, ErrMismatch},
+		{"read beyond", func() error { _, _, err := a.Read(context.Background(), 3); return err }, ErrPosition},
+	}
+	for _, s := range steps {
+		if err := s.do(); !errors.Is(err, s.want) {
+			t.Fatalf("%s: got %v, want %v", s.name, err, s.want)
+		}
+	}
+	a.Break("no engine left")
+	got, err := readAll(context.Background(), a, 0)
+	var broken *BrokenError
+	if !errors.As(err, &broken) || broken.Reason != "no engine left" || len(got) != 2 {
+		t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+// Guards against memory that grows beyond the registry's limit, is not given
+// back, or is freed by dropping a running answer.
+func TestRegistryMemory(t *testing.T) {
+	r := NewRegistry(Config{Node: "a", AnswerBytes: 4096, TotalBytes: 8192, Keep: time.Minute})
+	running, _ := r.Accept(Request{ID: "running"}, start)
+	running.Attempt()
+	if _, err := running.Append(1, 0, []string{strings.Repeat("x", 5000)}); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("got %v, want the limit of one answer", err)
+	}
+	for i := range 100 {
+		a, err := r.Accept(Request{ID: fmt.Sprint(i)}, start)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		a.Attempt()
+		if _, err := a.Append(1, 0, []string{strings.Repeat("x", 2000)}); err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if r.Bytes() > 8192 {
+			t.Fatalf("%d bytes exceed the limit", r.Bytes())
+		}
+		if i < 99 {
+			_ = a.End(1, 1, "stop")
+		}
+	}
+	if a, ok := r.Get("99"); !ok || a.Position() != 1 {
+		t.Fatal("the running answer was dropped")
+	}
+	if n := r.Sweep(start); n != 0 {
+		t.Fatalf("%d answers dropped at once", n)
+	}
+	r.Sweep(start.Add(time.Minute))
+	a, _ := r.Get("99")
+	if r.Bytes() != a.bytes {
+		t.Fatalf("%d bytes charged, want %d of the running answer", r.Bytes(), a.bytes)
+	}
+}
