Add the contract with backend servers and its adapter

Cause: entry instances need one way to call model engines and plain servers that says for certain whether a call may have run.

Conclusion: others can compile against the interface.

--- /dev/null
+++ b/internal/backnd/wire.go
@@ -0,0 +1,180 @@
+package backnd
+
+import (
+	"encoding/json"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/world"
+	"cranberrypath.example/cranberrypath/pkg/decl"
+)
+
+// AnnouncePath is where entry instances accept announcements.
+const AnnouncePath = "/v1/backends/announce"
+
+// Announcement is what a backend server says about itself.
+type Announcement struct {
+	Backend world.Backend
+	Seq     uint64 // orders the announcements of one incarnation
+	Load    world.Load
+	Cache   *world.CacheEvents // nil without events
+}
+
+// Reply answers an announcement.
+type Reply struct {
+	Home        string // address of the entry instance to announce to next
+	Every       time.Duration
+	ResyncCache bool
+}
+
+type wireAnnouncement struct {
+	ID           string     `json:"id"`
+	Incarnation  uint64     `json:"incarnation"`
+	Seq          uint64     `json:"seq"`
+	Address      string     `json:"address"`
+	Service      string     `json:"service"`
+	Kind         string     `json:"kind"`
+	Versions     []string   `json:"versions"`
+	Adapters     []string   `json:"adapters"`
+	Role         string     `json:"role"`
+	DataCentre   string     `json:"dataCentre"`
+	Zone         string     `json:"zone"`
+	MachineClass string     `json:"machineClass"`
+	Reclaimable  bool       `json:"reclaimable"`
+	Price        float64    `json:"price"`
+	Slots        int        `json:"slots"`
+	CacheBlocks  int        `json:"cacheBlocks"`
+	State        string     `json:"state"`
+	LeaveBy      *time.Time `json:"leaveBy"`
+	Load         wireLoad   `json:"load"`
+	CacheEvents  *wireCache `json:"cacheEvents"`
+}
+
+type wireLoad struct {
+	Running         int     `json:"running"`
+	Waiting         int     `json:"waiting"`
+	CacheUsed       float64 `json:"cacheUsed"`
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	PrefillMicros   float64 `json:"prefillMicrosPerToken"`
+	AgeMillis       int64   `json:"ageMillis"`
+}
+
+type wireCache struct {
+	From    uint64   `json:"from"`
+	Full    bool     `json:"full"`
+	Added   hashList `json:"added"`
+	Removed hashList `json:"removed"`
+}
+
+// hashList is block hashes as strings of 16 hexadecimal digits.
+type hashList []uint64
+
+// UnmarshalJSON parses the list without a string for each hash.
+func (l *hashList) UnmarshalJSON(b []byte) error {
+	var texts []json.RawMessage
+	if err := json.Unmarshal(b, &texts); err != nil {
+		return err
+	}
+	out := make(hashList, 0, len(texts))
+	for _, t := range texts {
+		if len(t) != 18 || t[0] != '"' || t[17] != '"' {
+			return Error.New("hash %.20q is not a string of 16 hexadecimal digits", t)
+		}
+		h, err := strconv.ParseUint(string(t[1:17]), 16, 64)
+		if err != nil {
+			return Error.New("hash %q is not hexadecimal", t)
+		}
+		out = append(out, h)
+	}
+	*l = out
+	return nil
+}
+
+// DecodeAnnouncement reads the body of an announcement that arrived at now.
+func DecodeAnnouncement(body []byte, now time.Time) (Announcement, error) {
+	if len(body) > maxAnnouncementBytes {
+		return Announcement{}, Error.New("announcement has %d bytes; allowed are %d", len(body), maxAnnouncementBytes)
+	}
+	var w wireAnnouncement
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Announcement{}, Error.Wrap(err)
+	}
+	state, err := w.check()
+	if err != nil {
+		return Announcement{}, err
+	}
+	a := Announcement{
+		Backend: world.Backend{
+			ID: w.ID, Incarnation: w.Incarnation, Address: w.Address, Service: w.Service, Kind: w.Kind,
+			Versions: w.Versions, Adapters: w.Adapters, Role: w.Role,
+			DataCentre: w.DataCentre, Zone: w.Zone, MachineClass: w.MachineClass,
+			Reclaimable: w.Reclaimable, Price: w.Price, Slots: w.Slots, CacheBlocks: w.CacheBlocks,
+			State: state,
+		},
+		Seq: w.Seq,
+		Load: world.Load{
+			Running: w.Load.Running, Waiting: w.Load.Waiting, CacheUsed: w.Load.CacheUsed,
+			TokensPerSecond: w.Load.TokensPerSecond,
+			PrefillPerToken: time.Duration(w.Load.PrefillMicros * float64(time.Microsecond)),
+			At:              now.Add(-time.Duration(w.Load.AgeMillis) * time.Millisecond),
+		},
+	}
+	if w.LeaveBy != nil {
+		a.Backend.LeaveBy = *w.LeaveBy
+	}
+	if e := w.CacheEvents; e != nil {
+		a.Cache = &world.CacheEvents{From: e.From, Full: e.Full, Added: e.Added, Removed: e.Removed}
+	}
+	return a, nil
+}
+
+func (w *wireAnnouncement) check() (world.State, error) {
+	var state world.State
+	switch w.State {
+	case "starting":
+		state = world.Starting
+	case "ready":
+		state = world.Ready
+	case "leaving":
+		state = world.Leaving
+	default:
+		return 0, Error.New("state is %q; want starting, ready or leaving", w.State)
+	}
+	const maxAgeMillis = 3_600_000
+	_, addrErr := netip.ParseAddrPort(w.Address)
+	switch {
+	case w.ID == "" || len(w.ID) > 256:
+		return 0, Error.New("id has %d bytes; want 1 to 256", len(w.ID))
+	case w.Service == "":
+		return 0, Error.New("service is missing")
+	case addrErr != nil:
+		return 0, Error.New("address is %q; want an IP address and port", w.Address)
+	case w.Kind != decl.Model && w.Kind != decl.Plain:
+		return 0, Error.New("kind is %q; want model or plain", w.Kind)
+	case w.Slots < 0 || w.CacheBlocks < 0 || w.Load.Running < 0 || w.Load.Waiting < 0 || w.Price < 0:
+		return 0, Error.New("slots, cacheBlocks, price and load must not be negative")
+	case w.Load.AgeMillis < 0 || w.Load.AgeMillis > maxAgeMillis:
+		return 0, Error.New("ageMillis is %d; want 0 to %d", w.Load.AgeMillis, maxAgeMillis)
+	case w.Load.CacheUsed < 0 || w.Load.CacheUsed > 1 || w.Load.TokensPerSecond < 0:
+		return 0, Error.New("load is out of range")
+	case w.Load.PrefillMicros < 0 || w.Load.PrefillMicros > 1e9:
+		return 0, Error.New("prefillMicrosPerToken is out of range")
+	case w.CacheEvents != nil && w.CacheEvents.Full && len(w.CacheEvents.Removed) > 0:
+		return 0, Error.New("a full cache event removes nothing")
+	}
+	return state, nil
+}
+
+// EncodeReply returns the body of the answer to an announcement.
+func EncodeReply(r Reply) []byte {
+	b, err := json.Marshal(struct {
+		Home        string `json:"home"`
+		EveryMillis int64  `json:"everyMillis"`
+		ResyncCache bool   `json:"resyncCache"`
+	}{r.Home, r.Every.Milliseconds(), r.ResyncCache})
+	if err != nil {
+		panic(err) // strings, numbers and booleans always encode
+	}
+	return b
+}
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -120,6 +120,10 @@
 	done       chan struct{}
 }
 
+// NetConn returns the connection below, as tls.Conn does, so that a client can
+// ask whether an idle connection is still open.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Write applies the rule of the way out before the bytes leave.
 func (c *conn) Write(b []byte) (int, error) {
 	if err := c.links.wait(c.done, c.name, c.addr); err != nil {
