--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,276 @@
+// Package cloud speaks the contract with the platform
+// (docs/contract-platform.md): the cloud API, which rents out instances, and the
+// weight store. A start whose answer is lost may be sent again with the same
+// request id and every other call is idempotent, so the client needs no outcomes.
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("cloud")
+
+const maxJSONBytes = 8 << 20 // contract
+
+// Codes of refusals.
+const (
+	CodeNoCapacity     = "noCapacity"
+	CodeOtherRequest   = "otherRequest"
+	CodeUnknownInst    = "unknownInstance"
+	CodeUnknownWeights = "unknownWeights"
+)
+
+// Refusal is an error response of the platform.
+type Refusal struct {
+	Status     int
+	Code       string
+	Message    string
+	RetryAfter time.Duration // 0 if the platform did not say
+}
+
+func (r *Refusal) Error() string { return fmt.Sprintf("status %d %s: %s", r.Status, r.Code, r.Message) }
+
+// NoCapacity reports whether the cloud refused a start and started nothing.
+func NoCapacity(err error) bool {
+	var r *Refusal
+	return errors.As(err, &r) && r.Code == CodeNoCapacity
+}
+
+// RetryAfter returns how long the platform asked to wait, or 0.
+func RetryAfter(err error) time.Duration {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.RetryAfter
+	}
+	return 0
+}
+
+// Start asks for one instance. A repeated RequestID starts nothing.
+type Start struct {
+	RequestID    string `json:"requestId"`
+	DataCentre   string `json:"dataCentre"`
+	Zone         string `json:"zone,omitempty"` // empty lets the cloud choose
+	MachineClass string `json:"machineClass"`
+	Reclaimable  bool   `json:"reclaimable"`
+	Service      string `json:"service"`
+	Version      string `json:"version"`
+}
+
+// States of an instance.
+const (
+	Starting = "starting"
+	Running  = "running"
+	Stopping = "stopping"
+	Gone     = "gone"
+)
+
+// Instance is one rented instance.
+type Instance struct {
+	ID           string    `json:"id"`
+	RequestID    string    `json:"requestId"`
+	DataCentre   string    `json:"dataCentre"`
+	Zone         string    `json:"zone"`
+	MachineClass string    `json:"machineClass"`
+	Reclaimable  bool      `json:"reclaimable"`
+	Service      string    `json:"service"`
+	Version      string    `json:"version"`
+	State        string    `json:"state"`
+	Started      time.Time `json:"started"`
+	LeaveBy      time.Time `json:"leaveBy"` // zero without a notice
+	Price        float64   `json:"price"`   // currency units per hour, at the start
+}
+
+// Notice announces the reclaim of an instance.
+type Notice struct {
+	Number     uint64    `json:"number"` // consecutive, from 1
+	Instance   string    `json:"instance"`
+	LeaveBy    time.Time `json:"leaveBy"`
+	DataCentre string    `json:"dataCentre"`
+	Zone       string    `json:"zone"`
+}
+
+// Price is the present price of one machine class in one zone.
+type Price struct {
+	DataCentre   string  `json:"dataCentre"`
+	Zone         string  `json:"zone"`
+	MachineClass string  `json:"machineClass"`
+	Reclaimable  bool    `json:"reclaimable"`
+	Price        float64 `json:"price"` // currency units per hour
+}
+
+// Rate of the weight store, for all readers together.
+type Rate struct {
+	BytesPerSecond float64 `json:"bytesPerSecond"`
+	AvailableBytes float64 `json:"availableBytes"` // may be read at once now
+}
+
+// Config sets up a Client.
+type Config struct {
+	Cloud       string // URL without path
+	WeightStore string // URL without path
+	Token       string // bearer token; optional
+	// HTTP replaces the HTTP client. The calls are few, so the standard client
+	// serves here.
+	HTTP *http.Client
+}
+
+// Client calls the platform. It is safe for use by several goroutines.
+type Client struct {
+	cfg  Config
+	http *http.Client
+	own  *http.Transport
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg, http: cfg.HTTP}
+	if c.http == nil {
+		c.own = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+		c.http = &http.Client{Transport: c.own}
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	if c.own != nil {
+		c.own.CloseIdleConnections()
+	}
+	return nil
+}
+
+// Start starts an instance.
+func (c *Client) Start(ctx context.Context, s Start) (Instance, error) {
+	var i Instance
+	err := c.call(ctx, http.MethodPost, c.cfg.Cloud+"/cloud/instances", s, &i)
+	if err == nil && i.ID == "" {
+		return Instance{}, Error.New("started instance has no id")
+	}
+	return i, err
+}
+
+// Instances returns the instances that are not gone.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var out struct {
+		Instances []Instance `json:"instances"`
+	}
+	err := c.call(ctx, http.MethodGet, c.cfg.Cloud+"/cloud/instances", nil, &out)
+	return out.Instances, err
+}
+
+// Stop stops an instance at once. Stopping one that is gone succeeds.
+func (c *Client) Stop(ctx context.Context, id string) error {
+	return c.call(ctx, http.MethodDelete, c.cfg.Cloud+"/cloud/instances/"+url.PathEscape(id), nil, &struct{}{})
+}
+
+// Notices returns the notices with a number above after, and the highest number.
+func (c *Client) Notices(ctx context.Context, after uint64) ([]Notice, uint64, error) {
+	var out struct {
+		Notices []Notice `json:"notices"`
+		Last    uint64   `json:"last"`
+	}
+	err := c.call(ctx, http.MethodGet, c.cfg.Cloud+"/cloud/notices?after="+strconv.FormatUint(after, 10), nil, &out)
+	return out.Notices, out.Last, err
+}
+
+// Prices returns the present prices.
+func (c *Client) Prices(ctx context.Context) ([]Price, error) {
+	var out struct {
+		Prices []Price `json:"prices"`
+	}
+	err := c.call(ctx, http.MethodGet, c.cfg.Cloud+"/cloud/prices", nil, &out)
+	return out.Prices, err
+}
+
+// WeightRate returns the rate of the weight store.
+func (c *Client) WeightRate(ctx context.Context) (Rate, error) {
+	var r Rate
+	err := c.call(ctx, http.MethodGet, c.cfg.WeightStore+"/weights/rate", nil, &r)
+	return r, err
+}
+
+// Weights opens the weights of a version and returns their length in bytes. The
+// caller closes the reader; a shorter read ends with io.ErrUnexpectedEOF.
+func (c *Client) Weights(ctx context.Context, service, version string) (io.ReadCloser, int64, error) {
+	resp, err := c.do(ctx, http.MethodGet, c.cfg.WeightStore+"/weights/"+url.PathEscape(service)+"/"+url.PathEscape(version), nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	return resp.Body, resp.ContentLength, nil
+}
+
+func (c *Client) call(ctx context.Context, method, target string, in, out any) error {
+	resp, err := c.do(ctx, method, target, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxJSONBytes+1))
+	switch {
+	case err != nil:
+		return Error.Wrap(err)
+	case len(b) > maxJSONBytes:
+		return Error.New("response is larger than %d bytes", maxJSONBytes)
+	}
+	return Error.Wrap(json.Unmarshal(b, out))
+}
+
+// do returns the response if it has status 200 or 201.
+func (c *Client) do(ctx context.Context, method, target string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		body = strings.NewReader(string(b))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return nil, Error.Wrap(refusal(resp))
+}
+
+func refusal(resp *http.Response) *Refusal {
+	r := &Refusal{Status: resp.StatusCode}
+	if n, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 20); err == nil {
+		r.RetryAfter = time.Duration(n) * time.Second
+	}
+	var body struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+	_ = json.Unmarshal(b, &body) // a body of another form is allowed; the status says enough
+	r.Code, r.Message = body.Error.Code, body.Error.Message
+	return r
+}
