Test raft for linearizability and follower recovery

The guarantees of a group must hold under concurrent clients and faults, and what a follower acknowledged must survive a crash at any write or sync.

A membership entry that can't be decoded is now refused before it reaches the log; before, it stopped the member for good.

The check of the histories drops writes of unknown outcome that nobody saw; without that its search did not end in 20 s.

--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -83,7 +83,7 @@
 	}
 	prev, entries := req.Index, req.Entries
 	for i, e := range entries {
-		if e.GetIndex() != prev+uint64(i)+1 || e.Term > req.Term {
+		if e.Index != prev+uint64(i)+1 || e.Term > req.Term || !validMembers(e) {
 			return
 		}
 	}
@@ -187,7 +187,7 @@
 	content, ok := walog.Unseal(in.data)
 	*in = incoming{}
 	var snap raftpb.Snapshot
-	if !ok || proto.Unmarshal(content, &snap) != nil || snap.Index != req.Index || len(snap.Members.GetMembers()) == 0 {
+	if !ok || proto.Unmarshal(content, &snap) != nil || snap.Index != req.Index || len(fromProto(snap.Members).voters()) == 0 {
 		resp.Match = 0
 		return
 	}
--- /dev/null
+++ b/internal/raft/linear_test.go
@@ -0,0 +1,460 @@
+package raft
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/disk"
+	"cranberrypath.example/cranberrypath/internal/faults"
+	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/raft/raftpb"
+	"cranberrypath.example/cranberrypath/internal/walog"
+)
+
+// step is a write (which returns the value before it) or a read of the register.
+type step struct {
+	write string // "" reads
+}
+
+var register = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		s, prior := in.(step), out.(string)
+		ok := prior == "?" || prior == state.(string)
+		if s.write == "" {
+			return ok, state
+		}
+		return ok, s.write
+	},
+}
+
+// history records the operations of concurrent clients.
+type history struct {
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+	start time.Time
+}
+
+func (h *history) run(client int, s step, f func() (string, error)) {
+	call := time.Since(h.start)
+	out, err := f()
+	end := time.Since(h.start)
+	switch {
+	case err == nil:
+	case s.write == "" || !errors.Is(err, ErrUnknown):
+		return // no effect
+	default:
+		out, end = "?", time.Hour // may take effect at any time
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: s, Output: out, Call: int64(call), Return: int64(end)})
+}
+
+func (h *history) check(t *testing.T, atLeast int) {
+	t.Helper()
+	known := 0
+	for _, op := range h.ops {
+		if op.Output != "?" {
+			known++
+		}
+	}
+	t.Logf("%d operations, %d with a known outcome", len(h.ops), known)
+	if known < atLeast {
+		t.Fatalf("only %d operations succeeded, which proves little", known)
+	}
+	h.bound()
+	if res := porcupine.CheckOperationsTimeout(register, h.ops, 20*time.Second); res != porcupine.Ok {
+		t.Fatalf("the history is %v", res)
+	}
+}
+
+// bound shortens the search. A write of unknown outcome took effect before any
+// operation that saw its value returned. One that nobody saw can be left out: it
+// took effect last, just before another unseen one, or never.
+func (h *history) bound() {
+	seen := map[string]int64{}
+	for _, op := range h.ops {
+		v := op.Output.(string)
+		if at, ok := seen[v]; !ok || op.Return < at {
+			seen[v] = op.Return
+		}
+	}
+	kept := h.ops[:0]
+	for _, op := range h.ops {
+		if op.Output == "?" {
+			at, ok := seen[op.Input.(step).write]
+			if !ok {
+				continue
+			}
+			op.Return = max(at, op.Call)
+		}
+		kept = append(kept, op)
+	}
+	h.ops = kept
+}
+
+// client reads and writes through random members until done.
+func (h *history) client(done <-chan struct{}, n int, seed uint64, ids []string, group func(string) *Group, value func(string) string) {
+	rng := rand.New(rand.NewPCG(seed, uint64(n)))
+	at := ids[rng.IntN(len(ids))]
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(rng.IntN(4)) * time.Millisecond):
+		}
+		g := group(at)
+		if g == nil {
+			at = ids[rng.IntN(len(ids))]
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 120*time.Millisecond)
+		var err error
+		if rng.IntN(2) == 0 {
+			h.run(n, step{}, func() (string, error) {
+				var out string
+				if _, err = g.Barrier(ctx); err == nil {
+					out = value(at)
+				}
+				return out, err
+			})
+		} else {
+			s := step{write: fmt.Sprint(n, "/", i)}
+			h.run(n, s, func() (string, error) {
+				var out []byte
+				out, err = g.Propose(ctx, []byte(s.write))
+				return string(out), err
+			})
+		}
+		cancel()
+		var nl *NotLeader
+		if err != nil && errors.As(err, &nl) && nl.Leader != "" && rng.IntN(3) > 0 {
+			at = nl.Leader
+		} else if err != nil {
+			at = ids[rng.IntN(len(ids))]
+		}
+	}
+}
+
+// Guards against lost, reordered or stale operations of concurrent clients while
+// members crash, restart, are cut off in one or both directions and catch up by
+// snapshot.
+func TestLinearizable(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		for seed := uint64(21); seed <= 23; seed++ {
+			t.Run(fmt.Sprint(size, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, size, seed, 300)
+				c.leader("")
+				h := &history{start: time.Now()}
+				done := make(chan struct{})
+				var wg sync.WaitGroup
+				for n := range 4 {
+					wg.Go(func() {
+						h.client(done, n, seed, c.ids, c.group, func(id string) string { last, _ := c.machine(id).read(); return last })
+					})
+				}
+				disturb(c, rand.New(rand.NewPCG(seed, 9)), 14)
+				close(done)
+				wg.Wait()
+				h.check(t, 100)
+				c.propose("end")
+				c.expectSame(c.ids...)
+				snaps := 0
+				for _, id := range c.ids {
+					snaps += int(min(c.group(id).Status().Snapshot, 1))
+				}
+				if snaps == 0 {
+					t.Fatal("no snapshot was taken")
+				}
+			})
+		}
+	}
+}
+
+func disturb(c *cluster, rng *rand.Rand, rounds int) {
+	for range rounds {
+		a, b := c.ids[rng.IntN(len(c.ids))], c.ids[rng.IntN(len(c.ids))]
+		if rng.IntN(2) == 0 {
+			for _, id := range c.ids {
+				if g := c.group(id); g != nil && g.Status().Role == Leader {
+					a = id
+				}
+			}
+		}
+		pause := time.Duration(100+rng.IntN(200)) * time.Millisecond
+		switch rng.IntN(5) {
+		case 0:
+			c.crash(a)
+		case 1:
+			c.isolate(a, true)
+			time.Sleep(pause)
+			c.isolate(a, false)
+		case 2: // what a sends is lost; it still hears everyone
+			for _, id := range c.ids {
+				c.net.set(a, id, id != a)
+			}
+			time.Sleep(pause)
+			for _, id := range c.ids {
+				c.net.set(a, id, false)
+			}
+		case 3:
+			c.net.set(a, b, a != b)
+			time.Sleep(pause)
+			c.net.set(a, b, false)
+		case 4:
+			c.stop(a)
+			time.Sleep(pause)
+			c.start(a, c.ids)
+		}
+		time.Sleep(pause / 2)
+	}
+}
+
+// Guards against a transport over real sockets that loses the guarantees, with a
+// cut leader and reset links.
+func TestLinearizableOverLinks(t *testing.T) {
+	t.Log("seed 31")
+	faulty := faults.New()
+	ids := []string{"a", "b", "c"}
+	addr, groups, machines := map[string]string{}, map[string]*Group{}, map[string]*machine{}
+	var links []*Links
+	for _, id := range ids {
+		n, err := link.Listen(link.Config{Node: id, Listen: "127.0.0.1:0", Key: []byte("k"), Dial: faulty.Dialer(id)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = n.Close() })
+		addr[id] = n.Addr()
+		links = append(links, NewLinks(n, func(id string) string { return addr[id] }))
+	}
+	for i, id := range ids {
+		machines[id] = &machine{few: true}
+		g, err := Open(Config{
+			Group: 7, ID: id, Members: ids, FS: disk.Real{}, Dir: t.TempDir(), Machine: machines[id],
+			Transport: links[i], Seed: uint64(i), Heartbeat: 20 * time.Millisecond, Election: 150 * time.Millisecond,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = g.Close() })
+		groups[id] = g
+		links[i].Serve(g)
+	}
+	lead := func(not string) (out string) {
+		eventually(t, "a leader", func() bool {
+			for _, id := range ids {
+				if _, ok := groups[id].Lease(time.Now()); ok && id != not {
+					out = id
+					return true
+				}
+			}
+			return false
+		})
+		return out
+	}
+	lead("")
+	h := &history{start: time.Now()}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 4 {
+		wg.Go(func() {
+			h.client(done, n, 31, ids, func(id string) *Group { return groups[id] },
+				func(id string) string { last, _ := machines[id].read(); return last })
+		})
+	}
+	old := lead("")
+	for _, id := range ids { // every connection of the leader, whoever dialed it
+		faulty.Set(old, addr[id], faults.Rule{Cut: true})
+		faulty.Set(addr[old], id, faults.Rule{Cut: true})
+	}
+	next := lead(old)
+	for _, id := range ids {
+		faulty.Set(old, addr[id], faults.Rule{})
+		faulty.Set(addr[old], id, faults.Rule{})
+	}
+	for _, id := range ids {
+		faulty.Reset(next, addr[id])
+	}
+	time.Sleep(500 * time.Millisecond)
+	close(done)
+	wg.Wait()
+	h.check(t, 50)
+}
+
+// naive is the log of a follower as a plain slice of the entries that it
+// acknowledged, and the vote that it gave in the newest term.
+type naive struct {
+	entries []*raftpb.Entry // the first has index 1
+	term    uint64
+	vote    string
+	votedIn uint64
+}
+
+// Guards against a follower that, after a crash at any write or sync, has lost
+// an entry, a vote or a term that it acknowledged, under leaders that replace the
+// uncommitted end of its log and send snapshots.
+func TestCrashOfAFollowerAtEveryOperation(t *testing.T) {
+	for seed := uint64(1); seed <= 2000; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		d := disk.NewFake(seed)
+		var want naive
+		lead := naive{term: 1}
+		commit := uint64(0)
+		for range 3 {
+			g, err := Open(Config{
+				ID: "f", FS: d, Dir: "raft", Machine: &machine{}, Transport: endpoint{&network{}, "f"}, SegmentBytes: 300,
+				Election: time.Microsecond, Heartbeat: time.Hour, SnapshotBytes: 60, Clock: time.Now,
+			})
+			if err != nil {
+				t.Fatalf("seed %d: open: %v", seed, err)
+			}
+			want.expect(t, seed, g)
+			d.CrashAt(1 + rng.IntN(60))
+			for !d.Crashed() {
+				commit = want.drive(rng, g, &lead, commit)
+			}
+			_ = g.Close()
+			d.Restart()
+		}
+	}
+}
+
+// expect checks what is on the disk against what was acknowledged.
+func (n *naive) expect(t *testing.T, seed uint64, g *Group) {
+	t.Helper()
+	if g.state.Term < n.term {
+		t.Fatalf("seed %d: term %d, acknowledged %d", seed, g.state.Term, n.term)
+	}
+	if g.state.Term == n.votedIn && n.vote != "" && g.state.Vote != n.vote {
+		t.Fatalf("seed %d: vote %q in term %d, gave %q", seed, g.state.Vote, n.votedIn, n.vote)
+	}
+	for _, e := range n.entries {
+		if e.Index < g.base {
+			continue
+		}
+		if g.termAt(e.Index) != e.Term {
+			// Only a later leader may have replaced it, in the request under way
+			// at the crash.
+			if got := g.termAt(e.Index); got <= e.Term {
+				t.Fatalf("seed %d: entry %d has term %d, acknowledged %d", seed, e.Index, got, e.Term)
+			}
+			break
+		}
+	}
+}
+
+// drive sends one request and notes what was acknowledged.
+func (n *naive) drive(rng *rand.Rand, g *Group, lead *naive, commit uint64) uint64 {
+	inc := g.state.Incarnation
+	req := &raftpb.Message{From: "l", FromIncarnation: 1, ToIncarnation: inc, Term: lead.term}
+	last := uint64(len(lead.entries))
+	switch rng.IntN(8) {
+	case 0: // a vote in a new term, by a candidate that is as current as the leader
+		req.Kind, req.Term, req.Index, req.LogTerm = raftpb.Kind_KIND_VOTE, max(lead.term, n.term)+1, last+10, lead.term
+		req.From = fmt.Sprint("candidate", rng.IntN(3))
+		if resp := g.Handle(context.Background(), req); resp != nil && resp.Ok {
+			n.term, n.votedIn, n.vote = req.Term, req.Term, voteFor(req.From, 1)
+		}
+		return commit
+	case 1: // a new leader, whose log ends anywhere after what is committed
+		lead.term = max(lead.term, n.term) + 1
+		lead.entries = slices.Clone(lead.entries[:commit+uint64(rng.IntN(int(last-commit)+1))])
+		return commit
+	case 2:
+		if commit == 0 || commit == g.Status().Commit {
+			return commit
+		}
+		return n.sendSnapshot(g, req, lead, commit)
+	}
+	for range 1 + rng.IntN(3) {
+		e := &raftpb.Entry{Index: uint64(len(lead.entries)) + 1, Term: lead.term, Kind: raftpb.EntryKind_ENTRY_KIND_COMMAND}
+		e.Data = fmt.Append(nil, "command ", e.Index, " of ", e.Term)
+		if e.Index == 1 {
+			e.Kind = raftpb.EntryKind_ENTRY_KIND_MEMBERS
+			e.Data, _ = proto.Marshal(members{{ID: "l", Incarnation: 1}}.proto())
+		}
+		lead.entries = append(lead.entries, e)
+	}
+	req.Kind = raftpb.Kind_KIND_APPEND
+	prev := commit
+	if agree := uint64(len(n.entries)); agree > commit && rng.IntN(2) == 0 {
+		prev = min(agree, last)
+	}
+	req.Index, req.Entries, req.Commit = prev, lead.entries[prev:], commit
+	if prev > 0 {
+		req.LogTerm = lead.entries[prev-1].Term
+	}
+	resp := g.Handle(context.Background(), req)
+	if resp == nil || resp.Term != lead.term || !resp.Ok {
+		return commit
+	}
+	n.term = max(n.term, lead.term)
+	n.entries = slices.Clone(lead.entries[:resp.Match])
+	if rng.IntN(2) == 0 {
+		return resp.Match // the leader commits what this member has acknowledged
+	}
+	return commit
+}
+
+func (n *naive) sendSnapshot(g *Group, req *raftpb.Message, lead *naive, commit uint64) uint64 {
+	snap := &raftpb.Snapshot{Index: commit, Term: lead.entries[commit-1].Term, Members: members{{ID: "l", Incarnation: 1}}.proto(), Data: []byte{1, 'x'}}
+	content, _ := proto.Marshal(snap)
+	d := disk.NewFake(1)
+	sealed := seal(d, content)
+	req.Kind, req.Index, req.Total, req.Chunk = raftpb.Kind_KIND_SNAPSHOT, commit, uint64(len(sealed)), sealed
+	resp := g.Handle(context.Background(), req)
+	if resp == nil || !resp.Ok {
+		return commit
+	}
+	n.term = max(n.term, lead.term)
+	if uint64(len(n.entries)) < commit {
+		n.entries = slices.Clone(lead.entries[:commit])
+	}
+	return commit
+}
+
+func seal(d *disk.Fake, content []byte) []byte {
+	_ = walog.WriteFile(d, "x", content)
+	b, _ := disk.Read(d, "x")
+	return b
+}
+
+// Guards against a request from outside that stops or corrupts a member.
+func FuzzHandle(f *testing.F) {
+	for k := range raftpb.Kind_name {
+		b, _ := proto.Marshal(&raftpb.Message{
+			Kind: raftpb.Kind(k), Term: 3, From: "b", ToIncarnation: 1, Index: 2, LogTerm: 1, Total: 4, Chunk: []byte("ab"),
+			Entries: []*raftpb.Entry{{Index: 3, Term: 2, Kind: raftpb.EntryKind_ENTRY_KIND_MEMBERS, Data: []byte{1}}},
+		})
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var req raftpb.Message
+		if proto.Unmarshal(b, &req) != nil {
+			return
+		}
+		g, err := Open(Config{
+			ID: "a", FS: disk.NewFake(1), Dir: "raft", Machine: &machine{}, Transport: endpoint{&network{}, "a"}, Heartbeat: time.Hour,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer g.Close()
+		req.ToIncarnation = g.state.Incarnation
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		g.Handle(ctx, &req)
+		g.Handle(ctx, &req)
+	})
+}
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// validMembers reports whether a membership entry can be decoded and leaves a
+// voter. It is checked before the entry reaches the log.
+func validMembers(e *raftpb.Entry) bool {
+	if e.Kind != raftpb.EntryKind_ENTRY_KIND_MEMBERS {
+		return true
+	}
+	var m raftpb.Members
+	return proto.Unmarshal(e.Data, &m) == nil && len(fromProto(&m).voters()) > 0
+}
+
 // forgetMembers undoes the membership changes from index on.
 func (g *Group) forgetMembers(index uint64) {
 	for n := len(g.history); n > 0 && g.history[n-1].index >= index; n-- {
