poison: add blame for requests that crash backend servers

Cause: a request that crashes each server that runs it is sent again by its caller, and other requests run on the same servers when they crash.

Crashes and completions are merged between instances in any order.

--- /dev/null
+++ b/internal/poison/wire.go
@@ -0,0 +1,155 @@
+package poison
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/poison/poispb"
+)
+
+// maxSuspects bounds the requests of one crash record: more than a backend
+// server runs at the same time.
+const maxSuspects = 4096
+
+// Changed returns an encoded message for the other instances of the cell with
+// everything learnt since the last call, or nil if there is nothing new. Records
+// received from others are included once, so that a message lost on one way
+// arrives on another.
+func (l *Ledger) Changed(now time.Time) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	if len(l.unsent)+len(l.unsentOK) == 0 {
+		return nil
+	}
+	var m poispb.Records
+	for key := range l.unsent {
+		m.Crashes = append(m.Crashes, l.crashRecord(key, now))
+	}
+	for f := range l.unsentOK {
+		m.Clears = append(m.Clears, clearRecord(f, l.clears[f], now))
+	}
+	clear(l.unsent)
+	clear(l.unsentOK)
+	return encode(&m)
+}
+
+// All returns an encoded message with everything known, for an instance that joins.
+func (l *Ledger) All(now time.Time) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	var m poispb.Records
+	for key := range l.crashes {
+		m.Crashes = append(m.Crashes, l.crashRecord(key, now))
+	}
+	for f, at := range l.clears {
+		m.Clears = append(m.Clears, clearRecord(f, at, now))
+	}
+	return encode(&m)
+}
+
+func (l *Ledger) crashRecord(key crashKey, now time.Time) *poispb.Crash {
+	c := l.crashes[key]
+	out := &poispb.Crash{Server: key.server, Incarnation: key.incarnation, AgeMs: age(c.at, now)}
+	for _, f := range c.all {
+		out.Fingerprints = append(out.Fingerprints, f[:])
+	}
+	return out
+}
+
+func clearRecord(f Fingerprint, at, now time.Time) *poispb.Clear {
+	return &poispb.Clear{Fingerprint: f[:], AgeMs: age(at, now)}
+}
+
+func age(at, now time.Time) uint64 { return uint64(max(now.Sub(at), 0).Milliseconds()) }
+
+func encode(m *poispb.Records) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		// Marshal fails only for invalid UTF-8 in a server's id, which decoding refuses.
+		return nil
+	}
+	return b
+}
+
+// Merge adds the records of another instance. A malformed message changes nothing.
+func (l *Ledger) Merge(b []byte, now time.Time) error {
+	var m poispb.Records
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return Error.Wrap(err)
+	}
+	if len(m.Crashes) > maxRecords || len(m.Clears) > maxRecords {
+		return Error.New("%d crashes and %d clears exceed %d", len(m.Crashes), len(m.Clears), maxRecords)
+	}
+	crashes := make([][]Fingerprint, len(m.Crashes))
+	for i, c := range m.Crashes {
+		if len(c.Fingerprints) > maxSuspects {
+			return Error.New("%d requests on one server exceed %d", len(c.Fingerprints), maxSuspects)
+		}
+		for _, b := range c.Fingerprints {
+			f, err := fingerprint(b)
+			if err != nil {
+				return err
+			}
+			crashes[i] = append(crashes[i], f)
+		}
+	}
+	clears := make([]Fingerprint, len(m.Clears))
+	for i, c := range m.Clears {
+		f, err := fingerprint(c.Fingerprint)
+		if err != nil {
+			return err
+		}
+		clears[i] = f
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, c := range m.Crashes {
+		if at, ok := received(c.AgeMs, now); ok && len(crashes[i]) > 0 {
+			l.addCrash(crashKey{c.Server, c.Incarnation}, crashes[i], at)
+			l.clearProven(crashes[i], at)
+		}
+	}
+	for i, c := range m.Clears {
+		if at, ok := received(c.AgeMs, now); ok {
+			l.addClear(clears[i], at)
+		}
+	}
+	return nil
+}
+
+// addClear keeps the latest completion. Small differences come from the way of
+// the message and are not passed on, or two instances would send them forever.
+func (l *Ledger) addClear(f Fingerprint, at time.Time) {
+	old, ok := l.clears[f]
+	if ok && at.Sub(old) < time.Second || !ok && len(l.clears) >= maxRecords {
+		return
+	}
+	l.clears[f], l.unsentOK[f], l.judged = at, true, nil
+}
+
+// clearProven clears suspects of another instance that have completed here.
+func (l *Ledger) clearProven(all []Fingerprint, at time.Time) {
+	for _, f := range all {
+		if l.isProven(f) {
+			l.addClear(f, at)
+		}
+	}
+}
+
+func received(ageMs uint64, now time.Time) (time.Time, bool) {
+	if ageMs >= uint64(Expiry.Milliseconds()) {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(ageMs) * time.Millisecond), true
+}
+
+func fingerprint(b []byte) (f Fingerprint, err error) {
+	if len(b) != len(f) {
+		return f, Error.New("fingerprint of %d bytes, want %d", len(b), len(f))
+	}
+	copy(f[:], b)
+	return f, nil
+}
