stream: refuse attempts on held copies and list records

Cause: a chunk appended to a copy that is held for another owner would have diverged from that owner's record, and a stopping instance had no way to find the answers to hand over.

Change: Append and End refuse attempts on a held copy. Registry.List describes all records. A seeded test moves an answer through six owners and checks that readers never saw a token that the next owner does not know.

--- a/internal/stream/answer.go
+++ b/internal/stream/answer.go
@@ -138,7 +138,8 @@
 
 // Attempt starts the next attempt and returns its number. Chunks of older
 // attempts are refused from now on, also those received ahead of a gap. The
-// attempt continues at Position.
+// attempt continues at Position. A copy held for another owner has no attempts:
+// all chunks of the returned number are refused.
 func (a *Answer) Attempt() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -215,7 +216,7 @@
 	if a.end != nil {
 		return ErrEnded
 	}
-	if attempt != a.epoch<<32|a.attempt || a.attempt == 0 {
+	if attempt != a.epoch<<32|a.attempt || a.attempt == 0 || a.copy.held {
 		return ErrStale
 	}
 	return nil
--- a/internal/stream/copy_test.go
+++ b/internal/stream/copy_test.go
@@ -122,6 +122,70 @@
 	}
 }
 
+// Guards against a caller that has seen tokens which the next owner does not
+// know, against messages and attempts of an old owner that are still accepted,
+// and against lost epochs when the copy moves from owner to owner.
+func TestOwnersFailOneAfterAnother(t *testing.T) {
+	for seed := range uint64(300) {
+		rnd := rand.New(rand.NewPCG(seed, 12))
+		ctx := context.Background()
+		nodes := make([]*Registry, 5)
+		for i := range nodes {
+			nodes[i] = NewRegistry(Config{Node: fmt.Sprint(i), TotalBytes: 1 << 20})
+		}
+		a, err := nodes[0].Accept(Request{ID: "r", Body: []byte("q")}, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var seen []string
+		var old []*direct
+		owner, last := 0, uint64(0)
+		for range 6 {
+			keeper := (owner + 1 + rnd.IntN(len(nodes)-1)) % len(nodes)
+			d := &direct{r: nodes[keeper], owner: fmt.Sprint(owner), left: -1}
+			lost, err := a.Copy(ctx, d)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			n := a.Attempt()
+			if n <= last {
+				t.Fatalf("seed %d: attempt %d after %d", seed, n, last)
+			}
+			last = n
+			for range rnd.IntN(10) {
+				p := a.Position()
+				if _, err := a.Append(n, p, []string{fmt.Sprint(n, "/", p)}); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+				if rnd.IntN(2) == 0 {
+					chunks, _, _ := a.Read(ctx, uint64(len(seen)))
+					for _, c := range chunks {
+						seen = append(seen, c.Text)
+					}
+				}
+			}
+			b, err := nodes[keeper].Takeover("r", true, start)
+			if err != nil || b.Position() < uint64(len(seen)) || !slices.Equal(b.Tokens(0)[:len(seen)], seen) {
+				t.Fatalf("seed %d: new owner has %q of the seen %q, %v", seed, b.Tokens(0), seen, err)
+			}
+			_, _ = a.Append(n, a.Position(), []string{"late"})
+			if err := <-lost; !errors.Is(err, ErrTakenOver) {
+				t.Fatalf("seed %d: old owner: %v", seed, err)
+			}
+			old = append(old, d)
+			for _, o := range old {
+				if err := o.Append(ctx, 0, []string{"stale"}); !errors.Is(err, ErrTakenOver) {
+					t.Fatalf("seed %d: message of an old owner: %v", seed, err)
+				}
+				if _, err := b.Append(last, b.Position(), []string{"stale"}); !errors.Is(err, ErrStale) {
+					t.Fatalf("seed %d: chunk of an old attempt: %v", seed, err)
+				}
+			}
+			a, owner = b, keeper
+		}
+	}
+}
+
 // Guards against tokens shown before the acknowledgement, one message for each
 // token while one is outstanding, and readers that stay blocked when the keeper fails.
 func TestAcknowledgementGatesReaders(t *testing.T) {
--- a/internal/stream/registry.go
+++ b/internal/stream/registry.go
@@ -103,6 +103,18 @@
 	return e.info(id), true
 }
 
+// List describes all records, in no order. A stopping instance hands over those
+// that are neither Held nor Ended.
+func (r *Registry) List() []Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Info, 0, len(r.entries))
+	for id, e := range r.entries {
+		out = append(out, e.info(id))
+	}
+	return out
+}
+
 func (e *entry) info(id string) Info {
 	e.a.mu.Lock()
 	defer e.a.mu.Unlock()
