route, poison: use plainer words

Cause: a variable and a comment were worded figuratively.

Change: rename the parameter that admits ejected servers; reword the comment on explained crashes. No change of behaviour.

Measured: go test -race ./internal/route ./internal/poison: ok.

Conclusion: none beyond wording.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -420,7 +420,7 @@
 // judge derives the states from the crashes. It repeats until nothing changes:
 // the cause of a crash explains it, which may leave a single suspect in another.
 // An explanation never lets a request run again, only its own completion does:
-// two requests of a crash may both be causes, and letting the second one off
+// two requests of a crash may both be causes, and running the second one again
 // would cost it a third server.
 func judge(crashes map[crashKey]*crash, clears map[Fingerprint]time.Time, now time.Time) map[Fingerprint]State {
 	out, condemned := map[Fingerprint]State{}, map[Fingerprint]bool{}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -132,21 +132,21 @@
 	if g == nil {
 		return Choice{}, ErrNoServer
 	}
-	for _, desperate := range []bool{false, true} {
-		if c, ok := t.pick(g, &q, desperate, now); ok {
+	for _, useEjected := range []bool{false, true} {
+		if c, ok := t.pick(g, &q, useEjected, now); ok {
 			return c, nil
 		}
 	}
 	return Choice{}, ErrExcluded
 }
 
-func (t *Table) pick(g *group, q *Query, desperate bool, now time.Time) (Choice, bool) {
+func (t *Table) pick(g *group, q *Query, useEjected bool, now time.Time) (Choice, bool) {
 	var list shortlist
 	var named [indexed]uint32
 	n := t.index.find(q.Prefix, &named)
-	if len(g.servers) <= scanAll || desperate {
+	if len(g.servers) <= scanAll || useEjected {
 		for _, s := range g.servers {
-			if s.allowed(q, desperate, now) {
+			if s.allowed(q, useEjected, now) {
 				list.offer(t.candidate(g, s, q, now))
 			}
 		}
@@ -155,7 +155,7 @@
 	}
 	for _, num := range named[:n] {
 		s := t.nums[num]
-		if s != nil && s.b.State == world.Ready && s.b.Service == q.Service && s.b.Runs(q.Version) && s.allowed(q, desperate, now) {
+		if s != nil && s.b.State == world.Ready && s.b.Service == q.Service && s.b.Runs(q.Version) && s.allowed(q, useEjected, now) {
 			list.append(t.candidate(g, s, q, now))
 		}
 	}
@@ -211,7 +211,7 @@
 }
 
 // allowed reports whether the server may run the request at all.
-func (s *server) allowed(q *Query, desperate bool, now time.Time) bool {
+func (s *server) allowed(q *Query, useEjected bool, now time.Time) bool {
 	if q.Adapter != "" && !slices.Contains(s.b.Adapters, q.Adapter) {
 		return false
 	}
@@ -221,7 +221,7 @@
 	if !s.b.LeaveBy.IsZero() && float64(s.b.LeaveBy.Sub(now)) < noticeSlack*float64(s.run(q)) {
 		return false
 	}
-	return desperate || !s.health.blocked(now)
+	return useEjected || !s.health.blocked(now)
 }
 
 // run is the expected duration of a request on the server.
