Correct two comments of the adapter and the cloud simulator

Cause: one comment described an earlier form of the framing check, the other left out that Stop may be called twice for an instance.

Change: comments only.

Conclusion: none beyond the text.

--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -187,8 +187,7 @@
 		x.ended = true
 		return nil
 	}
-	// The header is removed from the parsed map, but the parsed length tells
-	// the framing: -2 is a body that ends with the connection.
+	// A length of -1 means chunks, -2 a body that ends with the connection.
 	if x.resp.Header.ContentLength() < -1 {
 		return errUnframed
 	}
--- a/internal/stand/cloud.go
+++ b/internal/stand/cloud.go
@@ -37,7 +37,7 @@
 	StartDelay time.Duration // from the request to the start of the server
 	// Start runs the server of an instance, and Stop ends it: by a reclaim
 	// (at leaveBy), a call or a failed Start. Both are called without locks held;
-	// either may be nil.
+	// either may be nil. An instance that ends while it starts is stopped twice.
 	Start func(i Instance) error
 	Stop  func(i Instance, reclaimed bool)
 	// Notice tells the server about its reclaim.
