--- /dev/null
+++ b/internal/contrl/api.go
@@ -0,0 +1,261 @@
+package contrl
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/store"
+	"cranberrypath.example/cranberrypath/pkg/decl"
+)
+
+// current returns a view that holds everything that was accepted before the request.
+func (s *Server) current(ctx context.Context) (*store.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	if _, err := s.cfg.Log.Barrier(ctx); err != nil {
+		return nil, fail(fasthttp.StatusServiceUnavailable, "notCurrent", "this member cannot reach a majority: "+err.Error())
+	}
+	return s.cfg.Store.View(), nil
+}
+
+// result answers a command.
+type result struct {
+	Command string      `json:"command"`
+	Version uint64      `json:"version"`
+	Move    *store.Move `json:"move,omitempty"`
+}
+
+func (s *Server) run(ctx context.Context, o store.Origin, cmd store.Command) (any, error) {
+	r, err := s.proposer.propose(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	return result{o.ID, r.Version, r.Move}, nil
+}
+
+type setBy struct {
+	Version uint64    `json:"version"`
+	By      string    `json:"by,omitempty"`
+	At      time.Time `json:"at,omitzero"`
+}
+
+type serviceStatus struct {
+	Name    string             `json:"name"`
+	Serving string             `json:"serving"`
+	Shares  map[string]float64 `json:"shares"`
+	Move    *store.Move        `json:"move,omitempty"`
+	// Instances counts the instances by phase.
+	Instances map[string]int `json:"instances"`
+}
+
+type status struct {
+	Node        string          `json:"node"`
+	Leader      string          `json:"leader"`
+	Term        uint64          `json:"term"`
+	Version     uint64          `json:"version"`
+	Declaration setBy           `json:"declaration"`
+	Preset      string          `json:"preset"`
+	PresetSet   setBy           `json:"presetSet"`
+	Services    []serviceStatus `json:"services"`
+}
+
+func (s *Server) status(ctx context.Context, _ *request) (any, error) {
+	v, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	g := s.cfg.Log.Status()
+	out := status{
+		Node: s.cfg.Node, Leader: g.Leader, Term: g.Term, Version: v.Version,
+		Declaration: setBy(v.Declared), Preset: v.Preset, PresetSet: setBy(v.PresetSet), Services: []serviceStatus{},
+	}
+	counts := map[string]map[string]int{}
+	for _, i := range v.Instances {
+		if counts[i.Service] == nil {
+			counts[i.Service] = map[string]int{}
+		}
+		counts[i.Service][i.Phase]++
+	}
+	for _, svc := range v.Declaration.Services {
+		one := serviceStatus{Name: svc.Name, Serving: v.Serving[svc.Name], Shares: v.Shares[svc.Name], Instances: counts[svc.Name]}
+		if m, ok := v.Running(svc.Name); ok {
+			one.Move = &m
+		}
+		if one.Instances == nil {
+			one.Instances = map[string]int{}
+		}
+		out.Services = append(out.Services, one)
+	}
+	return out, nil
+}
+
+func (s *Server) declaration(ctx context.Context, _ *request) (any, error) {
+	v, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		setBy
+		Declaration decl.Declaration `json:"declaration"`
+	}{setBy(v.Declared), v.Declaration}, nil
+}
+
+// parse reads the declaration in the body. The file name in the query is for
+// messages only.
+func parse(r *request) (decl.Declaration, error) {
+	file := string(r.QueryArgs().Peek("file"))
+	if file == "" {
+		file = "declaration"
+	}
+	d, err := decl.Parse(file, r.PostBody())
+	if err != nil {
+		return d, fail(fasthttp.StatusUnprocessableEntity, store.Invalid, err.Error())
+	}
+	return d, nil
+}
+
+func (s *Server) apply(ctx context.Context, r *request) (any, error) {
+	o, err := s.origin(r)
+	if err != nil {
+		return nil, err
+	}
+	expect, err := number(r, "expect")
+	if err != nil {
+		return nil, err
+	}
+	d, err := parse(r)
+	if err != nil {
+		return nil, err
+	}
+	return s.run(ctx, o, store.Apply(o, expect, d))
+}
+
+func (s *Server) diff(ctx context.Context, r *request) (any, error) {
+	d, err := parse(r)
+	if err != nil {
+		return nil, err
+	}
+	v, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := diff(v.Declaration, d)
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		setBy
+		Changes []change `json:"changes"`
+	}{setBy(v.Declared), changes}, nil
+}
+
+func (s *Server) setPreset(ctx context.Context, r *request) (any, error) {
+	o, err := s.origin(r)
+	if err != nil {
+		return nil, err
+	}
+	var in struct {
+		Preset string `json:"preset"`
+		Expect uint64 `json:"expect"`
+	}
+	if err := decode(r, &in); err != nil {
+		return nil, err
+	}
+	return s.run(ctx, o, store.SetPreset(o, in.Expect, in.Preset))
+}
+
+func (s *Server) moves(ctx context.Context, _ *request) (any, error) {
+	v, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		Moves []store.Move `json:"moves"`
+	}{append([]store.Move{}, v.Moves...)}, nil
+}
+
+func (s *Server) startMove(ctx context.Context, r *request) (any, error) {
+	o, err := s.origin(r)
+	if err != nil {
+		return nil, err
+	}
+	var in struct {
+		Service  string    `json:"service"`
+		To       string    `json:"to"`
+		Deadline time.Time `json:"deadline"`
+	}
+	if err := decode(r, &in); err != nil {
+		return nil, err
+	}
+	return s.run(ctx, o, store.StartMove(o, in.Service, in.To, in.Deadline))
+}
+
+func (s *Server) move(ctx context.Context, r *request) (any, error) {
+	v, err := s.current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m, ok := v.Move(r.rest)
+	if !ok {
+		return nil, fail(fasthttp.StatusNotFound, store.Unknown, "there is no move "+r.rest)
+	}
+	return m, nil
+}
+
+func (s *Server) takeBack(ctx context.Context, r *request) (any, error) {
+	o, err := s.origin(r)
+	if err != nil {
+		return nil, err
+	}
+	var in struct {
+		Reason string `json:"reason"`
+	}
+	if err := decode(r, &in); err != nil {
+		return nil, err
+	}
+	return s.run(ctx, o, store.TakeBack(o, r.rest, in.Reason))
+}
+
+func (s *Server) events(ctx context.Context, r *request) (any, error) {
+	arg := func(name string) string { return string(r.QueryArgs().Peek(name)) }
+	f := event.Filter{Request: arg("request"), Move: arg("move"), Instance: arg("instance"), Kind: arg("kind")}
+	times := []struct {
+		name string
+		to   *time.Time
+	}{{"from", &f.From}, {"until", &f.Until}}
+	for _, p := range times {
+		if arg(p.name) == "" {
+			continue
+		}
+		t, err := time.Parse(time.RFC3339, arg(p.name))
+		if err != nil {
+			return nil, fail(fasthttp.StatusBadRequest, p.name, "want a time such as 2026-01-02T15:04:05Z in the query parameter "+p.name)
+		}
+		*p.to = t
+	}
+	out := []event.Event{}
+	if s.cfg.Events != nil {
+		found, err := s.cfg.Events(ctx, f)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, found...)
+	}
+	return struct {
+		Events []event.Event `json:"events"`
+	}{out}, nil
+}
+
+func (s *Server) members(_ context.Context, _ *request) (any, error) {
+	g := s.cfg.Log.Status()
+	return struct {
+		Node    string         `json:"node"`
+		Leader  string         `json:"leader"`
+		Leads   bool           `json:"leads"`
+		Term    uint64         `json:"term"`
+		Members []MemberStatus `json:"members"`
+	}{s.cfg.Node, g.Leader, g.Leads, g.Term, append([]MemberStatus{}, g.Members...)}, nil
+}
