--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -26,15 +26,21 @@
 	// and a server's queue takes a few seconds to show in its latency.
 	leastHold = 5 * time.Second
 	// soakPart is the largest part of a move's whole time that the soak takes.
-	soakPart = 1.0 / 3
+	soakPart = 0.25
+	// shortSoak is the part of the soak that is enough when the deadline comes
+	// first, for example after a suspicion that was not confirmed.
+	shortSoak = 0.5
 	// timeUsed is the part of the time to the deadline that the steps are
-	// spread over; the rest is a reserve for late evidence and late starts.
-	timeUsed = 0.6
+	// spread over; the rest is a reserve for late evidence, late starts and a
+	// second soak after a suspicion.
+	timeUsed = 0.45
 	// suspectShare is the share at which a suspicion during the soak is
 	// checked: enough traffic on both versions to decide within seconds.
 	suspectShare = 0.5
 	// spare is the capacity that must be ready beyond the traffic of a share.
 	spare = 1.1
+	// longest bounds estimates of time, in seconds, so that they fit a Duration.
+	longest = 1e8
 )
 
 // Capacity is what the ready servers of a service and version can run.
@@ -155,9 +161,10 @@
 	if verdict.State == judge.Suspect && now.Before(m.Deadline) {
 		return share(m, suspectShare, "compares both versions again: "+verdict.Reason), true
 	}
-	passed := now.Sub(m.ShareAt) >= p.Soak(m)
+	passed := now.Sub(m.ShareAt) >= p.Soak(m) || !now.Before(m.Deadline) && now.Sub(m.ShareAt) >= p.shortSoak(m)
+	ready := verdict.State == judge.Good || enough(verdict) && waiting(verdict) > m.Deadline.Sub(now)
 	switch {
-	case passed && verdict.State == judge.Good:
+	case passed && ready:
 		return end(m, world.Done, fmt.Sprintf("all traffic on %s for %s without a fault", m.To, now.Sub(m.ShareAt).Round(time.Second))), true
 	case !now.Before(m.Deadline):
 		return end(m, world.TakenBack, "the deadline passed during the soak: "+cmp.Or(verdict.Reason, "the soak was not over")), true
@@ -166,12 +173,16 @@
 }
 
 // Soak returns how long the full share is watched: as declared, but at most a
-// third of the move's time.
+// quarter of the move's time.
 func (p Plan) Soak(m world.Move) time.Duration {
 	declared := time.Duration(p.policy.SoakSeconds) * time.Second
 	return min(declared, time.Duration(float64(m.Deadline.Sub(m.Started))*soakPart))
 }
 
+func (p Plan) shortSoak(m world.Move) time.Duration {
+	return time.Duration(shortSoak * float64(p.Soak(m)))
+}
+
 func (p Plan) late(m world.Move, v View) string {
 	text := fmt.Sprintf("the deadline passed at a share of %g%%", m.Share*100)
 	c := v.New[m.ID]
@@ -250,7 +261,7 @@
 		if s, ok := p.thin(now, m, v, verdict); ok {
 			return s, true
 		}
-		if verdict.State != judge.Good || now.Sub(m.ShareAt) < p.hold(m, len(above)) {
+		if !enough(verdict) || now.Sub(m.ShareAt) < p.hold(m, len(above)) {
 			return Step{}, false
 		}
 		// Two steps at once when even the shortest holds would miss the soak.
@@ -259,7 +270,7 @@
 			to = above[1]
 		}
 	}
-	if to == 1 && now.Add(p.Soak(m)).After(m.Deadline) {
+	if to == 1 && now.Add(p.shortSoak(m)).After(m.Deadline) {
 		return Step{}, false // no time for the soak; the deadline ends the move
 	}
 	if !carries(v.New[m.ID], v.Demand[m.Service], to) {
@@ -271,6 +282,18 @@
 	return share(m, to, "evidence: "+verdict.State.String()), true
 }
 
+// enough reports whether the evidence allows the next share. Fair evidence
+// does, because a share is held for its part of the time anyway; the soak waits
+// for Good as long as the deadline allows.
+func enough(v judge.Verdict) bool {
+	return v.State == judge.Good || v.State == judge.Unsure && v.Fair
+}
+
+// waiting estimates how long it takes until the verdict can be Good.
+func waiting(v judge.Verdict) time.Duration {
+	return time.Duration(min(float64(v.Missing)/max(v.Rate, 1e-6), longest) * float64(time.Second))
+}
+
 // hold returns how long the present share lasts if evidence allows the next
 // one. It depends on recorded state only and shrinks as the deadline comes nearer.
 func (p Plan) hold(m world.Move, stepsLeft int) time.Duration {
@@ -281,12 +304,12 @@
 // thin raises a share that would not give evidence in time.
 func (p Plan) thin(now time.Time, m world.Move, v View, verdict judge.Verdict) (Step, bool) {
 	held := now.Sub(m.ShareAt)
-	if verdict.State != judge.Unsure || m.Share >= thinShare || held < thinAfter || verdict.Missing == 0 {
+	if verdict.State != judge.Unsure || m.Share >= thinShare || held < thinAfter || verdict.FairMissing == 0 {
 		return Step{}, false
 	}
 	left := m.Deadline.Sub(now) - p.Soak(m)
-	need := time.Duration(float64(verdict.Missing) / max(verdict.Rate, 1e-6) * float64(time.Second))
-	if verdict.Rate > 0 && need <= left/time.Duration(len(p.above(m.Share))) {
+	need := time.Duration(min(float64(verdict.FairMissing)/max(verdict.FairRate, 1e-6), longest) * float64(time.Second))
+	if need <= left/time.Duration(len(p.above(m.Share))) {
 		return Step{}, false
 	}
 	to := min(max(0.05, m.Share), thinShare)
