Keep term and vote in a log and let one member form a group

On a real disk with other load no group of three formed within 20 s: each vote replaced a file, which took 142 ms in BenchmarkReplace against 0.08 ms for an append in BenchmarkSync, so that polls timed out, and the candidates, which need every vote at the first start, blocked each other.

A member that is addressed under another incarnation reports it.

Measured: go test -run xxx -bench . ./internal/disk gives the times above; go test -race -count=1 ./internal/raft passes in 17 s, it had failed with 7 operations in TestLinearizableOverLinks.

Conclusion: elections no longer depend on the time to create a file.

--- a/internal/raft/apply.go
+++ b/internal/raft/apply.go
@@ -100,21 +100,34 @@
 	return filepath.Join(g.cfg.Dir, fmt.Sprintf(snapPrefix+"%020d", index))
 }
 
-// snapshot writes the machine's state to a file and cuts the front of the log.
-// The log stays usable while the file is written.
+// snapshot takes the machine's state, and writes it to a file and cuts the
+// front of the log while the machine goes on.
 func (g *Group) snapshot() error {
 	data, err := g.cfg.Machine.Snapshot()
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	index := g.applied
-	if g.restore != nil || index < g.base {
-		g.mu.Unlock()
-		return nil // a newer one has arrived
+	if g.snapping || g.restore != nil || index < g.base {
+		return nil // another is under way, or a newer one has arrived
 	}
 	snap := &raftpb.Snapshot{Index: index, Term: g.termAt(index), Members: g.membersAt(index).proto(), Data: data}
-	g.mu.Unlock()
+	g.snapping, g.sinceSnap = true, 0
+	g.wg.Go(func() {
+		err := g.writeSnapshot(snap)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.snapping = false
+		if err != nil {
+			g.fail(err)
+		}
+	})
+	return nil
+}
+
+func (g *Group) writeSnapshot(snap *raftpb.Snapshot) error {
 	content, err := proto.Marshal(snap)
 	if err != nil {
 		return Error.Wrap(err)
@@ -122,27 +135,32 @@
 	if len(content) > maxSnapshotBytes {
 		return Error.New("group %d: snapshot of %d bytes exceeds %d", g.cfg.Group, len(content), maxSnapshotBytes)
 	}
-	if err := walog.WriteFile(g.cfg.FS, g.snapPath(index), content); err != nil {
+	if err := walog.WriteFile(g.cfg.FS, g.snapPath(snap.Index), content); err != nil {
 		return Error.Wrap(err)
 	}
-	g.io.Lock()
-	defer g.io.Unlock()
-	return g.retire(index, len(content))
+	old, err := g.retire(snap.Index, len(content))
+	if err != nil || old == 0 {
+		return err
+	}
+	return Error.Wrap(g.cfg.FS.Remove(g.snapPath(old)))
 }
 
-// retire makes the snapshot at index the current one. The caller holds io.
-func (g *Group) retire(index uint64, size int) error {
+// retire makes the snapshot at index the current one and cuts the log. It
+// returns the index of the snapshot to remove, if any.
+func (g *Group) retire(index uint64, size int) (uint64, error) {
+	g.io.Lock()
+	defer g.io.Unlock()
 	g.mu.Lock()
 	if g.err != nil {
 		g.mu.Unlock()
-		return nil
+		return 0, nil
 	}
 	old := g.snapIndex
 	if old >= index {
 		g.mu.Unlock()
-		return Error.Wrap(g.cfg.FS.Remove(g.snapPath(index)))
+		return index, nil // the leader has sent a newer one meanwhile
 	}
-	g.snapIndex, g.snapBytes, g.sinceSnap = index, size, 0
+	g.snapIndex, g.snapBytes = index, size
 	base := index
 	for kept := 0; base > g.base && index-base < trailingEntries; base-- {
 		if kept += len(g.entries[base-g.base-1].Data); kept > trailingBytes {
@@ -156,13 +174,7 @@
 	at := membersAt{index, g.membersAt(index)}
 	g.history = append([]membersAt{at}, g.historyAfter(index)...)
 	g.mu.Unlock()
-	if err := g.log.Release(base); err != nil {
-		return Error.Wrap(err)
-	}
-	if old == 0 {
-		return nil
-	}
-	return Error.Wrap(g.cfg.FS.Remove(g.snapPath(old)))
+	return old, Error.Wrap(g.log.Release(base))
 }
 
 func (g *Group) historyAfter(index uint64) []membersAt {
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,6 +14,10 @@
 // ticksPerHeartbeat is how often the time limits are checked.
 const ticksPerHeartbeat = 5
 
+// voteTimeout bounds a vote, which a voter syncs before it answers. A sync takes
+// up to several hundred milliseconds on a busy disk.
+const voteTimeout = time.Second
+
 // tick checks the time limits.
 func (g *Group) tick() {
 	t := time.NewTicker(g.cfg.Heartbeat / ticksPerHeartbeat)
@@ -41,12 +46,9 @@
 
 func (g *Group) mayStand() bool {
 	if g.forming() {
-		for _, id := range g.cfg.Members {
-			if id == g.cfg.ID {
-				return true
-			}
-		}
-		return false
+		// Every member must grant the first election, so two candidates would
+		// block each other; with slow syncs that went on for tens of seconds.
+		return len(g.cfg.Members) > 0 && slices.Min(g.cfg.Members) == g.cfg.ID
 	}
 	m, ok := g.self()
 	return ok && !m.Learner
@@ -144,7 +146,7 @@
 	req.Term, req.Index, req.LogTerm = term+1, g.last(), g.termAt(g.last())
 	g.delayElection(now)
 	g.mu.Unlock()
-	if granted := g.poll(req, voters, need); len(granted) < need {
+	if granted := g.poll(req, voters, need, g.cfg.Election); len(granted) < need {
 		return
 	}
 	g.io.Lock()
@@ -162,7 +164,7 @@
 	if !stands {
 		return
 	}
-	if granted := g.poll(req, voters, need); len(granted) >= need {
+	if granted := g.poll(req, voters, need, max(g.cfg.Election, voteTimeout)); len(granted) >= need {
 		g.win(term+1, granted)
 	}
 }
@@ -175,9 +177,9 @@
 }
 
 // poll asks the voters and returns those that granted, with their incarnations,
-// as soon as there are need of them.
-func (g *Group) poll(req *raftpb.Message, voters members, need int) members {
-	ctx, cancel := context.WithTimeout(g.ctx, g.cfg.Election)
+// as soon as there are need of them or no longer can be.
+func (g *Group) poll(req *raftpb.Message, voters members, need int, most time.Duration) members {
+	ctx, cancel := context.WithTimeout(g.ctx, most)
 	defer cancel()
 	answers := make(chan Member, len(voters))
 	asked := 0
@@ -214,7 +216,7 @@
 			answers <- Member{ID: m.ID, Incarnation: resp.FromIncarnation}
 		})
 	}
-	for ; asked > 0 && len(granted) < need; asked-- {
+	for ; len(granted) < need && len(granted)+asked >= need; asked-- {
 		if m := <-answers; m.ID != "" {
 			granted = append(granted, m)
 		}
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -26,12 +26,13 @@
 	resp := g.newMessage(req.Kind)
 	resp.Leader = g.leader
 	stopped := g.err != nil
+	resp.Stranger = req.ToIncarnation != 0 && req.ToIncarnation != resp.FromIncarnation
+	g.stranger = g.stranger || resp.Stranger
 	g.mu.Unlock()
 	if stopped {
 		return nil
 	}
-	if req.ToIncarnation != 0 && req.ToIncarnation != resp.FromIncarnation {
-		resp.Stranger = true
+	if resp.Stranger {
 		return resp
 	}
 	switch req.Kind {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -77,6 +78,8 @@
 	// trailingEntries stay in the log behind a snapshot, for members that lag a little.
 	trailingEntries = 1024
 	trailingBytes   = 1 << 20
+	// stateSegmentBytes holds some thousand terms and votes.
+	stateSegmentBytes = 256 << 10
 )
 
 // Machine is the replicated state machine. Apply must be deterministic. Calls
@@ -178,6 +181,9 @@
 	io  sync.Mutex // see the package comment
 	log *walog.Log // guarded by io
 
+	votes     *walog.Log // guarded by io; of raftpb.State, the last counts
+	voteIndex uint64
+
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced when a waiter's condition may hold
 	wake    chan struct{} // the queue has proposals
@@ -203,6 +209,7 @@
 	snapIndex uint64
 	snapBytes int // size of the last snapshot
 	sinceSnap int // bytes of commands applied since
+	snapping  bool
 	restore   *raftpb.Snapshot
 	incoming  incoming
 
@@ -265,35 +272,42 @@
 	return nil
 }
 
+// loadState opens the log of terms and votes. Its last record counts; a vote
+// costs one sync of an open file, not the several of a replaced one.
 func (g *Group) loadState(content walog.Content, snap *raftpb.Snapshot) error {
-	b, err := walog.ReadFile(g.cfg.FS, g.statePath())
+	votes, states, err := walog.Open(walog.Config{FS: g.cfg.FS, Dir: filepath.Join(g.cfg.Dir, "state"), SegmentBytes: stateSegmentBytes})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	g.votes, g.voteIndex = votes, states.Last()
+	known := len(states.Records) > 0
 	switch {
-	case err == nil && content.New:
+	case known && content.New:
 		return Error.New("group %d: the log is missing although the member has started before", g.cfg.Group)
-	case err == nil:
+	case known:
 		g.state = &raftpb.State{}
 		// Before the restart this member may have confirmed a leader's lease.
 		g.heard = g.cfg.Clock()
-		return Error.Wrap(proto.Unmarshal(b, g.state))
-	case !disk.IsNotExist(err):
-		return Error.Wrap(err)
+		return Error.Wrap(proto.Unmarshal(states.Records[len(states.Records)-1], g.state))
 	case snap != nil || len(content.Records) > 0:
 		return Error.New("group %d: term and vote are missing although the member has started before", g.cfg.Group)
 	}
 	return g.saveState(&raftpb.State{Incarnation: rand.Uint64()>>1 + 1})
 }
 
-func (g *Group) statePath() string { return filepath.Join(g.cfg.Dir, "state") }
-
 // saveState makes s durable; the caller holds io, and mu if the group runs.
 func (g *Group) saveState(s *raftpb.State) error {
 	b, err := proto.Marshal(s)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if err := walog.WriteFile(g.cfg.FS, g.statePath(), b); err != nil {
+	if err := g.votes.Append(g.voteIndex+1, [][]byte{b}); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := g.votes.Release(g.voteIndex); err != nil {
 		return Error.Wrap(err)
 	}
+	g.voteIndex++
 	g.state = s
 	return nil
 }
@@ -381,7 +395,7 @@
 	g.wg.Wait()
 	g.io.Lock()
 	defer g.io.Unlock()
-	return Error.Wrap(g.log.Close())
+	return Error.Wrap(errors.Join(g.log.Close(), g.votes.Close()))
 }
 
 // Propose appends a command and returns what the machine answered. Its errors
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -407,7 +407,7 @@
 
 // Guards against state that is partly lost and taken for a new member's.
 func TestPartlyLostStateIsRefused(t *testing.T) {
-	for _, lost := range []string{"state", "00000000000000000001.wal"} {
+	for _, lost := range []string{"state/00000000000000000001.wal", "00000000000000000001.wal"} {
 		c := newCluster(t, 1, 15, 0)
 		c.propose("one")
 		c.stop("a")
