--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -36,6 +36,9 @@
 	// ClaimGroups is the number of replicated groups that share the claims.
 	// It must be the same in every process and never change.
 	ClaimGroups int `json:"claimGroups"`
+	// ClaimHours is how long the key of a call that is not idempotent is
+	// remembered after its last change. It must be the same in every process.
+	ClaimHours int `json:"claimHours"`
 
 	DataFolder string `json:"dataFolder"` // control role only
 	EventFile  string `json:"eventFile"`  // JSON lines of the time line; empty keeps them in memory
@@ -109,6 +112,7 @@
 		Cell:        "main",
 		LogLevel:    "info",
 		ClaimGroups: 2,
+		ClaimHours:  48,
 		Limits: Limits{
 			HeaderBytes: 16 << 10, BodyBytes: 8 << 20, IdleSeconds: 60, ReadSeconds: 30,
 			Connections: 10_000, RequestSeconds: 3600, KeepSeconds: 120,
@@ -243,6 +247,7 @@
 		from, upTo int
 	}{
 		{"claimGroups", s.ClaimGroups, 1, 64},
+		{"claimHours", s.ClaimHours, 1, 30 * 24},
 		{"limits.headerBytes", s.Limits.HeaderBytes, 1 << 10, 1 << 20},
 		{"limits.bodyBytes", s.Limits.BodyBytes, 1 << 10, 64 << 20},
 		{"limits.idleSeconds", s.Limits.IdleSeconds, 1, 3600},
--- a/pkg/decl/decl.go
+++ b/pkg/decl/decl.go
@@ -71,9 +71,6 @@
 	// Slots is how many requests one backend server runs at the same time
 	// within the target.
 	Slots int `json:"slots"`
-	// KeepKeysHours is how long the key of a call that is not idempotent is
-	// remembered, in hours.
-	KeepKeysHours int `json:"keepKeysHours,omitempty"`
 	// TimeoutSeconds bounds one plain call, in seconds.
 	TimeoutSeconds int `json:"timeoutSeconds,omitempty"`
 }
@@ -172,9 +169,6 @@
 		if s.Slots == 0 {
 			s.Slots = 8
 		}
-		if s.KeepKeysHours == 0 {
-			s.KeepKeysHours = 24
-		}
 		if s.TimeoutSeconds == 0 {
 			s.TimeoutSeconds = 30
 		}
@@ -235,7 +229,6 @@
 			problem(key+".machineClass", "is %q; want one of machineClasses", s.Class)
 		}
 		within(problem, key+".slots", s.Slots, 1, 100_000)
-		within(problem, key+".keepKeysHours", s.KeepKeysHours, 1, 24*30)
 		within(problem, key+".timeoutSeconds", s.TimeoutSeconds, 1, 3600)
 		for j, o := range d.Services[:i] {
 			if s.Kind == Plain && o.Kind == Plain && s.Path == o.Path {
