Add the entry role: the request path from callers to backend servers

Cause: the parts of the request path existed without a process that serves them. Change: internal/entry accepts model requests in the usual client shape and plain calls, copies each accepted answer to a keeper in another data centre, runs attempts through the router, moves streams off reclaimed servers, takes claims before non-idempotent calls, shares crash records in the cell, admits by organisation shares and drains without cutting a request.

--- /dev/null
+++ b/internal/entry/crash.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/entry/entrpb"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/poison"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+const (
+	crashCall  = "entry.crash"
+	permitCall = "entry.permit"
+	// crashTick bounds how late the cell learns of a crash.
+	crashTick = 50 * time.Millisecond
+	// probeTimeout is how long a server that broke a stream has to accept a new
+	// connection before it counts as crashed.
+	probeTimeout = 300 * time.Millisecond
+	// permitTimeout bounds the question whether a suspect may run.
+	permitTimeout = 300 * time.Millisecond
+)
+
+// gate is the right of a request to run now, given what it did to servers before.
+type gate struct {
+	avoid   []string
+	suspect bool
+	permits []heldPermit // to be returned
+}
+
+// heldPermit is a permit and the node that gave it.
+type heldPermit struct {
+	key  poison.Fingerprint
+	home string
+}
+
+var (
+	errCondemned = Error.New("the request crashed two backend servers")
+	errHeld      = Error.New("the request is suspected of crashing servers and must wait")
+)
+
+// pass asks whether a request may run. A suspect needs the cell's one permit for
+// its fingerprint, so that it cannot crash several servers at the same time.
+func (e *Entry) pass(ctx context.Context, f poison.Fingerprint, now time.Time) (gate, error) {
+	v := e.ledger.Check(f, now)
+	switch {
+	case v.State == poison.Condemned:
+		return gate{}, errCondemned
+	case !v.Run:
+		return gate{}, errHeld
+	}
+	g := gate{avoid: v.Avoid, suspect: v.Permit}
+	if v.Permit && !e.obtain(ctx, &g, f, now) {
+		return gate{}, errHeld
+	}
+	return g, nil
+}
+
+// obtain asks for one permit at its home.
+func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
+	nodes := []string{e.cfg.Settings.Node}
+	for _, p := range e.member.Peers(now) {
+		nodes = append(nodes, p.Node)
+	}
+	slices.Sort(nodes)
+	home := poison.Home(key, nodes)
+	if !e.askPermit(ctx, home, key, false, now) {
+		return false
+	}
+	g.permits = append(g.permits, heldPermit{key, home})
+	return true
+}
+
+// takeSlot lets a suspect run on a server only if no other suspect does, so that
+// a crash shows which of them caused it.
+func (e *Entry) takeSlot(ctx context.Context, g *gate, b world.Backend, now time.Time) bool {
+	return !g.suspect || e.obtain(ctx, g, poison.Slot(b.ID, b.Incarnation), now)
+}
+
+// leave returns the permits of a run that has ended.
+func (e *Entry) leave(g gate) {
+	for _, p := range g.permits {
+		e.running.Go(func() { e.askPermit(e.runs, p.home, p.key, true, e.cfg.Now()) })
+	}
+}
+
+func (e *Entry) askPermit(ctx context.Context, home string, f poison.Fingerprint, release bool, now time.Time) bool {
+	self := e.cfg.Settings.Node
+	if home == self {
+		return e.permit(f, self, release, now)
+	}
+	p, ok := e.peerNamed(home)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var resp entrpb.PermitResponse
+	err := e.cfg.Net.Call(ctx, p.Address, permitCall, &entrpb.PermitRequest{Fingerprint: f[:], Release: release}, &resp)
+	return err == nil && resp.Granted
+}
+
+func (e *Entry) permit(f poison.Fingerprint, node string, release bool, now time.Time) bool {
+	if release {
+		e.ledger.Release(f, node)
+		return true
+	}
+	return e.ledger.Permit(f, node, now)
+}
+
+func (e *Entry) handlePermit(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
+	var req entrpb.PermitRequest
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var f poison.Fingerprint
+	if copy(f[:], req.Fingerprint) != len(f) {
+		return nil, Error.New("fingerprint has %d bytes", len(req.Fingerprint))
+	}
+	return &entrpb.PermitResponse{Granted: e.permit(f, from.Node, req.Release, e.cfg.Now())}, nil
+}
+
+func (e *Entry) handleCrash(_ context.Context, _ link.Peer, body []byte) (proto.Message, error) {
+	var msg entrpb.Crash
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := e.ledger.Merge(msg.Records, e.cfg.Now()); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &entrpb.Empty{}, nil
+}
+
+// greeted remembers which peers have got everything that this node knows of crashes.
+type greeted struct {
+	mu    sync.Mutex
+	peers map[string]uint64 // incarnation by node
+}
+
+func (g *greeted) first(node string, incarnation uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.peers == nil {
+		g.peers = map[string]uint64{}
+	}
+	have, ok := g.peers[node]
+	g.peers[node] = incarnation
+	return !ok || have != incarnation
+}
+
+// tellCrashes spreads what this node learnt of crashes and stops the runs that
+// are no longer allowed.
+func (e *Entry) tellCrashes(now time.Time) {
+	changed := e.ledger.Changed(now)
+	for _, p := range e.member.Peers(now) {
+		records := changed
+		if e.greeted.first(p.Node, p.Incarnation) {
+			records = e.ledger.All(now)
+		}
+		if len(records) == 0 {
+			continue
+		}
+		e.running.Go(func() {
+			ctx, cancel := context.WithTimeout(e.runs, time.Second)
+			defer cancel()
+			// A peer that is not reached gets the records from another one.
+			_ = e.cfg.Net.Call(ctx, p.Address, crashCall, &entrpb.Crash{Records: records}, &entrpb.Empty{})
+		})
+	}
+	for f, servers := range e.ledger.Excess(now) {
+		for _, id := range servers {
+			for _, a := range e.active.on(id) {
+				if a.info.print == f {
+					a.stop(errHeld)
+				}
+			}
+		}
+	}
+}
+
+// ended tells the ledger how a run ended. A broken connection counts as a crash
+// only if the server accepts no new one.
+func (e *Entry) ended(f poison.Fingerprint, b world.Backend, broken, completed bool) {
+	now := e.cfg.Now()
+	if !broken || e.reclaimed(b, now) || accepts(e.runs, b.Address) {
+		e.ledger.Ended(f, b.ID, b.Incarnation, completed, now)
+		return
+	}
+	e.crashed(b.ID, b.Incarnation)
+}
+
+func (e *Entry) crashed(id string, incarnation uint64) {
+	now := e.cfg.Now()
+	key := id + "/" + strconv.FormatUint(incarnation, 10)
+	if _, known := e.crashes.LoadOrStore(key, now); known {
+		e.ledger.Crashed(id, incarnation, now)
+		return
+	}
+	e.ledger.Crashed(id, incarnation, now)
+	e.event(event.Of("backend.crashed").WithInstance(id))
+}
+
+// reclaimed reports whether the server is lost to an announced reclaim.
+func (e *Entry) reclaimed(b world.Backend, now time.Time) bool {
+	for _, l := range e.member.Leaving(now) {
+		if l.ID == b.ID && l.Incarnation == b.Incarnation {
+			return !l.LeaveBy.IsZero()
+		}
+	}
+	return !b.LeaveBy.IsZero()
+}
+
+// accepts reports whether a server takes a connection.
+func accepts(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, context.Canceled)
+	}
+	_ = c.Close()
+	return true
+}
+
+// suspect reports whether the request is known for crashes; its failures say
+// nothing about the version that ran it.
+func (e *Entry) suspect(f poison.Fingerprint, now time.Time) bool {
+	return e.ledger.State(f, now) != poison.Clear
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,253 @@
+// Package entry is the part of the system that callers connect to. It accepts
+// requests, runs them on backend servers until they are finished and lets a
+// caller fetch its answer at any entry instance, because backend servers, this
+// instance and its links may each go away while an answer is produced.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/judge"
+	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/member"
+	"cranberrypath.example/cranberrypath/internal/poison"
+	"cranberrypath.example/cranberrypath/internal/route"
+	"cranberrypath.example/cranberrypath/internal/store"
+	"cranberrypath.example/cranberrypath/internal/stream"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+const (
+	// answersBytes bounds the memory of all answers and copies. Together with
+	// the rest of the process it stays below the instance's 128 MB for control
+	// plus the data of running requests.
+	answersBytes = 512 << 20
+	// sweepEvery is how often finished answers and reservations are dropped.
+	sweepEvery = time.Second
+)
+
+// Configuration gives the configuration in force.
+type Configuration interface {
+	// Current returns an error if this process cannot be sure of it at now.
+	Current(now time.Time) (*store.View, error)
+}
+
+// Config sets up an Entry.
+type Config struct {
+	Settings      conf.Settings
+	Incarnation   uint64 // grows with each start of the process
+	Net           *link.Net
+	Member        *member.Member
+	Configuration Configuration
+	Claims        Claims
+	Backends      *backnd.Client
+	Events        *event.Log
+	Now           func() time.Time
+	Seed          uint64 // of routing decisions; 0 draws one
+}
+
+// Entry serves callers on one instance.
+type Entry struct {
+	cfg     Config
+	member  *member.Member
+	answers *stream.Registry
+	peers   *stream.Client
+	table   *route.Table
+	ledger  *poison.Ledger
+	shares  shares
+	results *judge.Recorder
+	server  *server
+
+	active   activeRuns
+	holders  keepersOf
+	reserved reservations
+	greeted  greeted
+	tally    tally
+
+	claims    atomic.Uint64 // number of claims taken, part of their owner's name
+	inFlight  sync.Map      // owners of claims whose calls are being served
+	unsettled sync.Map      // owners of claims whose end is not written yet
+	crashes   sync.Map      // servers and incarnations known to have crashed
+
+	resyncMu sync.Mutex
+	resync   map[string]bool // backend servers to ask for their whole cache
+
+	permitsMu sync.Mutex
+	permits   []member.Permit
+
+	ctx     context.Context // ends when the process stops serving callers
+	cancel  context.CancelFunc
+	runs    context.Context // ends when the process stops running requests
+	stop    context.CancelFunc
+	wg      sync.WaitGroup // loops and the listener
+	running sync.WaitGroup // runs and their helpers
+	readers sync.WaitGroup // streamed responses
+}
+
+// New opens the callers' listener and starts to serve.
+func New(cfg Config) (*Entry, error) {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	s := cfg.Settings
+	e := &Entry{
+		cfg: cfg, member: cfg.Member,
+		answers: stream.NewRegistry(stream.Config{Node: s.Node, TotalBytes: answersBytes, Keep: seconds(s.Limits.KeepSeconds)}),
+		peers:   &stream.Client{Net: cfg.Net},
+		table:   route.New(route.Config{Seed: cfg.Seed}),
+		ledger:  poison.New(),
+		resync:  map[string]bool{},
+		results: judge.NewRecorder(s.Node, cfg.Incarnation),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.runs, e.stop = context.WithCancel(context.Background())
+	stream.Serve(cfg.Net, e.answers, e.adopt)
+	cfg.Net.Handle(findCall, e.handleFind)
+	cfg.Net.Handle(crashCall, e.handleCrash)
+	cfg.Net.Handle(permitCall, e.handlePermit)
+	var err error
+	if e.server, err = e.listen(); err != nil {
+		return nil, err
+	}
+	e.loop(sweepEvery, func(now time.Time) {
+		e.answers.Sweep(now)
+		e.reserved.sweep(now)
+		e.adoptOrphans(now)
+		e.learnCaches(now)
+		e.noteServing(now)
+	})
+	moves := &reclaims{e: e, waiting: map[string]*activeRun{}}
+	e.loop(reclaimTick, moves.step)
+	e.loop(crashTick, e.tellCrashes)
+	return e, nil
+}
+
+// loop calls f each interval until the process stops serving.
+func (e *Entry) loop(every time.Duration, f func(now time.Time)) {
+	e.wg.Go(func() {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				f(e.cfg.Now())
+			case <-e.runs.Done():
+				return
+			}
+		}
+	})
+}
+
+// Addr returns the address of the callers' listener.
+func (e *Entry) Addr() string { return e.server.ln.Addr().String() }
+
+// refresh gives the router the backend servers that this instance may send to.
+func (e *Entry) refresh(now time.Time) {
+	permits := e.member.Permits(now)
+	e.permitsMu.Lock()
+	defer e.permitsMu.Unlock()
+	if len(permits) == len(e.permits) && (len(permits) == 0 || &permits[0] == &e.permits[0]) {
+		return // the shared list has not changed
+	}
+	e.permits = permits
+	backends := make([]world.Backend, len(permits))
+	for i, p := range permits {
+		backends[i] = p.Backend
+	}
+	e.table.Set(backends, now)
+	for _, p := range permits {
+		e.table.Report(p.ID, p.Load, now)
+	}
+}
+
+// loadOf returns the running and waiting requests per slot of a server, as it
+// reported last.
+func (e *Entry) loadOf(b world.Backend) float64 {
+	e.permitsMu.Lock()
+	defer e.permitsMu.Unlock()
+	for _, p := range e.permits {
+		if p.ID == b.ID {
+			return float64(p.Load.Running+p.Load.Waiting) / float64(max(b.Slots, 1))
+		}
+	}
+	return 0
+}
+
+// learnCaches gives the router the cache events of the cell.
+func (e *Entry) learnCaches(now time.Time) {
+	for _, u := range e.member.CacheEvents() {
+		if u.Gap {
+			continue // the next event's number shows the gap to the router
+		}
+		e.table.Cache(u.Backend, u.Events, now)
+	}
+}
+
+// noteServing takes this instance out of the directory while it cannot take requests.
+func (e *Entry) noteServing(now time.Time) {
+	_, err := e.cfg.Configuration.Current(now)
+	e.member.SetServing(err == nil)
+}
+
+func (e *Entry) event(ev event.Event) { e.cfg.Events.Add(ev, e.cfg.Now()) }
+
+// Drain stops this instance without cutting a request. The cell and the
+// directory learn of it first; the listener stays open until callers have
+// dropped the answers that name it, then running answers finish. Those that do
+// not finish before ctx ends are handed to their keepers, and their callers are
+// told where to go on.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.event(event.Of("entry.draining"))
+	_ = e.member.Leave(ctx) // peers that cannot be told notice the closed listener
+	keep := e.member.Directory(e.cfg.Now(), member.Caller{}).Keep
+	if deadline, ok := ctx.Deadline(); ok {
+		keep = min(keep, time.Until(deadline)/2)
+	}
+	e.server.draining.Store(true)
+	pause(ctx, keep)
+	err := e.server.stop(ctx)
+	if ctx.Err() != nil {
+		give, cancel := context.WithTimeout(context.Background(), moveTimeout)
+		defer cancel()
+		e.handOver(give)
+	} else {
+		e.waitRuns(ctx)
+	}
+	e.event(event.Of("entry.drained"))
+	return err
+}
+
+// waitRuns waits until the answers of this instance have ended, also those whose
+// callers have gone.
+func (e *Entry) waitRuns(ctx context.Context) {
+	for e.active.count() > 0 && pause(ctx, 20*time.Millisecond) {
+		continue
+	}
+	if ctx.Err() != nil {
+		give, cancel := context.WithTimeout(context.Background(), moveTimeout)
+		defer cancel()
+		e.handOver(give)
+	}
+}
+
+// Close stops at once. Running answers are left to their keepers.
+func (e *Entry) Close() error {
+	e.cancel()
+	e.stop()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := e.server.stop(ctx)
+	e.wg.Wait()
+	e.running.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,237 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/claim"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/member"
+)
+
+const (
+	// claimTimeout bounds the time that a claim may take. It covers an election.
+	claimTimeout = 3 * time.Second
+	// maxOnceAnswer bounds the answer of a call that may run at most once, which
+	// is read to its end before the claim is finished.
+	maxOnceAnswer = 16 << 20
+	// settleTries and settlePause bound how long a write to the claims is
+	// repeated: about ten minutes, longer than an election or a restart.
+	settleTries = 120
+	settlePause = 5 * time.Second
+)
+
+// Claims records which calls have run. A claim is durable on a majority before
+// Take grants it.
+type Claims interface {
+	Take(ctx context.Context, key claim.Key, bodyHash uint64, owner string, now time.Time) (claim.State, error)
+	Finish(ctx context.Context, key claim.Key, attempt uint64, a claim.Answer, now time.Time) error
+	Release(ctx context.Context, key claim.Key, attempt uint64, now time.Time) error
+	Lost(ctx context.Context, key claim.Key, attempt uint64, now time.Time) error
+}
+
+// serveOnce forwards a call that may run at most once.
+func (e *Entry) serveOnce(ctx context.Context, p *plainCall) *failure {
+	key := claim.Key{Org: p.org.Name, Key: p.service.Name + "/" + p.id}
+	if k := string(p.http.Request.Header.Peek(headerKey)); k != "" {
+		if !validID(k) {
+			return badRequest("badHeader", "Idempotency-Key must have 1 to 128 visible ASCII characters")
+		}
+		key.Key = p.service.Name + "/key/" + k
+	}
+	owner := e.owner()
+	e.inFlight.Store(owner, true)
+	defer e.inFlight.Delete(owner)
+	state, f := e.take(ctx, p, key, owner)
+	if f != nil {
+		return f
+	}
+	if state.Status == claim.Pending && e.abandoned(state.Owner) {
+		if err := e.cfg.Claims.Release(ctx, key, state.Attempt, e.cfg.Now()); err == nil {
+			if state, f = e.take(ctx, p, key, owner); f != nil {
+				return f
+			}
+		}
+	}
+	switch state.Status {
+	case claim.Granted:
+		return e.runOnce(ctx, p, key, owner, state.Attempt)
+	case claim.Done:
+		return replay(p, state.Answer)
+	case claim.OtherBody:
+		return unprocessable("keyReused", "the key was used with another method, path or body")
+	case claim.Pending:
+		return e.pending(ctx, key, state)
+	}
+	return outcomeUnknown("the call may have run; its result is not known and it is never run again")
+}
+
+func (e *Entry) take(ctx context.Context, p *plainCall, key claim.Key, owner string) (claim.State, *failure) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	hash := bodyHash(p.http)
+	state, err := e.cfg.Claims.Take(ctx, key, hash, owner, p.now)
+	if err == nil {
+		return state, nil
+	}
+	// The claim may have been recorded, but the call itself was not sent.
+	e.settle(func(ctx context.Context) error { return e.unclaim(ctx, key, hash, owner) })
+	return claim.State{}, unavailable("claimsUnavailable", "the call could not be claimed: "+err.Error())
+}
+
+// replay sends the stored answer of a call that has run.
+func replay(p *plainCall, a claim.Answer) *failure {
+	if a.Truncated {
+		return outcomeUnknown("the call has run with status " + strconv.Itoa(a.Status) + "; its answer was too long to be kept")
+	}
+	ans := &plainAnswer{status: a.Status, body: a.Body}
+	for _, h := range a.Headers {
+		ans.header = append(ans.header, backnd.Header{Name: h.Name, Value: h.Value})
+	}
+	ans.write(p.http, func() {})
+	p.http.Response.Header.Set(headerReplayed, "true")
+	return nil
+}
+
+// abandoned reports whether a claim is held by this process without a call that
+// runs. Nothing was sent under it, since a call that was sent ends its claim.
+func (e *Entry) abandoned(owner string) bool {
+	if !strings.HasPrefix(owner, e.ownerPrefix()) {
+		return false
+	}
+	_, runs := e.inFlight.Load(owner)
+	_, sent := e.unsettled.Load(owner)
+	return !runs && !sent
+}
+
+// pending answers a repeat of a call that another instance runs. If that instance
+// is gone, nobody will learn the result any more.
+func (e *Entry) pending(ctx context.Context, key claim.Key, s claim.State) *failure {
+	busy := conflict("inProgress", "the call with this key is running", unknown).withRetryAfter(time.Second)
+	if e.ownerLives(s.Owner) {
+		return busy
+	}
+	if err := e.cfg.Claims.Lost(ctx, key, s.Attempt, e.cfg.Now()); err != nil {
+		return busy
+	}
+	return outcomeUnknown("the call may have run; the instance that ran it is gone")
+}
+
+// runOnce sends the call. It repeats it only while nothing of it has run.
+func (e *Entry) runOnce(ctx context.Context, p *plainCall, key claim.Key, owner string, attempt uint64) *failure {
+	e.unsettled.Store(owner, true)
+	ans, err := e.tryPlain(ctx, p, false)
+	if err == nil {
+		err = ans.readRest(maxOnceAnswer)
+	}
+	// The record must be written even if the caller's time is over.
+	done, cancel := context.WithTimeout(e.runs, claimTimeout)
+	defer cancel()
+	now := e.cfg.Now()
+	switch {
+	case err == nil:
+		stored := claim.Answer{Status: ans.status, Body: ans.body, Truncated: len(ans.body) > claim.MaxBodyBytes}
+		if stored.Truncated {
+			stored.Body = nil
+		}
+		for _, h := range ans.header {
+			stored.Headers = append(stored.Headers, claim.Header{Name: h.Name, Value: h.Value})
+		}
+		finish := func(ctx context.Context) error { return e.cfg.Claims.Finish(ctx, key, attempt, stored, now) }
+		e.finishClaim(done, p, owner, finish)
+		ans.write(p.http, func() {})
+		return nil
+	case backnd.OutcomeOf(err) == backnd.NotRun:
+		if rerr := e.cfg.Claims.Release(done, key, attempt, now); rerr != nil {
+			// Without the release a repeat finds the claim pending, so the caller
+			// must not be promised that it would run.
+			e.unsettled.Delete(owner)
+			return outcomeUnknown("the call did not run, but its claim could not be released: " + rerr.Error())
+		}
+		e.unsettled.Delete(owner)
+		return plainFailure(err)
+	}
+	lost := func(ctx context.Context) error { return e.cfg.Claims.Lost(ctx, key, attempt, now) }
+	e.finishClaim(done, p, owner, lost)
+	return plainFailure(err)
+}
+
+// finishClaim writes the end of a claim now or, if the group cannot be reached,
+// in the background.
+func (e *Entry) finishClaim(ctx context.Context, p *plainCall, owner string, write func(context.Context) error) {
+	err := write(ctx)
+	if err == nil {
+		e.unsettled.Delete(owner)
+		return
+	}
+	e.notFinished(p, err)
+	e.settle(func(ctx context.Context) error {
+		err := write(ctx)
+		if err == nil {
+			e.unsettled.Delete(owner)
+		}
+		return err
+	})
+}
+
+func (e *Entry) notFinished(p *plainCall, err error) {
+	e.event(event.Of("claim.notFinished").WithRequest(answerID(p.org.Name, p.id)).With("error", err.Error()))
+}
+
+// unclaim releases a claim of which the answer was lost, so that a repeat of
+// the call does not find it running for ever.
+func (e *Entry) unclaim(ctx context.Context, key claim.Key, hash uint64, owner string) error {
+	now := e.cfg.Now()
+	s, err := e.cfg.Claims.Take(ctx, key, hash, owner, now)
+	held := s.Status == claim.Granted || (s.Status == claim.Pending && s.Owner == owner)
+	if err != nil || !held {
+		return err
+	}
+	return e.cfg.Claims.Release(ctx, key, s.Attempt, now)
+}
+
+// settle repeats a write to the claims in the background until it succeeds.
+func (e *Entry) settle(write func(ctx context.Context) error) {
+	e.running.Go(func() {
+		for range settleTries {
+			if !pause(e.runs, settlePause) {
+				return
+			}
+			ctx, cancel := context.WithTimeout(e.runs, claimTimeout)
+			err := write(ctx)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+	})
+}
+
+// owner names one claim of this process. It is unique, so that the claim can be
+// told from a later one of the same process.
+func (e *Entry) owner() string {
+	return fmt.Sprintf("%s%d", e.ownerPrefix(), e.claims.Add(1))
+}
+
+func (e *Entry) ownerPrefix() string {
+	return fmt.Sprintf("%s/%d/", e.cfg.Settings.Node, e.cfg.Incarnation)
+}
+
+// ownerLives reports whether the process that holds a claim still runs.
+func (e *Entry) ownerLives(owner string) bool {
+	part := strings.Split(owner, "/")
+	if len(part) != 3 {
+		return false
+	}
+	self := member.Peer{Node: e.cfg.Settings.Node, Incarnation: e.cfg.Incarnation}
+	for _, p := range append(e.member.Peers(e.cfg.Now()), self) {
+		if p.Node == part[0] && strconv.FormatUint(p.Incarnation, 10) == part[1] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/judge"
+	"cranberrypath.example/cranberrypath/internal/limit"
+	"cranberrypath.example/cranberrypath/internal/poison"
+	"cranberrypath.example/cranberrypath/internal/route"
+	"cranberrypath.example/cranberrypath/internal/world"
+	"cranberrypath.example/cranberrypath/pkg/decl"
+)
+
+const (
+	// plainTries bounds the attempts of one plain call. All but the first spend
+	// from the retry budget.
+	plainTries = 3
+	// bufferedBody is read before the response starts, so that a server that
+	// fails meanwhile can be replaced. The rest of a longer body is streamed.
+	bufferedBody = 1 << 20
+	// plainTokens stands for the work of a plain call in the router, in tokens.
+	plainTokens = 32
+)
+
+// plainCall is one call of a plain service.
+type plainCall struct {
+	*call
+	service decl.Service
+	version string
+	path    string
+	header  []backnd.Header
+	body    []byte
+	print   poison.Fingerprint
+	limits  *limit.Limits
+}
+
+// plainAnswer is a backend server's response whose first part is in memory.
+type plainAnswer struct {
+	status int
+	header []backnd.Header
+	body   []byte
+	rest   io.ReadCloser // nil if body is everything
+}
+
+// servePlain forwards a call to the plain service that its path names.
+func (e *Entry) servePlain(c *call, path string) *failure {
+	service, ok := c.view.Declaration.ServiceForPath(path)
+	if !ok {
+		return notFound("unknownPath", "no declared service has the path "+path)
+	}
+	method := string(c.http.Method())
+	p := &plainCall{
+		call: c, service: service, path: string(c.http.RequestURI()),
+		version: chooseVersion(c.view.Shares[service.Name], answerID(c.org.Name, c.id), c.view.Serving[service.Name]),
+		header:  forwarded(c), body: c.http.PostBody(),
+	}
+	p.print = poison.Of(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
+	if f := e.checkPoison(p.print, c.now); f != nil {
+		return f
+	}
+	limits, f := e.admit(c, service.Name, world.Call)
+	if f != nil {
+		return f
+	}
+	p.limits = limits
+	defer func() { limits.Done(c.org.Name, limit.Cost{Class: world.Call}, e.cfg.Now()) }()
+	e.tally.accepted.Add(1)
+	ctx, cancel := context.WithTimeout(e.ctx, service.Timeout())
+	if !service.Idempotent(method, path) {
+		defer cancel()
+		return e.serveOnce(ctx, p)
+	}
+	ans, err := e.tryPlain(ctx, p, true)
+	if err != nil {
+		cancel()
+		return plainFailure(err)
+	}
+	ans.write(c.http, cancel)
+	return nil
+}
+
+// forwarded returns the headers that go to the backend server. The caller's key
+// stays here.
+func forwarded(c *call) []backnd.Header {
+	var out []backnd.Header
+	for k, v := range c.http.Request.Header.All() {
+		switch name := string(k); {
+		case strings.EqualFold(name, fasthttp.HeaderAuthorization), strings.EqualFold(name, headerOrganisation):
+		default:
+			out = append(out, backnd.Header{Name: name, Value: string(v)})
+		}
+	}
+	return append(out, backnd.Header{Name: headerOrganisation, Value: c.org.Name})
+}
+
+// tryPlain makes attempts until one is answered. Without repeat it tries again
+// only if nothing of the call has run.
+func (e *Entry) tryPlain(ctx context.Context, p *plainCall, repeat bool) (*plainAnswer, error) {
+	var exclude []string
+	var last error
+	for try := range plainTries {
+		now := e.cfg.Now()
+		if try > 0 && !p.limits.Retry(now) {
+			return nil, last
+		}
+		e.refresh(now)
+		g, err := e.pass(ctx, p.print, now)
+		if err != nil {
+			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: err, RetryAfter: time.Second}
+		}
+		choice, err := e.table.Pick(route.Query{
+			Service: p.service.Name, Version: p.version, Org: p.org.Name, Class: world.Call,
+			DataCenter: e.cfg.Settings.DataCentre, PromptTokens: plainTokens, MaxTokens: 1, Exclude: append(g.avoid, exclude...),
+		}, now)
+		if err != nil {
+			e.leave(g)
+			if last != nil {
+				return nil, last
+			}
+			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "noCapacity", Err: err, RetryAfter: time.Second}
+		}
+		if !e.takeSlot(ctx, &g, choice.Backend, now) {
+			e.leave(g)
+			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: errHeld, RetryAfter: time.Second}
+		}
+		ans, err := e.attemptPlain(ctx, p, choice, uint64(try+1))
+		e.leave(g)
+		if err == nil {
+			return ans, nil
+		}
+		last = err
+		exclude = append(exclude, choice.Backend.ID)
+		if backnd.OutcomeOf(err) != backnd.NotRun && (!repeat || ctx.Err() != nil) {
+			return nil, last
+		}
+	}
+	return nil, last
+}
+
+func (e *Entry) attemptPlain(ctx context.Context, p *plainCall, c route.Choice, attempt uint64) (*plainAnswer, error) {
+	began := e.cfg.Now()
+	b := c.Backend
+	if !e.ledger.Started(p.print, b.ID, b.Incarnation, began) {
+		return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: errHeld, RetryAfter: time.Second}
+	}
+	e.table.Started(b.ID, c.Cost, began)
+	ans, err := e.callPlain(ctx, p, b, attempt)
+	now := e.cfg.Now()
+	lost := err != nil && backnd.OutcomeOf(err) != backnd.NotRun
+	e.ended(p.print, b, lost && ctx.Err() == nil, err == nil)
+	e.table.Ended(b.ID, route.Result{Cost: c.Cost, Failed: lost, Took: now.Sub(began)}, now)
+	e.results.Add(judge.Result{
+		Service: p.service.Name, Version: p.version, Route: p.service.Path, Server: b.ID,
+		Load: e.loadOf(b), Failed: lost || (ans != nil && ans.status >= 500), First: now.Sub(began),
+		Poison: e.suspect(p.print, now), Leaving: e.reclaimed(b, now),
+	}, now)
+	if err != nil {
+		e.event(event.Of("call.failed").WithRequest(answerID(p.org.Name, p.id)).WithInstance(b.ID).With("error", err.Error()))
+	}
+	return ans, err
+}
+
+func (e *Entry) callPlain(ctx context.Context, p *plainCall, b world.Backend, attempt uint64) (*plainAnswer, error) {
+	resp, err := e.cfg.Backends.Call(ctx, b, backnd.Call{
+		RequestID: p.id, Attempt: attempt, Method: string(p.http.Method()), Path: p.path, Header: p.header, Body: p.body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ans := &plainAnswer{status: resp.Status, header: resp.Header}
+	ans.body, err = io.ReadAll(io.LimitReader(resp, bufferedBody))
+	if err != nil {
+		_ = resp.Close()
+		return nil, err
+	}
+	if len(ans.body) < bufferedBody {
+		_ = resp.Close()
+		return ans, nil
+	}
+	ans.rest = resp
+	return ans, nil
+}
+
+// write sends the answer to the caller. done is called when the body has been read.
+func (a *plainAnswer) write(ctx *fasthttp.RequestCtx, done func()) {
+	ctx.SetStatusCode(a.status)
+	for _, h := range a.header {
+		if strings.EqualFold(h.Name, "Content-Type") {
+			ctx.Response.Header.SetContentType(h.Value)
+			continue
+		}
+		ctx.Response.Header.Add(h.Name, h.Value)
+	}
+	ctx.Response.Header.Set(headerOutcome, string(answered))
+	if a.rest == nil {
+		ctx.SetBody(a.body)
+		done()
+		return
+	}
+	ctx.SetBodyStream(&joined{io.MultiReader(bytes.NewReader(a.body), a.rest), a.rest, done}, -1)
+}
+
+// joined is the body of a long answer.
+type joined struct {
+	io.Reader
+	rest io.Closer
+	done func()
+}
+
+func (j *joined) Close() error {
+	defer j.done()
+	return j.rest.Close()
+}
+
+// readRest reads a long body to its end, up to a limit in bytes.
+func (a *plainAnswer) readRest(limit int) error {
+	if a.rest == nil {
+		return nil
+	}
+	defer func() { _ = a.rest.Close() }()
+	more, err := io.ReadAll(io.LimitReader(a.rest, int64(limit-len(a.body)+1)))
+	if err != nil {
+		return err
+	}
+	a.body, a.rest = append(a.body, more...), nil
+	if len(a.body) > limit {
+		return Error.New("the answer exceeds %d bytes", limit)
+	}
+	return nil
+}
+
+// plainFailure turns the error of a call into a response.
+func plainFailure(err error) *failure {
+	var ce *backnd.CallError
+	if !errors.As(err, &ce) || ce.Outcome != backnd.NotRun {
+		return outcomeUnknown("the backend server gave no complete answer: " + err.Error())
+	}
+	f := unavailable("noCapacity", "no backend server took the call: "+err.Error())
+	return f.withRetryAfter(max(ce.RetryAfter, time.Second))
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,385 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/entry/entrpb"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/judge"
+	"cranberrypath.example/cranberrypath/internal/poison"
+	"cranberrypath.example/cranberrypath/internal/route"
+	"cranberrypath.example/cranberrypath/internal/stream"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+const (
+	// maxLosses is how many backend servers one request may lose to faults.
+	// Losses to announced reclaims are not counted.
+	maxLosses = 4
+	// retryPause is the first pause of an accepted request that finds no
+	// backend server; it doubles up to retryPauseMax.
+	retryPause    = 50 * time.Millisecond
+	retryPauseMax = time.Second
+	// bytesPerToken estimates prompt tokens before an engine has counted them.
+	bytesPerToken = 4
+	// silence is how long an engine may send nothing before the attempt is given
+	// up. It covers the prefill of the longest prompts.
+	silence = 20 * time.Second
+	// kvBytesPerToken estimates the size of an export.
+	kvBytesPerToken = 2 << 10
+	// moveTimeout bounds the transfer of a KV cache from one engine to another.
+	moveTimeout = 5 * time.Second
+)
+
+// Reasons for which a running attempt is stopped on purpose.
+var (
+	errMoveReplay = Error.New("the backend server is reclaimed; the tokens are replayed elsewhere")
+	errMoveExport = Error.New("the backend server is reclaimed; the KV cache is moved elsewhere")
+	errNoLonger   = Error.New("the answer no longer belongs to this instance")
+)
+
+// runner computes one answer on backend servers until it ends.
+type runner struct {
+	e        *Entry
+	a        *stream.Answer
+	acc      *entrpb.Accepted
+	req      stream.Request
+	print    poison.Fingerprint
+	pass     gate
+	prefix   []uint64
+	using    string // version of the latest choice
+	exclude  []string
+	losses   int
+	kv       string     // import that the next attempt continues from
+	kvAt     string     // id of the backend server that holds it
+	current  *activeRun // the latest attempt
+	deadline time.Time
+}
+
+func acceptedOf(a *stream.Answer) *entrpb.Accepted {
+	acc := &entrpb.Accepted{}
+	// The body was marshalled by an entry instance of this deployment; if it is
+	// damaged, the empty message makes the run fail with a clear reason.
+	_ = proto.Unmarshal(a.Request().Body, acc)
+	return acc
+}
+
+// start runs an answer that this instance owns. It does not block. release is
+// called when the run has ended; it may be nil.
+func (e *Entry) start(a *stream.Answer, release func()) {
+	acc := acceptedOf(a)
+	req := a.Request()
+	r := &runner{
+		e: e, a: a, acc: acc, req: req,
+		print:    poison.Of(req.Service, req.Version, requestText(acc)),
+		prefix:   world.Blocks(acc.Prompt),
+		deadline: time.UnixMilli(acc.DeadlineMs),
+	}
+	e.running.Go(func() {
+		ctx, cancel := context.WithDeadline(e.runs, r.deadline)
+		defer cancel()
+		if release != nil {
+			defer release()
+		}
+		r.run(ctx)
+	})
+}
+
+// requestText is what identifies a request that crashes servers, whoever sends it.
+func requestText(acc *entrpb.Accepted) []byte {
+	return append([]byte(acc.Adapter+"\x00"+acc.Prompt+"\x00"), acc.Options...)
+}
+
+// run makes attempts until the answer has ended.
+func (r *runner) run(ctx context.Context) {
+	wait := retryPause
+	for {
+		if _, ended := r.a.Ended(); ended {
+			return
+		}
+		if ctx.Err() != nil {
+			r.stop(ctx)
+			return
+		}
+		now := r.e.cfg.Now()
+		g, err := r.e.pass(ctx, r.print, now)
+		if errors.Is(err, errCondemned) {
+			r.finish("crashesServers")
+			return
+		}
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		r.pass = g
+		choice, err := r.pick(now)
+		if err != nil {
+			r.e.leave(g)
+			// The request is accepted, so it waits for a server until its deadline.
+			pause(ctx, wait)
+			wait = min(2*wait, retryPauseMax)
+			r.exclude = nil
+			continue
+		}
+		if !r.e.takeSlot(ctx, &g, choice.Backend, now) {
+			r.e.leave(g)
+			pause(ctx, retryPause)
+			continue
+		}
+		err = r.attempt(ctx, choice)
+		r.e.leave(g)
+		if r.over(ctx, choice.Backend, err) {
+			return
+		}
+		wait = retryPause
+	}
+}
+
+// stop ends a run whose time is over. A run that the process gives up while it
+// stops is left to the keeper of its copy.
+func (r *runner) stop(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.finish("timeLimit")
+	}
+}
+
+// finish breaks the answer off with a reason that its readers receive.
+func (r *runner) finish(reason string) {
+	r.e.event(event.Of("answer.broken").WithRequest(r.req.ID).With("reason", reason))
+	r.a.Break(reason)
+}
+
+func (r *runner) pick(now time.Time) (route.Choice, error) {
+	r.using = r.version(now)
+	q := route.Query{
+		Service: r.req.Service, Version: r.using, Org: r.req.Org, Adapter: r.acc.Adapter,
+		Class: r.req.Class, DataCenter: r.e.cfg.Settings.DataCentre, Prefix: r.prefix,
+		PromptTokens: len(r.acc.Prompt)/bytesPerToken + int(r.a.Position()),
+		MaxTokens:    int(r.acc.MaxTokens), Exclude: append(r.pass.avoid, r.exclude...),
+	}
+	r.e.refresh(now)
+	return r.e.table.Pick(q, now)
+}
+
+// version returns the version that the next attempt runs. An answer stays on the
+// version that began it unless that version no longer receives traffic.
+func (r *runner) version(now time.Time) string {
+	view, err := r.e.cfg.Configuration.Current(now)
+	if err != nil {
+		return r.req.Version
+	}
+	shares := view.Shares[r.req.Service]
+	if shares[r.req.Version] > 0 {
+		return r.req.Version
+	}
+	return chooseVersion(shares, r.req.ID, r.req.Version)
+}
+
+// attempt runs the answer on one server from where the record stands. It
+// returns nil when the answer has ended.
+func (r *runner) attempt(ctx context.Context, c route.Choice) error {
+	e := r.e
+	began := e.cfg.Now()
+	n := r.a.Attempt()
+	if !e.ledger.Started(r.print, c.Backend.ID, c.Backend.Incarnation, began) {
+		return errHeld
+	}
+	e.table.Started(c.Backend.ID, c.Cost, began)
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	at := e.active.add(c.Backend.ID, r.info(), stop, began)
+	defer e.active.remove(at)
+	r.current = at
+	res := judge.Result{
+		Service: r.req.Service, Version: r.using, Route: r.req.Class.String(), Server: c.Backend.ID,
+		Load: e.loadOf(c.Backend),
+	}
+	err := r.generate(ctx, c, n, at, &res, began)
+	now := e.cfg.Now()
+	lost := isLoss(err)
+	e.ended(r.print, c.Backend, crashed(err), err == nil)
+	e.table.Ended(c.Backend.ID, route.Result{Cost: c.Cost, Failed: lost, Took: now.Sub(began)}, now)
+	if lost || err == nil {
+		res.Failed, res.Crashed = lost, crashed(err) && !accepts(ctx, c.Backend.Address)
+		res.Poison, res.Leaving = e.suspect(r.print, now), e.reclaimed(c.Backend, now)
+		e.results.Add(res, now)
+	}
+	return err
+}
+
+func (r *runner) generate(ctx context.Context, c route.Choice, n uint64, at *activeRun, res *judge.Result, began time.Time) error {
+	e := r.e
+	req := backnd.GenerateRequest{
+		RequestID: r.req.ID, Attempt: n, Model: r.req.Service, Version: r.using, Adapter: r.acc.Adapter,
+		Prompt: r.acc.Prompt, ResumeTokens: r.a.Tokens(0), MaxTokens: int(r.acc.MaxTokens),
+		Priority: priorityOf(r.req.Class), Seed: uint64(r.acc.Seed), Sampling: json.RawMessage(r.acc.Options),
+	}
+	if r.kvAt == c.Backend.ID {
+		req.KV = r.kv
+	}
+	r.kv, r.kvAt = "", ""
+	s, err := e.cfg.Backends.Generate(ctx, c.Backend, req)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	first := time.Time{}
+	last := began
+	for {
+		ev, err := recv(ctx, s)
+		now := e.cfg.Now()
+		if err != nil {
+			return err
+		}
+		if ev.Done {
+			res.Tokens = int(r.a.Position()) - len(req.ResumeTokens)
+			if res.Tokens > 1 {
+				res.Between = last.Sub(first) / time.Duration(res.Tokens-1)
+			}
+			return r.end(c, n, ev)
+		}
+		if first.IsZero() {
+			first = now
+			res.First = now.Sub(began)
+			e.table.FirstToken(c.Backend.ID, c.Expected, res.First, now)
+		}
+		last = now
+		if _, err := r.a.Append(n, uint64(ev.Pos), ev.Tokens); err != nil {
+			r.cancel(c.Backend)
+			return errNoLonger
+		}
+		at.progress(len(ev.Tokens))
+	}
+}
+
+// recv waits for the next event, but not longer than an engine may be silent.
+func recv(ctx context.Context, s *backnd.Stream) (backnd.Event, error) {
+	t := time.AfterFunc(silence, func() { _ = s.Close() })
+	defer t.Stop()
+	ev, err := s.Recv()
+	if err != nil && ctx.Err() != nil {
+		return ev, context.Cause(ctx)
+	}
+	return ev, err
+}
+
+// end records the final event of an attempt.
+func (r *runner) end(c route.Choice, n uint64, ev backnd.Event) error {
+	switch ev.Reason {
+	case "exported":
+		return errMoveExport
+	case "replaced", "cancelled":
+		return errNoLonger
+	}
+	r.e.tally.recomputed.Add(int64(ev.Usage.RecomputedTokens))
+	mark := endMark{reason: ev.Reason, promptTokens: ev.Usage.PromptTokens}
+	if err := r.a.End(n, uint64(ev.Pos), mark.String()); err != nil {
+		return errNoLonger
+	}
+	if _, ended := r.a.Ended(); !ended {
+		return Error.New("engine %s ended the stream before all tokens had arrived", c.Backend.ID)
+	}
+	return nil
+}
+
+// over handles the end of an attempt and reports whether the run is finished.
+func (r *runner) over(ctx context.Context, b world.Backend, err error) bool {
+	switch {
+	case err == nil:
+		r.e.event(event.Of("answer.done").WithRequest(r.req.ID).WithInstance(b.ID))
+		return true
+	case errors.Is(err, errNoLonger):
+		return true
+	case errors.Is(err, errHeld):
+		pause(ctx, retryPause)
+		return false
+	case errors.Is(err, errMoveExport):
+		r.moveKV(ctx, b)
+		return false
+	case errors.Is(err, errMoveReplay):
+		r.cancel(b)
+		r.exclude = append(r.exclude, b.ID)
+		r.e.tally.replayed.Add(1)
+		r.e.event(event.Of("answer.replayed").WithRequest(r.req.ID).WithInstance(b.ID))
+		return false
+	case backnd.OutcomeOf(err) == backnd.NotRun:
+		r.exclude = append(r.exclude, b.ID)
+		return false
+	}
+	r.cancel(b)
+	r.losses++
+	r.exclude = append(r.exclude, b.ID)
+	r.e.event(event.Of("attempt.failed").WithRequest(r.req.ID).WithInstance(b.ID).With("error", err.Error()))
+	if r.losses >= maxLosses {
+		r.finish("attemptsExhausted")
+		return true
+	}
+	return false
+}
+
+// cancel tells a server to stop an attempt that is no longer wanted. It is best
+// effort: chunks of an old attempt are refused anyway.
+func (r *runner) cancel(b world.Backend) {
+	r.e.running.Go(func() {
+		ctx, cancel := context.WithTimeout(r.e.runs, time.Second)
+		defer cancel()
+		_, _ = r.e.cfg.Backends.Cancel(ctx, b, r.req.ID)
+	})
+}
+
+// moveKV imports the exported KV cache at another server. If any step fails, the
+// tokens are replayed instead.
+func (r *runner) moveKV(ctx context.Context, from world.Backend) {
+	r.exclude = append(r.exclude, from.ID)
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	kv := r.current.exported(ctx)
+	if kv == nil {
+		r.cancel(from)
+		return
+	}
+	to, err := r.pick(r.e.cfg.Now())
+	if err != nil {
+		return
+	}
+	id, _, err := r.e.cfg.Backends.Import(ctx, to.Backend, kv)
+	if err != nil {
+		return
+	}
+	r.kv, r.kvAt = id, to.Backend.ID
+	r.e.tally.moved.Add(1)
+	r.e.event(event.Of("answer.kvMoved").WithRequest(r.req.ID).WithInstance(to.Backend.ID).With("from", from.ID))
+}
+
+// isLoss reports whether an attempt failed by the server's fault.
+func isLoss(err error) bool {
+	switch {
+	case err == nil, errors.Is(err, errNoLonger), errors.Is(err, errMoveExport), errors.Is(err, errMoveReplay),
+		errors.Is(err, errHeld), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return false
+	}
+	return backnd.OutcomeOf(err) != backnd.NotRun
+}
+
+// crashed reports whether the connection to the server broke during the attempt.
+func crashed(err error) bool {
+	return isLoss(err) && !errors.Is(err, io.EOF) && backnd.OutcomeOf(err) == backnd.Unknown
+}
+
+func priorityOf(c world.Class) int {
+	switch c {
+	case world.Lookup:
+		return 0
+	case world.Call:
+		return 2
+	default:
+		return 5
+	}
+}
--- /dev/null
+++ b/internal/entry/tally.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// tally counts what this instance did, for metrics and experiments.
+type tally struct {
+	accepted, refused, unknown atomic.Int64
+	recomputed                 atomic.Int64 // tokens
+	moved, replayed            atomic.Int64 // streams
+}
+
+// Counts are totals since the start of the process.
+type Counts struct {
+	Accepted, Refused, Unknown int64
+	RecomputedTokens           int64
+	StreamsExported            int64
+	StreamsReplayed            int64
+	Running                    int64
+}
+
+// Counts returns the totals.
+func (e *Entry) Counts() Counts {
+	t := &e.tally
+	return Counts{
+		Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
+		RecomputedTokens: t.recomputed.Load(), StreamsExported: t.moved.Load(), StreamsReplayed: t.replayed.Load(),
+		Running: int64(e.active.count()),
+	}
+}
+
+// count notes a failure response.
+func (e *Entry) count(f *failure) {
+	if f.outcome == unknown {
+		e.tally.unknown.Add(1)
+		return
+	}
+	e.tally.refused.Add(1)
+}
+
+// Observe registers the totals as metrics.
+func (e *Entry) Observe(m metric.Meter) error {
+	requests, err := m.Int64ObservableCounter("requests", metric.WithDescription("requests by outcome"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	tokens, err := m.Int64ObservableCounter("recomputed_tokens", metric.WithDescription("answer tokens computed again"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	running, err := m.Int64ObservableGauge("running_attempts", metric.WithDescription("attempts that run on backend servers"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		c := e.Counts()
+		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown} {
+			o.ObserveInt64(requests, n, metric.WithAttributes(attribute.String("outcome", name)))
+		}
+		o.ObserveInt64(tokens, c.RecomputedTokens)
+		o.ObserveInt64(running, c.Running)
+		return nil
+	}, requests, tokens, running)
+	return Error.Wrap(err)
+}
