--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -105,7 +105,9 @@
 			delete(all, k)
 		}
 	}
-	res := func(o clmpb.Outcome, attempt uint64) *clmpb.Result { return &clmpb.Result{Outcome: o, Attempt: attempt} }
+	res := func(o clmpb.Outcome, attempt uint64) *clmpb.Result {
+		return &clmpb.Result{Outcome: o, Attempt: attempt}
+	}
 	if c.NowMs <= now-retention {
 		return res(clmpb.Outcome_OUTCOME_EXPIRED, 0)
 	}
--- /dev/null
+++ b/internal/comand/serve.go
@@ -0,0 +1,78 @@
+package comand
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+
+	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/node"
+)
+
+// serve runs one process until it is told to stop. The first signal drains it,
+// which may take drainSeconds; a second one stops it at once.
+func serve(ctx context.Context, t terminal, args []string) error {
+	fs := flags(t, "serve")
+	file := fs.String("config", "", "settings of the process, JSON with comments")
+	check := fs.Bool("check", false, "check the settings and exit")
+	if err := parse(fs, args, 0); err != nil {
+		return err
+	}
+	if *file == "" {
+		return usageError("serve: -config is missing")
+	}
+	settings, err := conf.Load(*file)
+	if err != nil {
+		return &exitError{exitUsage, err}
+	}
+	if *check {
+		fmt.Fprintln(t.out, "the settings are valid")
+		return nil
+	}
+	logger := &log.Logger{Handler: json.New(t.err), Level: levelOf(settings.LogLevel)}
+	n, err := node.Start(node.Config{Settings: settings, Log: logger})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer n.Close()
+	fmt.Fprintf(t.out, "callers %s, operators %s\n", orNone(n.Callers()), orNone(n.Operators()))
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(context.Background(), time.Duration(settings.DrainSeconds)*time.Second)
+	defer cancel()
+	stop := secondSignal(cancel)
+	defer stop()
+	logger.Info("draining")
+	if err := n.Drain(drain); err != nil {
+		logger.WithError(err).Warn("drained with an error")
+	}
+	logger.Info("stopped")
+	return nil
+}
+
+func orNone(addr string) string {
+	if addr == "" {
+		return "none"
+	}
+	return addr
+}
+
+func levelOf(name string) log.Level {
+	l, err := log.ParseLevel(name)
+	if err != nil {
+		return log.InfoLevel // the settings have been checked
+	}
+	return l
+}
+
+// openFile reads a file, or standard input for "-".
+func openFile(t terminal, name string) ([]byte, error) {
+	if name == "-" {
+		return readAll(t.in)
+	}
+	b, err := os.ReadFile(name)
+	return b, Error.Wrap(err)
+}
