--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/apex/log"
@@ -88,6 +89,9 @@
 		n.events = event.NewLog(s.Node, c, keptEvents, nil)
 		return nil
 	}
+	if err := os.MkdirAll(filepath.Dir(s.EventFile), 0o755); err != nil {
+		return Error.Wrap(err)
+	}
 	f, err := os.OpenFile(s.EventFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return Error.Wrap(err)
