Bound a membership round that meets blocked sessions

Cause: TestLeavingServersLosePermissionsInTime timed out after 37 s in one run and 90 s in others: link's handshake and session writes may outlast a call's context by 2 s, and Round waited for every call.

Change: Round returns when its context ends; a blocked call ends by itself.

--- a/internal/member/pull.go
+++ b/internal/member/pull.go
@@ -61,13 +61,26 @@
 }
 
 // Round pulls every peer and seed once and returns when all have answered or
-// ctx ends. It is for processes that set Config.Manual.
+// ctx ends; a call that is still blocked in a write or a handshake then ends by
+// itself. It is for processes that set Config.Manual.
 func (m *Member) Round(ctx context.Context) {
-	var wg sync.WaitGroup
+	var round sync.WaitGroup
 	for _, t := range m.targets(m.cfg.Clock()) {
-		wg.Go(func() { m.pull(ctx, t) })
+		round.Add(1)
+		m.wg.Go(func() {
+			defer round.Done()
+			m.pull(ctx, t)
+		})
+	}
+	done := make(chan struct{})
+	m.wg.Go(func() {
+		round.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
-	wg.Wait()
 }
 
 func (m *Member) targets(now time.Time) []target {
