--- /dev/null
+++ b/internal/comand/demo.go
@@ -0,0 +1,29 @@
+package comand
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"cranberrypath.example/cranberrypath/internal/demo"
+)
+
+// runDemo runs the demonstration. It exits with 0 only if every promise held.
+func runDemo(ctx context.Context, t terminal, args []string) error {
+	fs := flags(t, "demo")
+	seed := fs.Uint64("seed", 0, "seed of the run; 0 draws one, which is printed")
+	asJSON := fs.Bool("json", false, "print the summary as JSON")
+	if err := parse(fs, args, 0); err != nil {
+		return err
+	}
+	if *seed == 0 {
+		*seed = rand.Uint64N(1 << 32)
+	}
+	sum, err := demo.Run(ctx, demo.Options{Seed: *seed, JSON: *asJSON, Out: t.out})
+	if err != nil {
+		return err
+	}
+	if !sum.Held {
+		return &exitError{exitFailed, nil}
+	}
+	return nil
+}
