Add the demonstration

Cause: a new user needs one command that shows the whole and checks it. Change: internal/demo and the subcommand demo: engines reclaimed and crashed, an entry node crashed, orders sent twice, a preset changed, a planned stop; streams compared with the undisturbed text. A process that stops tells its streaming callers where to go on instead of reporting an unknown outcome.

--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -67,6 +67,7 @@
 		{"preset", "NAME", "put a preset in force", preset},
 		{"move", "start|watch|list|back", "start, watch, list or take back version moves", move},
 		{"member", "list", "show the members of the replicated log", memberCommand},
+		{"demo", "", "run a whole deployment in one process and check its promises", runDemo},
 		{"stand", "", "run simulated backend servers, for a first try", runStand},
 		{"timeline", "[FILE...]", "merge the events of all processes into one list", timeline},
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -290,7 +290,7 @@
 	switch {
 	case errors.As(err, &caller):
 		return // the caller's connection has gone; the answer is kept
-	case e.server.draining.Load() && !final(err):
+	case e.ctx.Err() != nil, e.server.draining.Load() && !final(err):
 		sse.moved(e.addresses(member.Caller{}))
 	default:
 		sse.fail(e.brokenOff(err))
