entry: Do not let an answer hang after a refused or stopped attempt

Cause: a run treated every refused chunk, and the reasons "replaced" and "cancelled", as the loss of the answer to another instance. It then ended without closing the record, so readers waited until the request's time limit. A late cancel of an older attempt could cause this, since it named only the request. An engine that took the connection and sent no response header was waited for equally long. Losses to an announced reclaim spent the four attempts, an imported KV cache was often not used because the next choice fell on another server, and an answer whose version no longer served waited for it for ever. Ruled out: the ordering in backnd.Stream and stream.Answer; both refused the wrong chunks as they should.

Change: only an ended record ends a run; other errors lead to the next attempt. A timer covers the response header and the pauses between events. The engine that holds the imported cache is preferred.

Measured: go test -race -run TestRun ./internal/entry. Conclusion: damaged streams give whole or plainly broken answers.

--- a/internal/backnd/engine.go
+++ b/internal/backnd/engine.go
@@ -210,23 +210,25 @@
 	return w, nil
 }
 
-// Cancel ends a run. It reports whether the engine had one.
-func (c *Client) Cancel(ctx context.Context, b world.Backend, requestID string) (bool, error) {
+// Cancel ends the run of an attempt, or of any attempt if it is 0. It reports
+// whether the engine had one.
+func (c *Client) Cancel(ctx context.Context, b world.Backend, requestID string, attempt uint64) (bool, error) {
 	var out struct {
 		Cancelled bool `json:"cancelled"`
 	}
-	err := c.call(ctx, b.Address, "/engine/cancel", requestID, requestOf{requestID}, &out)
+	err := c.call(ctx, b.Address, "/engine/cancel", requestID, requestOf{requestID, attempt}, &out)
 	return out.Cancelled, err
 }
 
 type requestOf struct {
 	RequestID string `json:"requestId"`
+	Attempt   uint64 `json:"attempt,omitempty"`
 }
 
 // Export stops a run and returns its KV bytes and the number of tokens of the
 // answer that they cover.
 func (c *Client) Export(ctx context.Context, b world.Backend, requestID string) ([]byte, int, error) {
-	x, err := c.post(ctx, b.Address, "/engine/export", requestID, requestOf{requestID}, maxKVBytes)
+	x, err := c.post(ctx, b.Address, "/engine/export", requestID, requestOf{requestID, 0}, maxKVBytes)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/backnd/engine_test.go
+++ b/internal/backnd/engine_test.go
@@ -173,7 +173,7 @@
 			switch move {
 			case "replay":
 				_ = s.Close()
-				if ok, err := c.Cancel(ctx, ba, r.RequestID); !ok || err != nil {
+				if ok, err := c.Cancel(ctx, ba, r.RequestID, 0); !ok || err != nil {
 					t.Fatal(ok, err)
 				}
 			case "kv":
@@ -322,7 +322,7 @@
 		c := newClient(t, backnd.Config{})
 		b := world.Backend{Address: ln.Addr().String()}
 		for range 2 {
-			ok, err := c.Cancel(context10(t), b, "x")
+			ok, err := c.Cancel(context10(t), b, "x", 0)
 			if err != nil || !ok {
 				t.Fatalf("pause %v: cancelled %v, error %v", pause, ok, err)
 			}
--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -207,7 +207,7 @@
 	m.e.running.Go(func() {
 		ctx, cancel := context.WithTimeout(m.e.runs, moveTimeout)
 		defer cancel()
-		kv, _, err := m.e.cfg.Backends.Export(ctx, b, a.info.id)
+		kv, _, err := m.e.engines.Export(ctx, b, a.info.id)
 		if err != nil && backnd.CodeOf(err) != "unknownRequest" {
 			a.stop(errMoveReplay)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,8 @@
 	shares  shares
 	results *judge.Recorder
 	server  *server
+	engines engines
+	quiet   time.Duration // how long an engine may be silent
 
 	active   activeRuns
 	holders  keepersOf
@@ -108,6 +110,7 @@
 		ledger:  poison.New(),
 		resync:  map[string]bool{},
 		results: judge.NewRecorder(s.Node, cfg.Incarnation),
+		engines: engineClient{cfg.Backends}, quiet: silence,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.runs, e.stop = context.WithCancel(context.Background())
@@ -183,6 +186,19 @@
 	return 0
 }
 
+// otherThan returns the backend servers but one.
+func (e *Entry) otherThan(id string) []string {
+	e.permitsMu.Lock()
+	defer e.permitsMu.Unlock()
+	var out []string
+	for _, p := range e.permits {
+		if p.ID != id {
+			out = append(out, p.ID)
+		}
+	}
+	return out
+}
+
 // learnCaches gives the router the cache events of the cell.
 func (e *Entry) learnCaches(now time.Time) {
 	for _, u := range e.member.CacheEvents() {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -29,9 +30,13 @@
 	retryPauseMax = time.Second
 	// bytesPerToken estimates prompt tokens before an engine has counted them.
 	bytesPerToken = 4
-	// silence is how long an engine may send nothing before the attempt is given
-	// up. It covers the prefill of the longest prompts.
+	// silence is how long an engine may take to its first token before the
+	// attempt is given up. It covers the prefill of the longest prompts.
 	silence = 20 * time.Second
+	// pauseBetween is the longest pause between two events. A run that has
+	// produced a token is not put back to wait, so a longer one means that the
+	// engine is frozen.
+	pauseBetween = 5 * time.Second
 	// kvBytesPerToken estimates the size of an export.
 	kvBytesPerToken = 2 << 10
 	// moveTimeout bounds the transfer of a KV cache from one engine to another.
@@ -42,9 +47,35 @@
 var (
 	errMoveReplay = Error.New("the backend server is reclaimed; the tokens are replayed elsewhere")
 	errMoveExport = Error.New("the backend server is reclaimed; the KV cache is moved elsewhere")
-	errNoLonger   = Error.New("the answer no longer belongs to this instance")
+	errStopped    = Error.New("the engine stopped the run for another attempt")
+	errSilent     = Error.New("the engine sent nothing for too long")
 )
 
+// engines is what a run uses of the client of backend servers.
+type engines interface {
+	Generate(ctx context.Context, b world.Backend, r backnd.GenerateRequest) (tokenStream, error)
+	Cancel(ctx context.Context, b world.Backend, requestID string, attempt uint64) (bool, error)
+	Export(ctx context.Context, b world.Backend, requestID string) ([]byte, int, error)
+	Import(ctx context.Context, b world.Backend, kv []byte) (string, int, error)
+}
+
+// tokenStream is the part of backnd.Stream that a run uses.
+type tokenStream interface {
+	Recv() (backnd.Event, error)
+	Close() error
+}
+
+// engineClient adapts the client of backend servers to engines.
+type engineClient struct{ *backnd.Client }
+
+func (c engineClient) Generate(ctx context.Context, b world.Backend, r backnd.GenerateRequest) (tokenStream, error) {
+	s, err := c.Client.Generate(ctx, b, r)
+	if err != nil {
+		return nil, err // a nil *backnd.Stream would be a tokenStream that is not nil
+	}
+	return s, nil
+}
+
 // runner computes one answer on backend servers until it ends.
 type runner struct {
 	e        *Entry
@@ -60,6 +91,7 @@
 	kv       string     // import that the next attempt continues from
 	kvAt     string     // id of the backend server that holds it
 	current  *activeRun // the latest attempt
+	number   uint64     // of the latest attempt
 	deadline time.Time
 }
 
@@ -165,6 +197,13 @@
 		MaxTokens:    int(r.acc.MaxTokens), Exclude: append(r.pass.avoid, r.exclude...),
 	}
 	r.e.refresh(now)
+	if r.kvAt != "" {
+		only := q
+		only.Exclude = append(r.e.otherThan(r.kvAt), q.Exclude...)
+		if c, err := r.e.table.Pick(only, now); err == nil {
+			return c, nil
+		}
+	}
 	return r.e.table.Pick(q, now)
 }
 
@@ -179,7 +218,11 @@
 	if shares[r.req.Version] > 0 {
 		return r.req.Version
 	}
-	return chooseVersion(shares, r.req.ID, r.req.Version)
+	serving := cmp.Or(view.Serving[r.req.Service], r.req.Version)
+	if serving == r.req.Version {
+		return serving
+	}
+	return chooseVersion(shares, r.req.ID, serving)
 }
 
 // attempt runs the answer on one server from where the record stands. It
@@ -188,6 +231,7 @@
 	e := r.e
 	began := e.cfg.Now()
 	n := r.a.Attempt()
+	r.number = n
 	if !e.ledger.Started(r.print, c.Backend.ID, c.Backend.Incarnation, began) {
 		return errHeld
 	}
@@ -225,7 +269,10 @@
 		req.KV = r.kv
 	}
 	r.kv, r.kvAt = "", ""
-	s, err := e.cfg.Backends.Generate(ctx, c.Backend, req)
+	// It also covers the wait for the response header.
+	quiet := time.AfterFunc(e.quiet, func() { at.stop(errSilent) })
+	defer quiet.Stop()
+	s, err := e.engines.Generate(ctx, c.Backend, req)
 	if err != nil {
 		return err
 	}
@@ -238,6 +285,7 @@
 		if err != nil {
 			return err
 		}
+		quiet.Reset(min(e.quiet, pauseBetween))
 		if ev.Done {
 			res.Tokens = int(r.a.Position()) - len(req.ResumeTokens)
 			if res.Tokens > 1 {
@@ -252,17 +300,17 @@
 		}
 		last = now
 		if _, err := r.a.Append(n, uint64(ev.Pos), ev.Tokens); err != nil {
-			r.cancel(c.Backend)
-			return errNoLonger
+			if errors.Is(err, stream.ErrFull) {
+				r.finish("noMemory")
+			}
+			return Error.Wrap(err)
 		}
 		at.progress(len(ev.Tokens))
 	}
 }
 
-// recv waits for the next event, but not longer than an engine may be silent.
-func recv(ctx context.Context, s *backnd.Stream) (backnd.Event, error) {
-	t := time.AfterFunc(silence, func() { _ = s.Close() })
-	defer t.Stop()
+// recv waits for the next event. A stream that this instance stopped reports why.
+func recv(ctx context.Context, s tokenStream) (backnd.Event, error) {
 	ev, err := s.Recv()
 	if err != nil && ctx.Err() != nil {
 		return ev, context.Cause(ctx)
@@ -276,12 +324,12 @@
 	case "exported":
 		return errMoveExport
 	case "replaced", "cancelled":
-		return errNoLonger
+		return errStopped
 	}
 	r.e.tally.recomputed.Add(int64(ev.Usage.RecomputedTokens))
 	mark := endMark{reason: ev.Reason, promptTokens: ev.Usage.PromptTokens}
 	if err := r.a.End(n, uint64(ev.Pos), mark.String()); err != nil {
-		return errNoLonger
+		return Error.Wrap(err)
 	}
 	if _, ended := r.a.Ended(); !ended {
 		return Error.New("engine %s ended the stream before all tokens had arrived", c.Backend.ID)
@@ -295,8 +343,12 @@
 	case err == nil:
 		r.e.event(event.Of("answer.done").WithRequest(r.req.ID).WithInstance(b.ID))
 		return true
-	case errors.Is(err, errNoLonger):
+	case r.ended(): // another instance has taken the answer over, or it was broken off
+		r.cancel(b)
 		return true
+	case ctx.Err() != nil: // run decides what that means
+		r.cancel(b)
+		return false
 	case errors.Is(err, errHeld):
 		pause(ctx, retryPause)
 		return false
@@ -314,7 +366,9 @@
 		return false
 	}
 	r.cancel(b)
-	r.losses++
+	if !r.e.reclaimed(b, r.e.cfg.Now()) {
+		r.losses++
+	}
 	r.exclude = append(r.exclude, b.ID)
 	r.e.event(event.Of("attempt.failed").WithRequest(r.req.ID).WithInstance(b.ID).With("error", err.Error()))
 	if r.losses >= maxLosses {
@@ -324,13 +378,19 @@
 	return false
 }
 
+func (r *runner) ended() bool {
+	_, ended := r.a.Ended()
+	return ended
+}
+
 // cancel tells a server to stop an attempt that is no longer wanted. It is best
 // effort: chunks of an old attempt are refused anyway.
 func (r *runner) cancel(b world.Backend) {
+	attempt := r.number
 	r.e.running.Go(func() {
 		ctx, cancel := context.WithTimeout(r.e.runs, time.Second)
 		defer cancel()
-		_, _ = r.e.cfg.Backends.Cancel(ctx, b, r.req.ID)
+		_, _ = r.e.engines.Cancel(ctx, b, r.req.ID, attempt)
 	})
 }
 
@@ -349,7 +409,7 @@
 	if err != nil {
 		return
 	}
-	id, _, err := r.e.cfg.Backends.Import(ctx, to.Backend, kv)
+	id, _, err := r.e.engines.Import(ctx, to.Backend, kv)
 	if err != nil {
 		return
 	}
@@ -361,7 +421,7 @@
 // isLoss reports whether an attempt failed by the server's fault.
 func isLoss(err error) bool {
 	switch {
-	case err == nil, errors.Is(err, errNoLonger), errors.Is(err, errMoveExport), errors.Is(err, errMoveReplay),
+	case err == nil, errors.Is(err, errStopped), errors.Is(err, errMoveExport), errors.Is(err, errMoveReplay),
 		errors.Is(err, errHeld), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		return false
 	}
--- /dev/null
+++ b/internal/entry/run_test.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/clock"
+	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/entry/entrpb"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/judge"
+	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/member"
+	"cranberrypath.example/cranberrypath/internal/poison"
+	"cranberrypath.example/cranberrypath/internal/route"
+	"cranberrypath.example/cranberrypath/internal/stand"
+	"cranberrypath.example/cranberrypath/internal/store"
+	"cranberrypath.example/cranberrypath/internal/stream"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+// noNet is a network without peers.
+type noNet struct{}
+
+func (noNet) Call(context.Context, string, string, proto.Message, proto.Message) error {
+	return errors.New("no peers")
+}
+func (noNet) Handle(string, link.Handler) {}
+
+type fixedView struct{}
+
+func (fixedView) Current(time.Time) (*store.View, error) {
+	return &store.View{Serving: map[string]string{"drafts": "v1"}, Shares: map[string]map[string]float64{"drafts": {"v1": 1}}}, nil
+}
+
+// badEngines answer each attempt with a stream that seeded faults have damaged.
+type badEngines struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+	// attempts that were cancelled, by request
+	cancelled map[string][]uint64
+}
+
+func (f *badEngines) Cancel(_ context.Context, _ world.Backend, id string, attempt uint64) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled[id] = append(f.cancelled[id], attempt)
+	return true, nil
+}
+
+func (f *badEngines) Export(context.Context, world.Backend, string) ([]byte, int, error) {
+	return nil, 0, errors.New("not supported")
+}
+
+func (f *badEngines) Import(context.Context, world.Backend, []byte) (string, int, error) {
+	return "", 0, errors.New("not supported")
+}
+
+func (f *badEngines) Generate(ctx context.Context, _ world.Backend, r backnd.GenerateRequest) (tokenStream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch f.rng.IntN(12) {
+	case 0:
+		return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "busy", Err: errors.New("busy")}
+	case 1:
+		return nil, &backnd.CallError{Outcome: backnd.Unknown, Err: errors.New("cut")}
+	}
+	t := stand.Text{Model: r.Model, Version: r.Version, Prompt: r.Prompt, Seed: r.Seed, Salt: strconv.FormatUint(f.rng.Uint64()>>40, 16)}
+	if len(r.ResumeTokens) > 0 {
+		t.Salt = strings.TrimSuffix(strings.TrimPrefix(r.ResumeTokens[0], "#"), " ")
+	}
+	return &badStream{ctx: ctx, events: f.damage(t.Tokens(r.MaxTokens), len(r.ResumeTokens))}, nil
+}
+
+// damage cuts the answer into events, then repeats, delays, drops and ends them wrongly.
+func (f *badEngines) damage(tokens []string, from int) []backnd.Event {
+	var out []backnd.Event
+	for pos := from; pos < len(tokens); {
+		n := min(1+f.rng.IntN(3), len(tokens)-pos)
+		out = append(out, backnd.Event{Pos: pos, Tokens: tokens[pos : pos+n]})
+		pos += n
+	}
+	end := backnd.Event{Pos: len(tokens), Done: true, Reason: "length"}
+	switch f.rng.IntN(9) {
+	case 0:
+		end.Reason = "cancelled" // by the late cancel of an older attempt
+	case 1:
+		end.Reason = "replaced"
+	case 2:
+		end.Pos = 0 // contradicts the tokens
+	}
+	out = append(out, end)
+	for i := range out {
+		switch f.rng.IntN(8) {
+		case 0:
+			out = append(out, out[i]) // repeated, after the end
+		case 1:
+			j := min(i+1+f.rng.IntN(2), len(out)-1)
+			out[i], out[j] = out[j], out[i]
+		}
+	}
+	switch f.rng.IntN(4) {
+	case 0:
+		return out[:f.rng.IntN(len(out))]
+	case 1:
+		i := f.rng.IntN(len(out))
+		return append(out[:i:i], out[i+1:]...)
+	case 2:
+		if from > 0 && f.rng.IntN(2) == 0 { // an engine that repeats a known position with other text
+			i := f.rng.IntN(len(out))
+			return append(out[:i:i], append([]backnd.Event{{Pos: from - 1, Tokens: []string{"other "}}}, out[i:]...)...)
+		}
+	}
+	return out
+}
+
+type badStream struct {
+	ctx    context.Context
+	events []backnd.Event
+}
+
+func (s *badStream) Recv() (backnd.Event, error) {
+	if s.ctx.Err() != nil {
+		return backnd.Event{}, s.ctx.Err()
+	}
+	if len(s.events) == 0 {
+		return backnd.Event{}, &backnd.CallError{Outcome: backnd.Unknown, Err: io.ErrUnexpectedEOF}
+	}
+	ev := s.events[0]
+	s.events = s.events[1:]
+	return ev, nil
+}
+
+func (s *badStream) Close() error { return nil }
+
+// bare returns an entry instance without a network that may use three engines.
+func bare(t *testing.T, engines engines, seed uint64) *Entry {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { // the engines are alive: they take new connections
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	set := conf.Default()
+	set.Node, set.DataCentre = "n1", "dc1"
+	m, err := member.New(member.Config{Node: "n1", DataCentre: "dc1", Cell: "main", Address: "127.0.0.1:1", Lease: time.Hour, Manual: true}, noNet{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		b := world.Backend{
+			ID: "engine-" + strconv.Itoa(i), Incarnation: 1, Address: ln.Addr().String(), Service: "drafts", Kind: "model",
+			Versions: []string{"v1"}, DataCentre: "dc1", Slots: 1000, State: world.Ready,
+		}
+		m.Announce(member.Announcement{Backend: b, Seq: 1}, time.Now())
+	}
+	e := &Entry{
+		cfg:    Config{Settings: set, Configuration: fixedView{}, Events: event.NewLog("n1", &clock.Clock{}, 100, nil), Now: time.Now, Seed: seed},
+		member: m, answers: stream.NewRegistry(stream.Config{Node: "n1", TotalBytes: 64 << 20, Keep: time.Minute}),
+		table: route.New(route.Config{Seed: seed}), ledger: poison.New(), results: judge.NewRecorder("n1", 1), resync: map[string]bool{},
+		engines: engines, quiet: silence,
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.runs, e.stop = context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		e.cancel()
+		e.stop()
+		e.running.Wait()
+		m.Close()
+		_ = ln.Close()
+	})
+	return e
+}
+
+// Guards against answers that hang, lack or repeat tokens, or mix two texts
+// after duplicated, late, missing, cut, contradicting and unfinished events.
+func TestRunSurvivesDamagedStreams(t *testing.T) {
+	const schedules, tokens = 2000, 24
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	e := bare(t, &badEngines{rng: rand.New(rand.NewPCG(seed, 0)), cancelled: map[string][]uint64{}}, seed)
+	whole, broken := 0, 0
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range schedules {
+		acc := &entrpb.Accepted{
+			Service: "drafts", Prompt: "prompt " + strconv.Itoa(i), MaxTokens: tokens, Seed: int64(i),
+			DeadlineMs: time.Now().Add(time.Minute).UnixMilli(),
+		}
+		body, err := proto.Marshal(acc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := e.answers.Accept(stream.Request{ID: "acme/" + strconv.Itoa(i), Org: "acme", Service: "drafts", Version: "v1", Body: body}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.start(a, nil)
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, 20*time.Second)
+			defer cancel()
+			var text []string
+			reason, err := readLocal(ctx, a, 0, func(chunks []stream.Chunk) error {
+				for _, c := range chunks {
+					text = append(text, c.Text)
+				}
+				return nil
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			want := stand.Text{Model: "drafts", Version: "v1", Prompt: acc.Prompt, Seed: uint64(i)}
+			got, first := strings.Join(text, ""), strings.Join(text[:min(1, len(text))], "")
+			if got != want.Expected(first, len(text)) {
+				t.Errorf("schedule %d: got %q", i, got)
+			}
+			var be *stream.BrokenError
+			switch {
+			case err == nil && len(text) == tokens && parseEndMark(reason).reason == "length":
+				whole++
+			case errors.As(err, &be) && be.Reason != "" && !be.TakenOver:
+				broken++
+			default:
+				t.Errorf("schedule %d: %d tokens, reason %q, error %v", i, len(text), reason, err)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d whole, %d broken off", whole, broken)
+	if whole < schedules/2 {
+		t.Errorf("only %d of %d answers are whole", whole, schedules)
+	}
+}
+
+// mute is an engine that takes a request and never says anything.
+type mute struct{ badEngines }
+
+func (m *mute) Generate(ctx context.Context, b world.Backend, r backnd.GenerateRequest) (tokenStream, error) {
+	if b.ID != "engine-0" {
+		return m.badEngines.Generate(ctx, b, r)
+	}
+	<-ctx.Done() // no response header arrives
+	return nil, &backnd.CallError{Outcome: backnd.Unknown, Err: context.Cause(ctx)}
+}
+
+// Guards against a request that waits for ever for the response header of a frozen engine.
+func TestRunLeavesFrozenEngine(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	e := bare(t, &mute{badEngines{rng: rand.New(rand.NewPCG(seed, 0)), cancelled: map[string][]uint64{}}}, seed)
+	e.quiet = 50 * time.Millisecond
+	for i := range 50 {
+		body, _ := proto.Marshal(&entrpb.Accepted{Service: "drafts", Prompt: "p" + strconv.Itoa(i), MaxTokens: 4, DeadlineMs: time.Now().Add(time.Minute).UnixMilli()})
+		a, err := e.answers.Accept(stream.Request{ID: "acme/" + strconv.Itoa(i), Service: "drafts", Version: "v1", Body: body}, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.start(a, nil)
+		ctx, cancel := context.WithTimeout(e.ctx, 10*time.Second)
+		_, err = readLocal(ctx, a, 0, func([]stream.Chunk) error { return nil })
+		if ctx.Err() != nil {
+			t.Fatalf("answer %d hangs: %v", i, err)
+		}
+		cancel()
+	}
+}
--- a/internal/stand/run.go
+++ b/internal/stand/run.go
@@ -185,14 +185,14 @@
 }
 
 func (e *Engine) handleCancel(w http.ResponseWriter, req *http.Request) {
-	id, ok := readRequestID(w, req)
+	id, attempt, ok := readRequestID(w, req)
 	if !ok {
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.runs[id]
-	running := r != nil && !r.over
+	running := r != nil && !r.over && (attempt == 0 || r.req.Attempt == attempt)
 	if running {
 		e.complete(r, time.Now(), "cancelled")
 	}
@@ -201,15 +201,16 @@
 	}{running})
 }
 
-func readRequestID(w http.ResponseWriter, req *http.Request) (string, bool) {
+func readRequestID(w http.ResponseWriter, req *http.Request) (id string, attempt uint64, ok bool) {
 	var in struct {
 		RequestID string `json:"requestId"`
+		Attempt   uint64 `json:"attempt"`
 	}
 	if json.NewDecoder(req.Body).Decode(&in) != nil || in.RequestID == "" {
 		fail(w, http.StatusBadRequest, "badRequest", "requestId is missing")
-		return "", false
+		return "", 0, false
 	}
-	return in.RequestID, true
+	return in.RequestID, in.Attempt, true
 }
 
 // importedKV is the content of an export. Filler stands for the cache itself.
@@ -227,7 +228,7 @@
 }
 
 func (e *Engine) handleExport(w http.ResponseWriter, req *http.Request) {
-	id, ok := readRequestID(w, req)
+	id, _, ok := readRequestID(w, req)
 	if !ok {
 		return
 	}
