Let a node crash without a last word in tests and the demonstration

Cause: stopping a node in the same process closed its listeners in order, so streams ended with a polite event that a crash does not send. Change: Abort drops the callers' connections first, then everything else. Ruled out: closing the links first.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -256,6 +256,14 @@
 	}
 }
 
+// Abort drops every connection of a caller without a word and then stops, for
+// tests and experiments that need a crash in one process.
+func (e *Entry) Abort() {
+	_ = e.server.ln.Close()
+	e.server.ln.abort() // before the links end, since tokens become visible uncopied then
+	_ = e.Close()
+}
+
 // Close stops at once. Running answers are left to their keepers.
 func (e *Entry) Close() error {
 	e.cancel()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,7 +14,7 @@
 // more than the settings allow.
 type server struct {
 	http     *fasthttp.Server
-	ln       net.Listener
+	ln       *connTracker
 	draining atomic.Bool
 	done     chan struct{}
 	err      error
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s := &server{ln: ln, done: make(chan struct{})}
+	s := &server{ln: &connTracker{Listener: ln}, done: make(chan struct{})}
 	s.http = &fasthttp.Server{
 		Name:                  "cranberrypath",
 		Handler:               e.handle,
@@ -44,7 +44,7 @@
 	}
 	e.wg.Go(func() {
 		defer close(s.done)
-		s.err = s.http.Serve(ln)
+		s.err = s.http.Serve(s.ln)
 	})
 	return s, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,6 +293,14 @@
 	return Error.Wrap(n.entry.Drain(ctx))
 }
 
+// Abort stops the process as a crash would: callers and peers get no last word.
+func (n *Node) Abort() {
+	if n.entry != nil {
+		n.entry.Abort()
+	}
+	n.Close()
+}
+
 // Close stops the process at once. Call Drain before it for a planned stop.
 func (n *Node) Close() {
 	if n.entry != nil {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -237,7 +237,11 @@
 		err = n.Drain(ctx)
 	}
 	past := n.Recorded(event.Filter{})
-	n.Close()
+	if drain {
+		n.Close()
+	} else {
+		n.Abort()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nodes[i] = nil
