store: record purchases, notes of controllers and the previous preset

Cause: the fleet decisions need a counter of purchases, refusals, running loads and the preset before the present one to survive a change of leader, and nothing recorded them. A refusal for an old term was also kept as the answer of the command, so the same command of the next leader got it too. Change: add the commands buy and notes, Previous and PresetAt to the view, Incarnation to instance records, and keep no answers of fenced commands. fleet says which purchase a request id names and how many instances the headroom lacks; entry exports the factor of overcommitment. Measured: go test -race -count=3 ./internal/store and go test ./internal/fleet pass; speed was not measured. Conclusion: the state of the fleet controller can be rebuilt from the log.

--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -56,7 +56,7 @@
 		return s.limits
 	}
 	cfg := limit.Config{
-		Node: e.cfg.Settings.Node, Nodes: nodes, Capacity: slots * overcommit,
+		Node: e.cfg.Settings.Node, Nodes: nodes, Capacity: slots * Overcommit,
 		Weights: map[string]float64{}, LongShare: v.PresetInForce().LongShare,
 	}
 	for _, o := range v.Declaration.Organisations {
@@ -72,10 +72,10 @@
 	return s.limits
 }
 
-// overcommit is how many requests are admitted for each slot. A short queue at
+// Overcommit is how many requests are admitted for each slot. A short queue at
 // the engines keeps their batches full; a longer one would miss the latency
 // target, and a refusal with a time to come back is better than that.
-const overcommit = 1.5
+const Overcommit = 1.5
 
 // admit asks the limits. A refusal goes out at once with a time to come back.
 func (e *Entry) admit(c *call, service string, class world.Class) (*limit.Limits, *failure) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/world"
@@ -120,9 +122,10 @@
 
 	Adapter, Role string
 	// Clean drains for cleaning if it is set on a Drain.
-	Clean  bool
-	By     time.Time // reclaim deadline of a drain; zero without one
-	Reason string
+	Clean   bool
+	By      time.Time // reclaim deadline of a drain; zero without one
+	Missing int       // on a Tell: instances that the headroom lacks
+	Reason  string
 }
 
 // Record returns the instance as it is to be recorded before the action runs.
@@ -151,6 +154,14 @@
 // state only one purchase is recorded, and both send the same request id.
 func IsNext(a Action, bought uint64) bool { return a.Kind == Buy && a.ID == buyID(bought+1) }
 
+// Purchase returns the number of the purchase that a request id names. ok is
+// false for ids that are not this package's.
+func Purchase(request string) (n uint64, ok bool) {
+	digits, ok := strings.CutPrefix(request, "buy-")
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, ok && err == nil && buyID(n) == request
+}
+
 func buyID(n uint64) string { return fmt.Sprintf("buy-%d", n) }
 
 // place is where and how an instance is bought.
@@ -364,6 +375,7 @@
 	}
 	if missing > 0 {
 		d.tell(g.service.Name, g.version, "%d instances fewer than the headroom needs: no offers without a recent refusal", missing)
+		d.out[len(d.out)-1].Missing = missing
 	}
 	have := map[place]int{}
 	for _, i := range g.have {
--- a/internal/store/command.go
+++ b/internal/store/command.go
@@ -26,12 +26,14 @@
 	OpRecord    Op = "record"    // fenced: write an instance record
 	OpPhase     Op = "phase"     // fenced: change the phase of an instance
 	OpCleaned   Op = "cleaned"   // fenced: record that an instance was cleaned
+	OpBuy       Op = "buy"       // fenced: record the next purchase
+	OpNotes     Op = "notes"     // fenced: replace the notes of a controller
 	OpFence     Op = "fence"     // fenced: nothing else; shuts out older leaders
 )
 
 func (o Op) fenced() bool {
 	switch o {
-	case OpShare, OpEndMove, OpRecord, OpPhase, OpCleaned, OpFence:
+	case OpShare, OpEndMove, OpRecord, OpPhase, OpCleaned, OpBuy, OpNotes, OpFence:
 		return true
 	}
 	return false
@@ -61,6 +63,9 @@
 	Instance    *world.Instance `json:"instance,omitempty"`
 	Request     string          `json:"request,omitempty"` // RequestID of an instance
 	Phase       string          `json:"phase,omitempty"`
+	Number      uint64          `json:"number,omitempty"` // of a purchase
+	Notes       string          `json:"notes,omitempty"`  // name of the notes
+	Body        json.RawMessage `json:"body,omitempty"`
 }
 
 // Origin is who gives a command, when, under which id.
@@ -122,6 +127,18 @@
 	return Command{ID: c.ID, Op: OpRecord, By: c.By, At: c.At, Term: c.Term, Instance: &i}
 }
 
+// Buy records the n-th purchase. It is refused unless n-1 purchases are recorded,
+// so that two controllers that decide on the same state record only one.
+func Buy(c Controller, n uint64, i world.Instance) Command {
+	return Command{ID: c.ID, Op: OpBuy, By: c.By, At: c.At, Term: c.Term, Instance: &i, Number: n}
+}
+
+// SetNotes replaces what a controller keeps under a name. The store does not
+// read the body, which must be JSON.
+func SetNotes(c Controller, name string, body json.RawMessage) Command {
+	return Command{ID: c.ID, Op: OpNotes, By: c.By, At: c.At, Term: c.Term, Notes: name, Body: body}
+}
+
 // SetPhase changes the phase of an instance; PhaseGone removes its record.
 func SetPhase(c Controller, request, phase string) Command {
 	return Command{ID: c.ID, Op: OpPhase, By: c.By, At: c.At, Term: c.Term, Request: request, Phase: phase}
--- a/internal/store/state.go
+++ b/internal/store/state.go
@@ -53,6 +53,12 @@
 	Moves          []Move                    `json:"moves"` // in order of their start
 	Instances      map[string]world.Instance `json:"instances"`
 	Answers        []answer                  `json:"answers"` // oldest first
+	// Previous is the preset before the present one, PresetAt the time of the change.
+	Previous string    `json:"previous,omitempty"`
+	PresetAt time.Time `json:"presetAt,omitzero"`
+	// Bought counts the purchases that were ever recorded.
+	Bought uint64                     `json:"bought,omitempty"`
+	Notes  map[string]json.RawMessage `json:"notes,omitempty"` // of controllers, by name
 
 	declaration decl.Declaration
 	answered    map[string]int // place in Answers plus dropped
@@ -102,7 +108,11 @@
 	}
 	s.Applied = index
 	r := s.checked(index, c).at(index)
-	s.remember(answer{c.ID, sum, r})
+	// A later leader may give a command again that an older one gave too late;
+	// the refusal must not be its answer.
+	if r.Code != Fenced {
+		s.remember(answer{c.ID, sum, r})
+	}
 	return r
 }
 
@@ -152,6 +162,10 @@
 		return s.setShare(index, c)
 	case OpRecord, OpPhase, OpCleaned:
 		return s.instance(index, c)
+	case OpBuy:
+		return s.buy(index, c)
+	case OpNotes:
+		return s.setNotes(index, c)
 	case OpFence:
 		return Result{Version: s.Term}
 	}
@@ -196,7 +210,7 @@
 	s.Declaration, s.declaration = c.Declaration, d
 	s.Declared = Set{index, c.By, c.At}
 	if preset != s.Preset {
-		s.Preset, s.PresetSet = preset, Set{index, c.By, c.At}
+		s.changePreset(index, preset, c)
 	}
 	s.serve(index)
 	s.configured(index)
@@ -229,11 +243,20 @@
 	if _, ok := s.declaration.PresetNamed(c.Preset); !ok {
 		return refuse(Unknown, "preset %q is not declared", c.Preset)
 	}
-	s.Preset, s.PresetSet = c.Preset, Set{index, c.By, c.At}
+	s.changePreset(index, c.Preset, c)
 	s.configured(index)
 	return Result{Version: index}
 }
 
+// changePreset keeps what the fleet needs to go over from one preset to the next.
+// Setting the preset in force again does not start that anew.
+func (s *state) changePreset(index uint64, name string, c Command) {
+	if name != s.Preset {
+		s.Previous, s.PresetAt = s.Preset, c.At
+	}
+	s.Preset, s.PresetSet = name, Set{index, c.By, c.At}
+}
+
 func (s *state) startMove(index uint64, c Command) Result {
 	svc, ok := s.declaration.Service(c.Service)
 	if !ok {
@@ -372,3 +395,27 @@
 	s.Version = index
 	return Result{Version: index}
 }
+
+func (s *state) buy(index uint64, c Command) Result {
+	if c.Number != s.Bought+1 {
+		return refuse(Conflict, "purchase %d is not the next one after %d", c.Number, s.Bought)
+	}
+	c.Op = OpRecord
+	r := s.instance(index, c)
+	if r.Code == "" {
+		s.Bought = c.Number
+	}
+	return r
+}
+
+func (s *state) setNotes(index uint64, c Command) Result {
+	if c.Notes == "" || len(c.Body) == 0 {
+		return refuse(Invalid, "the notes have no name or body")
+	}
+	if s.Notes == nil {
+		s.Notes = map[string]json.RawMessage{}
+	}
+	s.Notes[c.Notes] = c.Body
+	s.Version = index
+	return Result{Version: index}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -85,9 +85,9 @@
 
 func (n *naive) phase(request string) string {
 	e, _ := n.last(func(c Command) bool {
-		return (c.Op == OpRecord && c.Instance.RequestID == request) || (c.Op == OpPhase && c.Request == request)
+		return (op(OpRecord, OpBuy)(c) && c.Instance.RequestID == request) || (c.Op == OpPhase && c.Request == request)
 	})
-	if e.c.Op == OpRecord {
+	if op(OpRecord, OpBuy)(e.c) {
 		return e.c.Instance.Phase
 	}
 	return e.c.Phase
@@ -128,6 +128,10 @@
 		if _, ended := n.end(c.Move); ended {
 			return MoveEnded
 		}
+	case OpBuy:
+		if bought, _ := n.last(op(OpBuy)); c.Number != bought.c.Number+1 {
+			return Conflict
+		}
 	case OpPhase, OpCleaned:
 		if p := n.phase(c.Request); p == "" || p == PhaseGone {
 			return Unknown
@@ -145,6 +149,25 @@
 	return entry{}, false
 }
 
+// previous returns the preset before the last change to another one. The first
+// declaration puts "calm" in force and later ones keep the preset.
+func (n *naive) previous() string {
+	now, before := "", ""
+	for _, e := range n.done {
+		name := now
+		switch {
+		case e.c.Op == OpPreset:
+			name = e.c.Preset
+		case e.c.Op == OpApply && now == "":
+			name = "calm"
+		}
+		if name != now {
+			now, before = name, now
+		}
+	}
+	return before
+}
+
 func (n *naive) run(index uint64, c Command) string {
 	if code, ok := n.answers[c.ID]; ok {
 		if n.sums[c.ID] != c.sum() {
@@ -159,7 +182,9 @@
 		}
 		code = n.code(c)
 	}
-	n.answers[c.ID], n.sums[c.ID] = code, c.sum()
+	if code != Fenced {
+		n.answers[c.ID], n.sums[c.ID] = code, c.sum()
+	}
 	if code == "" {
 		n.done = append(n.done, entry{index, c})
 	}
@@ -175,7 +200,7 @@
 		move = v.Moves[max(0, len(v.Moves)-1-rnd.IntN(3))].ID
 	}
 	request := fmt.Sprint("r", rnd.IntN(4))
-	switch rnd.IntN(11) {
+	switch rnd.IntN(13) {
 	case 0:
 		expect := v.Declared.Version
 		if rnd.IntN(3) == 0 {
@@ -194,6 +219,10 @@
 		return Share(c, move, rnd.Float64())
 	case 8:
 		return Record(c, world.Instance{RequestID: request, Phase: "running"})
+	case 10:
+		return Buy(c, v.Bought+uint64(rnd.IntN(3)), world.Instance{RequestID: request, Phase: "requested"})
+	case 11:
+		return SetNotes(c, "fleet", []byte(fmt.Sprint(i)))
 	case 9:
 		return SetPhase(c, request, []string{"draining", PhaseGone}[rnd.IntN(2)])
 	}
@@ -243,6 +272,14 @@
 					t.Fatalf("round %d, command %d: %s serves %s, want %s", round, i, service, v.Serving[service], n.serving(service))
 				}
 			}
+			bought, _ := n.last(op(OpBuy))
+			notes, _ := n.last(op(OpNotes))
+			if v.Bought != bought.c.Number || string(v.Notes["fleet"]) != string(notes.c.Body) {
+				t.Fatalf("round %d, command %d: %d purchases and notes %s, want %d and %s", round, i, v.Bought, v.Notes["fleet"], bought.c.Number, notes.c.Body)
+			}
+			if want := n.previous(); v.Previous != want {
+				t.Fatalf("round %d, command %d: previous preset %q, want %q", round, i, v.Previous, want)
+			}
 			for _, m := range v.Moves {
 				if _, ended := n.end(m.ID); ended != (m.Outcome != "") {
 					t.Fatalf("round %d, command %d: move %s ended %v, want %v", round, i, m.ID, m.Outcome, ended)
@@ -479,3 +516,19 @@
 		b.ReportMetric(float64(bytes), "bytes")
 	})
 }
+
+// Guards against a command that an older leader gave too late standing in the way
+// of the same command of the present leader.
+func TestFencedAnswerIsNotKept(t *testing.T) {
+	s := New()
+	buy := func(term uint64) Command {
+		return Buy(Controller{Origin{ID: "buy-1", At: start}, term}, 1, world.Instance{RequestID: "buy-1", Phase: "requested"})
+	}
+	s.Apply(1, Fence(Controller{Origin{ID: "f", At: start}, 2}).Encode())
+	if r, _ := DecodeResult(s.Apply(2, buy(1).Encode())); r.Code != Fenced {
+		t.Fatalf("got %q, want %q", r.Code, Fenced)
+	}
+	if _, err := DecodeResult(s.Apply(3, buy(2).Encode())); err != nil || s.View().Bought != 1 {
+		t.Fatalf("%v, %d purchases", err, s.View().Bought)
+	}
+}
--- a/internal/store/view.go
+++ b/internal/store/view.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"cranberrypath.example/cranberrypath/internal/world"
 	"cranberrypath.example/cranberrypath/pkg/decl"
@@ -30,6 +31,11 @@
 	Instances []world.Instance
 	// Term is the highest leader term of a fenced command.
 	Term uint64
+	// Previous is the preset before the one in force; empty if there was none.
+	Previous string
+	PresetAt time.Time                  // of the change from Previous
+	Bought   uint64                     // purchases ever recorded
+	Notes    map[string]json.RawMessage // of controllers, by name
 }
 
 func (s *state) view() *View {
@@ -37,6 +43,7 @@
 		Version: s.Version, Config: s.Config, Declaration: s.declaration, Declared: s.Declared,
 		Preset: s.Preset, PresetSet: s.PresetSet, Moves: append([]Move{}, s.Moves...),
 		Serving: maps.Clone(s.Serving), servingVersion: s.ServingVersion, Term: s.Term,
+		Previous: s.Previous, PresetAt: s.PresetAt, Bought: s.Bought, Notes: maps.Clone(s.Notes),
 	}
 	v.Instances = s.instances()
 	v.Shares = shares(v)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -193,6 +193,8 @@
 	Since       time.Time `json:"since"`   // of the phase
 	Cleaned     time.Time `json:"cleaned"` // end of the last cleaning, or start of the instance
 	LeaveBy     time.Time `json:"leaveBy"` // reclaim deadline; zero without a notice
+	// Incarnation of its server when it was ordered to clean; a higher one ends the cleaning.
+	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
 // WithPhase returns a copy in another phase since now.
