Add the controllers that run on the leader

Cause: nothing answered the reports of entry instances, advanced version moves or ran the fleet; the packages that decide had no caller. Change: internal/manage takes the sections demand and results, grants capacity, judges moves and records their steps, and buys, drains, cleans, stops and orders, each recorded before it is done. internal/node runs it. fleet gets a mode for given servers, for deployments without a cloud. Measured: go test -race ./internal/site ./internal/fleet passes; the controllers have no tests of their own yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,9 @@
 	Work     map[string]int    // by instance id: requests running and waiting
 	Demand   map[string]Demand // by service
 	Offers   []Offer
+	// Fixed is set if the servers are given: none is bought, stopped or drained
+	// except for cleaning.
+	Fixed    bool
 	Adapters map[string][]string // by service
 	Roles    map[string]string   // by instance id: wanted role
 	Fence    Fence
@@ -208,7 +211,9 @@
 	d.groups = d.makeGroups()
 	d.repeat()
 	for _, g := range d.groups {
-		d.place(g)
+		if !v.Fixed {
+			d.place(g)
+		}
 	}
 	d.clean()
 	d.orders()
@@ -288,6 +293,9 @@
 func (d *decision) base(s decl.Service) int {
 	c, load := d.preset.CapacityOf(s.Name), d.v.Demand[s.Name]
 	n := int(math.Ceil(max(load.Slots, load.Recent) / (float64(max(s.Slots, 1)) * use)))
+	if d.v.Fixed {
+		return max(n, c.Min)
+	}
 	return min(max(n, c.Min), c.Max)
 }
 
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -141,11 +141,11 @@
 
 // Load is one load of weights.
 type Load struct {
-	Order    string // id of the order
-	Urgency  Urgency
-	Deadline time.Time // of the move; zero without one
-	Since    time.Time // when it was first wanted
-	Started  time.Time // zero while it waits
+	Order    string    `json:"order"` // id of the order
+	Urgency  Urgency   `json:"urgency"`
+	Deadline time.Time `json:"deadline"` // of the move; zero without one
+	Since    time.Time `json:"since"`    // when it was first wanted
+	Started  time.Time `json:"started"`  // zero while it waits
 }
 
 // WeightQueue shares the weight store, whose rate is limited.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -21,10 +21,11 @@
 
 // Refusal records refused starts in one data centre and machine class.
 type Refusal struct {
-	DataCentre, Class string
-	Reclaimable       bool
-	Count             int // in a row
-	At                time.Time
+	DataCentre  string    `json:"dataCentre"`
+	Class       string    `json:"machineClass"`
+	Reclaimable bool      `json:"reclaimable"`
+	Count       int       `json:"count"` // in a row
+	At          time.Time `json:"at"`
 }
 
 // Until returns when the next start may be tried.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -7,7 +7,9 @@
 	"strconv"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/claim"
+	"cranberrypath.example/cranberrypath/internal/cloud"
 	"cranberrypath.example/cranberrypath/internal/contrl"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/event"
@@ -24,6 +26,9 @@
 	watch  *watch.Server
 	server *contrl.Server
 	runner *contrl.Runner
+
+	orders   *backnd.Client // for orders to backend servers
+	platform *cloud.Client  // nil without a cloud
 }
 
 func (n *Node) startControl() (*control, error) {
@@ -51,7 +56,11 @@
 		Net: n.net, Log: c, Store: c.store, Clock: n.cfg.Now,
 		Leader: func() (string, bool) { st := c.Status(); return st.Leader, st.Leads },
 	})
-	var err error
+	loops, err := n.loops(c)
+	if err != nil {
+		c.close()
+		return nil, err
+	}
 	c.server, err = contrl.NewServer(contrl.Config{
 		Node: s.Node, Listen: s.Listen.Operators, Operators: s.Operators, Net: n.net, Log: c, Store: c.store,
 		Clock: n.cfg.Now, Events: n.Events,
@@ -61,7 +70,7 @@
 		return nil, Error.Wrap(err)
 	}
 	c.runner = contrl.NewRunner(contrl.LeadConfig{
-		Node: s.Node, Log: c, Net: n.net, Clock: n.cfg.Now, Loops: n.loops(c),
+		Node: s.Node, Log: c, Net: n.net, Clock: n.cfg.Now, Loops: loops,
 		CheckFencing: s.Backends.CheckFencing, Lease: leaderLease,
 	})
 	return c, nil
@@ -159,4 +168,10 @@
 	if c.watch != nil {
 		c.watch.Close()
 	}
+	if c.orders != nil {
+		_ = c.orders.Close()
+	}
+	if c.platform != nil {
+		_ = c.platform.Close()
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"cranberrypath.example/cranberrypath/internal/entry"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/manage"
 	"cranberrypath.example/cranberrypath/internal/member"
 	"cranberrypath.example/cranberrypath/internal/meter"
 	"cranberrypath.example/cranberrypath/internal/watch"
@@ -43,6 +44,8 @@
 	Link func(*link.Config)
 	// Backends sets up the client of backend servers, for tests.
 	Backends backnd.Config
+	// Manage holds the intervals of the controllers; zero fields get the defaults.
+	Manage manage.Timing
 }
 
 // Node is one running process.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -18,6 +18,7 @@
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/manage"
 	"cranberrypath.example/cranberrypath/internal/node"
 	"cranberrypath.example/cranberrypath/internal/oprcli"
 	"cranberrypath.example/cranberrypath/internal/stand"
@@ -45,6 +46,7 @@
 	DrainSeconds int
 	CheckFencing bool
 	Platform     conf.Platform
+	Manage       manage.Timing // intervals of the controllers
 	// Settings changes the settings of each node before it starts; it may be nil.
 	Settings func(*conf.Settings)
 }
@@ -212,7 +214,7 @@
 func (s *Site) StartNode(i int) error {
 	set := s.settings[i]
 	n, err := node.Start(node.Config{
-		Settings: set, Seed: s.cfg.Seed + uint64(i),
+		Settings: set, Seed: s.cfg.Seed + uint64(i), Manage: s.cfg.Manage,
 		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
 	})
 	if err != nil {
