--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -83,7 +83,8 @@
 }
 
 // survives reports whether the ready servers without one of them still meet the
-// need after the losses that the preset allows for.
+// need after the losses that the preset allows for. Given servers cannot be
+// joined by another one for the time of the cleaning, so the need alone counts.
 func (d *decision) survives(g *group, without world.Instance) bool {
 	dcs, zones := map[string]int{}, map[string]int{}
 	left := 0
@@ -113,6 +114,9 @@
 		counts = append(counts, c)
 	}
 	slices.Sort(counts)
+	if d.v.Fixed {
+		n = 0
+	}
 	for _, c := range counts[max(len(counts)-n, 0):] {
 		left -= c
 	}
--- a/internal/manage/action.go
+++ b/internal/manage/action.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// callsAtOnce bounds the calls to the cloud and to backend servers.
-	callsAtOnce = 16
 	// firstRepeat and lastRepeat bound the pause before a start without an
 	// answer is sent again.
 	firstRepeat = time.Second
@@ -58,7 +56,7 @@
 		}
 	}
 	var g errgroup.Group
-	g.SetLimit(callsAtOnce)
+	g.SetLimit(k.cfg.CallsAtOnce)
 	for _, w := range todo {
 		g.Go(func() error {
 			w.err = k.do(ctx, w)
--- a/internal/manage/fleet.go
+++ b/internal/manage/fleet.go
@@ -83,11 +83,15 @@
 	next  time.Time
 }
 
-func (m *Manager) runFleet(ctx context.Context, l contrl.Leadership) error {
-	k := &keeper{
-		Manager: m, l: l, began: m.cfg.Clock(), absent: map[string]int{}, seen: map[string]time.Time{}, peaks: map[string][]peak{}, wait: map[string]attempt{},
-		lacks: map[string]bool{}, overdue: map[string]bool{}, failed: map[string]bool{},
+func newKeeper(m *Manager, l contrl.Leadership) *keeper {
+	return &keeper{
+		Manager: m, l: l, began: m.cfg.Clock(), absent: map[string]int{}, seen: map[string]time.Time{}, peaks: map[string][]peak{},
+		wait: map[string]attempt{}, lacks: map[string]bool{}, overdue: map[string]bool{}, failed: map[string]bool{},
 	}
+}
+
+func (m *Manager) runFleet(ctx context.Context, l contrl.Leadership) error {
+	k := newKeeper(m, l)
 	if err := l.Await(ctx, m.cfg.Clock()); err != nil {
 		return nil
 	}
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -68,6 +68,9 @@
 	return t
 }
 
+// callsAtOnce bounds the calls to the cloud and to backend servers.
+const callsAtOnce = 16
+
 // loadsAtOnce is how many orders for weights run at the same time unless
 // configured otherwise.
 const loadsAtOnce = 4
@@ -81,7 +84,9 @@
 	Cloud  Cloud // nil without a cloud: servers are then given and nothing is bought
 	Orders Orders
 	Timing Timing
-	Queue  fleet.WeightQueue // sharing of the weight store
+	// CallsAtOnce bounds the calls to the cloud and to backend servers; 16 if zero.
+	CallsAtOnce int
+	Queue       fleet.WeightQueue // sharing of the weight store
 }
 
 // Manager takes the reports of entry instances and runs the controllers.
@@ -101,6 +106,9 @@
 	if cfg.Event == nil {
 		cfg.Event = func(event.Event) {}
 	}
+	if cfg.CallsAtOnce == 0 {
+		cfg.CallsAtOnce = callsAtOnce
+	}
 	if cfg.Queue.AtOnce == 0 {
 		cfg.Queue.AtOnce = loadsAtOnce
 	}
--- a/internal/manage/moves.go
+++ b/internal/manage/moves.go
@@ -72,13 +72,16 @@
 	running  map[string]bool   // moves whose end has not been seen
 }
 
-func (m *Manager) runMoves(ctx context.Context, l contrl.Leadership) error {
-	m.results.take() // of a leadership before
-	s := &mover{
+func newMover(m *Manager, l contrl.Leadership) *mover {
+	return &mover{
 		Manager: m, l: l, began: m.cfg.Clock(), judges: map[string]*judge.Judge{}, verdicts: map[string]judge.Verdict{},
 		told: map[string]string{}, running: map[string]bool{},
 	}
-	return m.each(ctx, "moves", s.step)
+}
+
+func (m *Manager) runMoves(ctx context.Context, l contrl.Leadership) error {
+	m.results.take() // of a leadership before
+	return m.each(ctx, "moves", newMover(m, l).step)
 }
 
 func (s *mover) step(ctx context.Context, now time.Time) error {
