--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/world"
@@ -83,6 +85,9 @@
 	Work     map[string]int    // by instance id: requests running and waiting
 	Demand   map[string]Demand // by service
 	Offers   []Offer
+	// Fixed is set if the servers are given: none is bought, stopped or drained
+	// except for cleaning.
+	Fixed    bool
 	Adapters map[string][]string // by service
 	Roles    map[string]string   // by instance id: wanted role
 	Fence    Fence
@@ -120,9 +125,10 @@
 
 	Adapter, Role string
 	// Clean drains for cleaning if it is set on a Drain.
-	Clean  bool
-	By     time.Time // reclaim deadline of a drain; zero without one
-	Reason string
+	Clean   bool
+	By      time.Time // reclaim deadline of a drain; zero without one
+	Missing int       // on a Tell: instances that the headroom lacks
+	Reason  string
 }
 
 // Record returns the instance as it is to be recorded before the action runs.
@@ -151,6 +157,14 @@
 // state only one purchase is recorded, and both send the same request id.
 func IsNext(a Action, bought uint64) bool { return a.Kind == Buy && a.ID == buyID(bought+1) }
 
+// Purchase returns the number of the purchase that a request id names. ok is
+// false for ids that are not this package's.
+func Purchase(request string) (n uint64, ok bool) {
+	digits, ok := strings.CutPrefix(request, "buy-")
+	n, err := strconv.ParseUint(digits, 10, 64)
+	return n, ok && err == nil && buyID(n) == request
+}
+
 func buyID(n uint64) string { return fmt.Sprintf("buy-%d", n) }
 
 // place is where and how an instance is bought.
@@ -197,7 +211,9 @@
 	d.groups = d.makeGroups()
 	d.repeat()
 	for _, g := range d.groups {
-		d.place(g)
+		if !v.Fixed {
+			d.place(g)
+		}
 	}
 	d.clean()
 	d.orders()
@@ -277,6 +293,9 @@
 func (d *decision) base(s decl.Service) int {
 	c, load := d.preset.CapacityOf(s.Name), d.v.Demand[s.Name]
 	n := int(math.Ceil(max(load.Slots, load.Recent) / (float64(max(s.Slots, 1)) * use)))
+	if d.v.Fixed {
+		return max(n, c.Min)
+	}
 	return min(max(n, c.Min), c.Max)
 }
 
@@ -364,6 +383,7 @@
 	}
 	if missing > 0 {
 		d.tell(g.service.Name, g.version, "%d instances fewer than the headroom needs: no offers without a recent refusal", missing)
+		d.out[len(d.out)-1].Missing = missing
 	}
 	have := map[place]int{}
 	for _, i := range g.have {
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -83,7 +83,8 @@
 }
 
 // survives reports whether the ready servers without one of them still meet the
-// need after the losses that the preset allows for.
+// need after the losses that the preset allows for. Given servers cannot be
+// joined by another one for the time of the cleaning, so the need alone counts.
 func (d *decision) survives(g *group, without world.Instance) bool {
 	dcs, zones := map[string]int{}, map[string]int{}
 	left := 0
@@ -113,6 +114,9 @@
 		counts = append(counts, c)
 	}
 	slices.Sort(counts)
+	if d.v.Fixed {
+		n = 0
+	}
 	for _, c := range counts[max(len(counts)-n, 0):] {
 		left -= c
 	}
@@ -141,11 +145,11 @@
 
 // Load is one load of weights.
 type Load struct {
-	Order    string // id of the order
-	Urgency  Urgency
-	Deadline time.Time // of the move; zero without one
-	Since    time.Time // when it was first wanted
-	Started  time.Time // zero while it waits
+	Order    string    `json:"order"` // id of the order
+	Urgency  Urgency   `json:"urgency"`
+	Deadline time.Time `json:"deadline"` // of the move; zero without one
+	Since    time.Time `json:"since"`    // when it was first wanted
+	Started  time.Time `json:"started"`  // zero while it waits
 }
 
 // WeightQueue shares the weight store, whose rate is limited.
