Let experiments replace the router of an entry instance

Cause: experiments compare the router with naive policies, which had no way in. Change: entry.Config, node.Config and site.Config take a router; entry declares the interface that it uses of route.Table. ReplayOnly makes streams on a reclaimed server move at once and by their tokens, for naive policies; streams that end in time still finish on the server. Without these fields nothing changes. Measured: nothing. Conclusion: the same request path runs with other policies.

--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -172,6 +172,10 @@
 	for _, p := range route.DecideAll(streams, src, target, now) {
 		a := runs[p.ID]
 		m.e.event(event.Of("reclaim.plan").WithRequest(p.ID).WithInstance(b.ID).With("action", p.Action.String()))
+		if m.e.cfg.ReplayOnly && p.Action != route.Finish {
+			a.stop(errMoveReplay)
+			continue
+		}
 		switch p.Action {
 		case route.Finish:
 		case route.Export:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,19 @@
 	Current(now time.Time) (*store.View, error)
 }
 
+// Router selects the backend server of each attempt. It is a *route.Table
+// except in experiments that compare it with other policies.
+type Router interface {
+	Pick(q route.Query, now time.Time) (route.Choice, error)
+	Started(id string, cost route.Cost, now time.Time)
+	Ended(id string, res route.Result, now time.Time)
+	FirstToken(id string, expected, took time.Duration, now time.Time)
+	Report(id string, load world.Load, now time.Time)
+	Set(backends []world.Backend, now time.Time)
+	Cache(id string, ev world.CacheEvents, now time.Time)
+	Resync(now time.Time) []string
+}
+
 // Config sets up an Entry.
 type Config struct {
 	Settings      conf.Settings
@@ -51,6 +64,11 @@
 	Events        *event.Log
 	Now           func() time.Time
 	Seed          uint64 // of routing decisions; 0 draws one
+	// Router replaces the router if it is set, for experiments.
+	Router Router
+	// ReplayOnly makes streams on a reclaimed server that would not end in time
+	// move at once and by their tokens, without export and pacing, for experiments.
+	ReplayOnly bool
 }
 
 // Entry serves callers on one instance.
@@ -59,7 +77,7 @@
 	member  *member.Member
 	answers *stream.Registry
 	peers   *stream.Client
-	table   *route.Table
+	table   Router
 	ledger  *poison.Ledger
 	shares  shares
 	results *judge.Recorder
@@ -99,12 +117,15 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
+	if cfg.Router == nil {
+		cfg.Router = route.New(route.Config{Seed: cfg.Seed})
+	}
 	s := cfg.Settings
 	e := &Entry{
 		cfg: cfg, member: cfg.Member,
 		answers: stream.NewRegistry(stream.Config{Node: s.Node, TotalBytes: answersBytes, Keep: seconds(s.Limits.KeepSeconds)}),
 		peers:   &stream.Client{Net: cfg.Net},
-		table:   route.New(route.Config{Seed: cfg.Seed}),
+		table:   cfg.Router,
 		ledger:  poison.New(),
 		resync:  map[string]bool{},
 		results: judge.NewRecorder(s.Node, cfg.Incarnation),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,9 @@
 	Link func(*link.Config)
 	// Backends sets up the client of backend servers, for tests.
 	Backends backnd.Config
+	// Router and ReplayOnly are passed to the entry role, for experiments.
+	Router     entry.Router
+	ReplayOnly bool
 }
 
 // Node is one running process.
@@ -165,7 +168,7 @@
 	n.entry, err = entry.New(entry.Config{
 		Settings: s, Incarnation: n.incarnation, Net: n.net, Member: n.member, Configuration: n.watcher,
 		Claims: claim.NewClient(n.net, s.ClaimGroups, n.claimMembers), Backends: n.backends, Events: n.events,
-		Now: n.cfg.Now, Seed: n.cfg.Seed,
+		Now: n.cfg.Now, Seed: n.cfg.Seed, Router: n.cfg.Router, ReplayOnly: n.cfg.ReplayOnly,
 	})
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/entry"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/link"
@@ -47,6 +48,9 @@
 	Platform     conf.Platform
 	// Settings changes the settings of each node before it starts; it may be nil.
 	Settings func(*conf.Settings)
+	// Router returns a new router for a node; nil for the usual one.
+	Router     func(seed uint64) entry.Router
+	ReplayOnly bool // see entry.Config
 }
 
 // Site is a running deployment.
@@ -211,10 +215,14 @@
 // StartNode starts node i, which must not run.
 func (s *Site) StartNode(i int) error {
 	set := s.settings[i]
-	n, err := node.Start(node.Config{
-		Settings: set, Seed: s.cfg.Seed + uint64(i),
+	cfg := node.Config{
+		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly,
 		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
-	})
+	}
+	if s.cfg.Router != nil {
+		cfg.Router = s.cfg.Router(cfg.Seed)
+	}
+	n, err := node.Start(cfg)
 	if err != nil {
 		return Error.Wrap(err)
 	}
