Record when a leaving simulator refuses new work

Cause: a leaving server refuses new work, so its list of runs does not show that the system sent some, and the promise of 3 s could not be checked from outside. Change: RefusedLeaving returns the times of these refusals. Measured: nothing. Conclusion: the check of leaving servers sees each attempt, not only successful ones.

--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -132,6 +132,7 @@
 	frozen      chan struct{}
 	home        string
 	refuse      float64
+	late        []time.Time // refusals in the state leaving
 	reclaim     *time.Timer
 
 	changed  chan struct{} // wakes the announcer
@@ -291,6 +292,7 @@
 	case s.state == stateStarting:
 		notRun(w, http.StatusServiceUnavailable, "starting")
 	case s.state == stateLeaving:
+		s.late = append(s.late, time.Now())
 		notRun(w, http.StatusServiceUnavailable, "draining")
 	case s.refuse > 0 && s.rng.Float64() < s.refuse:
 		notRun(w, http.StatusTooManyRequests, "busy")
@@ -542,6 +544,13 @@
 	s.refuse = share
 }
 
+// RefusedLeaving returns when the server refused new work because it was leaving.
+func (s *server) RefusedLeaving() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.late)
+}
+
 // Reclaim announces that the instance is gone at leaveBy, and crashes it then.
 func (s *server) Reclaim(leaveBy time.Time) {
 	s.mu.Lock()
