Add load and experiments against naive policies

Cause: nothing compared the system with simpler policies or checked its promises under load and faults.

--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -68,6 +68,7 @@
 		{"move", "start|watch|list|back", "start, watch, list or take back version moves", move},
 		{"member", "list", "show the members of the replicated log", memberCommand},
 		{"timeline", "[FILE...]", "merge the events of all processes into one list", timeline},
+		{"bench", "-scenario NAME", "run load and experiments against simulated backend servers", experiment},
 	}
 }
 
