--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/entry"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/link"
@@ -49,6 +50,9 @@
 	Manage       manage.Timing // intervals of the controllers
 	// Settings changes the settings of each node before it starts; it may be nil.
 	Settings func(*conf.Settings)
+	// Router returns a new router for a node; nil for the usual one.
+	Router     func(seed uint64) entry.Router
+	ReplayOnly bool // see entry.Config
 }
 
 // Site is a running deployment.
@@ -213,10 +217,14 @@
 // StartNode starts node i, which must not run.
 func (s *Site) StartNode(i int) error {
 	set := s.settings[i]
-	n, err := node.Start(node.Config{
-		Settings: set, Seed: s.cfg.Seed + uint64(i), Manage: s.cfg.Manage,
+	cfg := node.Config{
+		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage,
 		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
-	})
+	}
+	if s.cfg.Router != nil {
+		cfg.Router = s.cfg.Router(cfg.Seed)
+	}
+	n, err := node.Start(cfg)
 	if err != nil {
 		return Error.Wrap(err)
 	}
