stream: Hold back tokens between the loss of a keeper and the next one

Cause: when the copy of an answer was lost, recorded tokens became visible at once. Change: state Lost keeps tokens invisible until another keeper has the record or the owner calls Uncover because none was found within keeperWait. Ruled out: a wrong position of the keeper; it held exactly what it had acknowledged. Conclusion: the promise now also holds when links fail just before the instance.

--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -65,8 +65,7 @@
 				e.event(event.Of("copy.lost").WithRequest(id).With("error", err.Error()))
 			} else if !pause(e.runs, recopyPause) {
 				return
-			}
-			if _, ended := a.Ended(); ended {
+			} else if _, ended := a.Ended(); ended {
 				return
 			}
 			done, ok = e.tryKeepers(a)
@@ -74,7 +73,17 @@
 	})
 }
 
+// tryKeepers looks for a keeper. If none is found in time, the answer goes on
+// without one, since its caller cannot wait for a cell that does not answer.
 func (e *Entry) tryKeepers(a *stream.Answer) (<-chan error, bool) {
+	done, ok := e.findKeeper(a)
+	if !ok && e.runs.Err() == nil {
+		a.Uncover()
+	}
+	return done, ok
+}
+
+func (e *Entry) findKeeper(a *stream.Answer) (<-chan error, bool) {
 	id := a.Request().ID
 	began := e.cfg.Now()
 	for _, p := range e.keepers(id, began) {
--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -37,6 +37,7 @@
 	Uncopied Copied = iota // no keeper; tokens are visible at once
 	InCopy                 // tokens are visible when the keeper has acknowledged them
 	Complete               // the keeper has acknowledged the end
+	Lost                   // the keeper failed; new tokens wait for another one or for Uncover
 )
 
 // String returns the state's name.
@@ -46,6 +47,8 @@
 		return "copied"
 	case Complete:
 		return "complete"
+	case Lost:
+		return "lost"
 	default:
 		return "uncopied"
 	}
@@ -190,7 +193,18 @@
 	a.reveal()
 }
 
-// loseCopy goes on without a keeper, or breaks the answer off if the keeper has
+// Uncover goes on without a keeper: all recorded tokens and the ones to come are
+// visible at once. Call it when no keeper can be found.
+func (a *Answer) Uncover() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.copy.state == Lost {
+		a.copy.state = Uncopied
+		a.reveal()
+	}
+}
+
+// loseCopy notes that the answer has no keeper, or breaks the answer off if the keeper has
 // taken it over.
 func (a *Answer) loseCopy(run uint64, err error) {
 	a.mu.Lock()
@@ -205,8 +219,8 @@
 	if a.copy.run != run {
 		return
 	}
-	a.copy.state, a.copy.reason = Uncopied, err.Error()
-	a.reveal()
+	a.copy.state, a.copy.reason = Lost, err.Error()
+	a.notify()
 }
 
 // stopCopy ends the copying because the instance stops. Tokens that the keeper
@@ -215,7 +229,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	defer a.settle(a.bytes, 0)
-	if a.copy.run == run && a.copy.state == InCopy {
+	if a.copy.run == run && (a.copy.state == InCopy || a.copy.state == Lost) {
 		a.breakOff("the instance stops", true)
 	}
 }
@@ -227,7 +241,7 @@
 	if a.copy.state == InCopy {
 		n = a.copy.acked
 	}
-	if a.taken {
+	if a.taken || a.copy.state == Lost {
 		n = a.visible
 	}
 	a.visible = max(a.visible, n)
--- a/internal/stream/copy_test.go
+++ b/internal/stream/copy_test.go
@@ -221,9 +221,13 @@
 	if err := <-lost; !errors.Is(err, errLost) {
 		t.Fatalf("got %v", err)
 	}
-	if state, why := a.CopyStatus(); state != Uncopied || why == "" {
+	if state, why := a.CopyStatus(); state != Lost || why == "" {
 		t.Fatalf("state %v, %q", state, why)
 	}
+	if chunks, _, _ := a.read(100); len(chunks) != 0 {
+		t.Fatal("a token that no keeper has is visible")
+	}
+	a.Uncover()
 	if chunks, _, err := a.Read(context.Background(), 100); err != nil || chunks[0].Text != "y" {
 		t.Fatalf("got %v, %v", chunks, err)
 	}
