Let operators replace a member of the replicated log

Cause: a control instance that lost its disk could only be replaced by code. Change: PUT and DELETE /v1/members/NODE and the subcommand member add|remove change every replicated group through its leader; both can be repeated. A member counts as voter only if it is one in every group. All logs of serve are JSON lines.

--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -66,7 +66,7 @@
 		{"status", "", "show the configuration in force and the health of the deployment", status},
 		{"preset", "NAME", "put a preset in force", preset},
 		{"move", "start|watch|list|back", "start, watch, list or take back version moves", move},
-		{"member", "list", "show the members of the replicated log", memberCommand},
+		{"member", "list|add|remove", "show or change the members of the replicated log", memberCommand},
 		{"demo", "", "run a whole deployment in one process and check its promises", runDemo},
 		{"stand", "", "run simulated backend servers, for a first try", runStand},
 		{"timeline", "[FILE...]", "merge the events of all processes into one list", timeline},
--- a/internal/comand/demo.go
+++ b/internal/comand/demo.go
@@ -4,6 +4,9 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"cranberrypath.example/cranberrypath/internal/demo"
 )
 
@@ -18,6 +21,7 @@
 	if *seed == 0 {
 		*seed = rand.Uint64N(1 << 32)
 	}
+	log.SetHandler(discard.New()) // the summary is the output
 	sum, err := demo.Run(ctx, demo.Options{Seed: *seed, JSON: *asJSON, Out: t.out})
 	if err != nil {
 		return err
--- a/internal/comand/operate.go
+++ b/internal/comand/operate.go
@@ -375,21 +375,41 @@
 	return o.show(t, r, fmt.Sprintf("move %s is taken back as version %d\n", fs.Arg(0), r.Version))
 }
 
-// memberCommand shows the members of the replicated log.
+// memberCommand shows or changes the members of the replicated log.
 func memberCommand(ctx context.Context, t terminal, args []string) error {
-	if len(args) == 0 || args[0] != "list" {
-		return usageError("member: want list")
+	if len(args) == 0 {
+		return usageError("member: want list, add or remove")
 	}
-	fs := flags(t, "member list")
+	fs := flags(t, "member "+args[0])
 	var o target
 	o.flags(fs)
-	if err := parse(fs, args[1:], 0); err != nil {
+	var act func(c *oprcli.Client, ctx context.Context) (oprcli.Members, error)
+	most := 1
+	switch args[0] {
+	case "list":
+		most = 0
+		act = (*oprcli.Client).Members
+	case "add":
+		act = func(c *oprcli.Client, ctx context.Context) (oprcli.Members, error) {
+			return c.AddMember(ctx, fs.Arg(0))
+		}
+	case "remove":
+		act = func(c *oprcli.Client, ctx context.Context) (oprcli.Members, error) {
+			return c.RemoveMember(ctx, fs.Arg(0))
+		}
+	default:
+		return usageError("member: unknown action %q; want list, add or remove", args[0])
+	}
+	if err := parse(fs, args[1:], most); err != nil {
 		return err
 	}
+	if fs.NArg() != most {
+		return usageError("member %s: the name of the node is missing", args[0])
+	}
 	c, ctx, cancel := o.client(ctx)
 	defer cancel()
 	defer c.Close()
-	m, err := c.Members(ctx)
+	m, err := act(c, ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/comand/serve.go
+++ b/internal/comand/serve.go
@@ -33,6 +33,8 @@
 		fmt.Fprintln(t.out, "the settings are valid")
 		return nil
 	}
+	log.SetHandler(json.New(t.err)) // for the packages that log through the default logger
+	log.SetLevel(levelOf(settings.LogLevel))
 	logger := &log.Logger{Handler: json.New(t.err), Level: levelOf(settings.LogLevel)}
 	n, err := node.Start(node.Config{Settings: settings, Log: logger})
 	if err != nil {
--- a/internal/contrl/api.go
+++ b/internal/contrl/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"cranberrypath.example/cranberrypath/internal/event"
@@ -259,3 +260,30 @@
 		Members []MemberStatus `json:"members"`
 	}{s.cfg.Node, g.Leader, g.Leads, g.Term, append([]MemberStatus{}, g.Members...)}, nil
 }
+
+// Membership changes the members of every replicated group of the deployment.
+// Both operations are idempotent and work at any member.
+type Membership interface {
+	// Add makes a node a member. It counts for quorums once it has caught up.
+	Add(ctx context.Context, node string) error
+	Remove(ctx context.Context, node string) error
+}
+
+func (s *Server) addMember(ctx context.Context, r *request) (any, error) {
+	return s.changeMember(ctx, r, "member.added", Membership.Add)
+}
+
+func (s *Server) removeMember(ctx context.Context, r *request) (any, error) {
+	return s.changeMember(ctx, r, "member.removed", Membership.Remove)
+}
+
+func (s *Server) changeMember(ctx context.Context, r *request, kind string, change func(Membership, context.Context, string) error) (any, error) {
+	if s.cfg.Membership == nil {
+		return nil, fail(fasthttp.StatusNotFound, "path", "this process cannot change the members")
+	}
+	if err := change(s.cfg.Membership, ctx, r.rest); err != nil {
+		return nil, fail(fasthttp.StatusServiceUnavailable, "outcomeUnknown", "not all groups have changed; repeat the request: "+err.Error())
+	}
+	log.WithField("node", r.rest).WithField("operator", r.operator).Info(kind)
+	return s.members(ctx, r)
+}
--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -94,6 +94,8 @@
 	Clock     func() time.Time
 	// Events returns the time line. It may be nil.
 	Events func(ctx context.Context, f event.Filter) ([]event.Event, error)
+	// Membership changes the members of the replicated log. It may be nil.
+	Membership Membership
 }
 
 // proposer carries commands to the leader.
--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -165,6 +165,8 @@
 		{"POST", "/v1/moves/", "/takeBack", s.takeBack},
 		{"GET", "/v1/events", "", s.events},
 		{"GET", "/v1/members", "", s.members},
+		{"PUT", "/v1/members/", "*", s.addMember},
+		{"DELETE", "/v1/members/", "*", s.removeMember},
 	}
 	known := false
 	for _, r := range routes {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -52,6 +52,7 @@
 			claims.Serve(uint32(i), g)
 		}
 	}
+	n.net.Handle(changeCall, c.handleChange)
 	c.watch = watch.NewServer(watch.ServerConfig{
 		Net: n.net, Log: c, Store: c.store, Clock: n.cfg.Now,
 		Leader: func() (string, bool) { st := c.Status(); return st.Leader, st.Leads },
@@ -63,7 +64,7 @@
 	}
 	c.server, err = contrl.NewServer(contrl.Config{
 		Node: s.Node, Listen: s.Listen.Operators, Operators: s.Operators, Net: n.net, Log: c, Store: c.store,
-		Clock: n.cfg.Now, Events: n.Events,
+		Clock: n.cfg.Now, Events: n.Events, Membership: c,
 	})
 	if err != nil {
 		c.close()
@@ -138,13 +139,26 @@
 		match[p.ID] = p.Match
 	}
 	for _, m := range st.Members {
+		voter := !m.Learner
+		for _, g := range c.groups[1:] {
+			voter = voter && isVoter(g.Status().Members, m.ID)
+		}
 		out.Members = append(out.Members, contrl.MemberStatus{
-			Node: m.ID, Address: c.n.controlAddress(m.ID), DataCentre: c.n.dataCentre(m.ID), Voter: !m.Learner, Match: match[m.ID],
+			Node: m.ID, Address: c.n.controlAddress(m.ID), DataCentre: c.n.dataCentre(m.ID), Voter: voter, Match: match[m.ID],
 		})
 	}
 	return out
 }
 
+func isVoter(members []raft.Member, id string) bool {
+	for _, m := range members {
+		if m.ID == id {
+			return !m.Learner
+		}
+	}
+	return false
+}
+
 func (n *Node) dataCentre(id string) string {
 	for _, m := range n.cfg.Settings.Control {
 		if m.Node == id {
--- a/internal/oprcli/oprcli.go
+++ b/internal/oprcli/oprcli.go
@@ -275,6 +275,18 @@
 	return out, c.do(ctx, call{method: "GET", path: "/v1/members", out: &out})
 }
 
+// AddMember makes a node a member of the replicated log. It can be repeated.
+func (c *Client) AddMember(ctx context.Context, node string) (Members, error) {
+	var out Members
+	return out, c.do(ctx, call{method: "PUT", path: "/v1/members/" + url.PathEscape(node), out: &out})
+}
+
+// RemoveMember ends the membership of a node. It can be repeated.
+func (c *Client) RemoveMember(ctx context.Context, node string) (Members, error) {
+	var out Members
+	return out, c.do(ctx, call{method: "DELETE", path: "/v1/members/" + url.PathEscape(node), out: &out})
+}
+
 func encode(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- /dev/null
+++ b/internal/site/member_test.go
@@ -0,0 +1,55 @@
+package site
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/oprcli"
+)
+
+// Guards against a replaced control node that counts for quorums before it has
+// caught up, so that losing another one right after the repair loses accepted
+// commands or the ability to accept new ones.
+func TestSecondLossAfterRepair(t *testing.T) {
+	s := start(t, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c := s.Operator()
+	defer c.Close()
+	before, err := c.SetPreset(ctx, oprcli.NewCommandID(), "ordinary", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := (s.Leader() + 1) % 3
+	if err := s.StopNode(ctx, lost, false); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(s.Settings(lost).DataFolder); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.StartNode(lost); err != nil {
+		t.Fatal(err)
+	}
+	node := s.Settings(lost).Node
+	for voter := false; !voter; {
+		m, err := c.AddMember(ctx, node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range m.Members {
+			voter = voter || (v.Node == node && v.Voter)
+		}
+	}
+	if err := s.StopNode(ctx, (lost+1)%3, false); err != nil {
+		t.Fatal(err)
+	}
+	after, err := c.SetPreset(ctx, oprcli.NewCommandID(), "ordinary", 0)
+	if err != nil || after.Version <= before.Version {
+		t.Fatalf("version %d after %d: %v", after.Version, before.Version, err)
+	}
+	if err := s.WaitInForce(ctx, after.Version); err != nil {
+		t.Fatal(err)
+	}
+}
