entry: Do not call a plain call "not run" after an attempt that may have run

Cause: an idempotent call whose first attempt was cut after its execution and whose second was refused got the outcome of the last attempt, "not-run". Ruled out: calls that are not idempotent; they stop at the first attempt that may have run. Change: an attempt that may have run decides the outcome. Nodes of an embedded deployment listen below the ports of outgoing connections, since the port of a stopped node was taken now and then.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -103,7 +103,8 @@
 }
 
 // tryPlain makes attempts until one is answered. Without repeat it tries again
-// only if nothing of the call has run.
+// only if nothing of the call has run. An attempt that may have run decides the
+// outcome, whatever became of the others.
 func (e *Entry) tryPlain(ctx context.Context, p *plainCall, repeat bool) (*plainAnswer, error) {
 	var exclude []string
 	var last error
@@ -112,45 +113,54 @@
 		if try > 0 && !p.limits.Retry(now) {
 			return nil, last
 		}
-		e.refresh(now)
-		g, err := e.pass(ctx, p.print, now)
-		if err != nil {
-			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: err, RetryAfter: time.Second}
-		}
-		choice, err := e.table.Pick(route.Query{
-			Service: p.service.Name, Version: p.version, Org: p.org.Name, Class: world.Call,
-			DataCenter: e.cfg.Settings.DataCentre, PromptTokens: plainTokens, MaxTokens: 1, Exclude: append(g.avoid, exclude...),
-		}, now)
-		if err != nil {
-			e.leave(g)
-			if last != nil {
-				return nil, last
-			}
-			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "noCapacity", Err: err, RetryAfter: time.Second}
-		}
-		if !e.takeSlot(ctx, &g, choice.Backend, now) {
-			e.leave(g)
-			return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: errHeld, RetryAfter: time.Second}
-		}
-		ans, err := e.attemptPlain(ctx, p, choice, uint64(try+1))
-		e.leave(g)
+		b, ans, err := e.tryOnce(ctx, p, exclude, uint64(try+1), now)
 		if err == nil {
 			return ans, nil
 		}
-		last = err
-		exclude = append(exclude, choice.Backend.ID)
-		if backnd.OutcomeOf(err) != backnd.NotRun && (!repeat || ctx.Err() != nil) {
+		if last == nil || backnd.OutcomeOf(last) == backnd.NotRun {
+			last = err
+		}
+		if b == "" || backnd.OutcomeOf(err) != backnd.NotRun && (!repeat || ctx.Err() != nil) {
 			return nil, last
 		}
+		exclude = append(exclude, b)
 	}
 	return nil, last
 }
 
+// tryOnce makes one attempt and returns the backend server that it chose, or ""
+// if there was none.
+func (e *Entry) tryOnce(ctx context.Context, p *plainCall, exclude []string, attempt uint64, now time.Time) (string, *plainAnswer, error) {
+	e.refresh(now)
+	g, err := e.pass(ctx, p.print, now)
+	if err != nil {
+		return "", nil, notSent("suspect", err)
+	}
+	defer func() { e.leave(g) }()
+	choice, err := e.table.Pick(route.Query{
+		Service: p.service.Name, Version: p.version, Org: p.org.Name, Class: world.Call,
+		DataCenter: e.cfg.Settings.DataCentre, PromptTokens: plainTokens, MaxTokens: 1, Exclude: append(g.avoid, exclude...),
+	}, now)
+	if err != nil {
+		return "", nil, notSent("noCapacity", err)
+	}
+	if !e.takeSlot(ctx, &g, choice.Backend, now) {
+		return "", nil, notSent("suspect", errHeld)
+	}
+	ans, err := e.attemptPlain(ctx, p, choice, attempt)
+	return choice.Backend.ID, ans, err
+}
+
+// notSent is the error of an attempt that no backend server has seen.
+func notSent(code string, err error) error {
+	return &backnd.CallError{Outcome: backnd.NotRun, Code: code, Err: err, RetryAfter: time.Second}
+}
+
 func (e *Entry) attemptPlain(ctx context.Context, p *plainCall, c route.Choice, attempt uint64) (*plainAnswer, error) {
 	began := e.cfg.Now()
 	b := c.Backend
 	if !e.ledger.Started(p.print, b.ID, b.Incarnation, began) {
-		return nil, &backnd.CallError{Outcome: backnd.NotRun, Code: "suspect", Err: errHeld, RetryAfter: time.Second}
+		return nil, notSent("suspect", errHeld)
 	}
 	e.table.Started(b.ID, c.Cost, began)
 	ans, err := e.callPlain(ctx, p, b, attempt)
--- /dev/null
+++ b/internal/site/ids_test.go
@@ -0,0 +1,76 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/stand"
+)
+
+// Guards against an id that is computed twice, answered with another request's
+// answer, or shared by two organisations.
+func TestRequestIDs(t *testing.T) {
+	t.Parallel()
+	seed := rand.Uint64() >> 32
+	s := wide(t, seed, 3, stand.EngineConfig{Speed: 20, Sampling: true})
+	rng := rand.New(rand.NewPCG(seed, 2))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+
+	t.Run("the same request at all instances at once", func(t *testing.T) {
+		for round := range 10 {
+			id := fmt.Sprintf("same-%d", round)
+			var callers []*caller
+			var wg sync.WaitGroup
+			for i := range 2 * s.Size() {
+				org := []string{"acme", "other"}[i%2]
+				c := &caller{id: id, key: org + "-key", prompt: "for " + org, seed: seed, tokens: 20, addrs: []string{s.Settings(rng.IntN(s.Size())).Listen.Callers}}
+				callers = append(callers, c)
+				wg.Go(func() { c.run(ctx) })
+			}
+			wg.Wait()
+			for i, c := range callers {
+				c.check(t)
+				if c.first != callers[i%2].first {
+					t.Errorf("round %d: answers %q and %q to one request", round, c.first, callers[i%2].first)
+				}
+			}
+			computedOnce(t, s, "acme", id)
+			computedOnce(t, s, "other", id)
+		}
+	})
+	t.Run("another body", func(t *testing.T) {
+		for round := range 10 {
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			texts, refused := map[string]bool{}, 0
+			for i := range 4 {
+				wg.Go(func() {
+					prompt := fmt.Sprintf("prompt %d", i%2)
+					status, h, body := post(t, s.Settings((round+i)%s.Size()).Listen.Callers, "/v1/completions",
+						fmt.Sprintf(`{"model": "drafts", "prompt": %q, "max_tokens": 5}`, prompt), "X-Request-Id", fmt.Sprintf("body-%d", round))
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case status == http.StatusOK:
+						texts[prompt] = true
+					case status == http.StatusConflict && h.Get("X-Outcome") == "not-run" && strings.Contains(body, "requestIdReused"):
+						refused++
+					default:
+						t.Errorf("round %d: status %d: %s", round, status, body)
+					}
+				})
+			}
+			wg.Wait()
+			if len(texts) != 1 || refused != 2 {
+				t.Errorf("round %d: answers to %v, %d refused; want one body answered", round, texts, refused)
+			}
+		}
+	})
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -130,24 +131,35 @@
 	return nil
 }
 
+// Ports of the nodes. They lie below the range from which systems take the
+// ports of outgoing connections, so that the port of a stopped node stays free.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// taken are the ports given to the deployments of this process.
+var taken sync.Map
+
 // freeAddresses returns loopback addresses that were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+	for range 100 * n {
+		if len(out) == n {
+			return out, nil
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, Error.Wrap(err)
+			continue
+		}
+		_ = l.Close()
+		if _, used := taken.LoadOrStore(port, true); !used {
+			out = append(out, addr)
 		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, Error.New("only %d of %d ports between %d and %d are free", len(out), n, firstPort, lastPort)
 }
 
 // apply puts the declaration in force at every node.
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -22,7 +22,9 @@
 		"machineClasses": [{"name": "m", "accelerators": 1, "onDemandPrice": 2, "reclaimablePrice": 1}],
 		"services": [
 			{"name": "drafts", "kind": "model", "versions": ["v1", "v2"], "version": "v1", "machineClass": "m"},
-			{"name": "orders", "kind": "plain", "versions": ["v1"], "version": "v1", "machineClass": "m", "path": "/orders"}],
+			{"name": "orders", "kind": "plain", "versions": ["v1"], "version": "v1", "machineClass": "m", "path": "/orders"},
+			{"name": "quotes", "kind": "plain", "versions": ["v1"], "version": "v1", "machineClass": "m", "path": "/quotes",
+				"routes": [{"method": "*", "path": "/quotes", "idempotent": true}]}],
 		"organisations": [{"name": "acme", "keys": ["`+decl.HashKey("acme-key")+`"], "weight": 2}, {"name": "other", "keys": ["`+decl.HashKey("other-key")+`"], "weight": 1}],
 		"presets": [{"name": "ordinary", "longShare": 0.8, "capacity": [{"service": "drafts", "min": 1, "max": 9}]}]}`))
 	if err != nil {
--- a/internal/site/streams_test.go
+++ b/internal/site/streams_test.go
@@ -78,6 +78,7 @@
 // Guards against streams that lose, repeat or mix tokens or are computed twice
 // when engines, entry instances or a data centre are lost.
 func TestStreamsSurviveLosses(t *testing.T) {
+	t.Parallel()
 	seed := rand.Uint64() >> 32
 	ledger := stand.NewLedger()
 	s := wide(t, seed, 6, stand.EngineConfig{Speed: 2, Sampling: true, KVBytesPerToken: 64, Ledger: ledger})
