Try the old version after a failed attempt; show a bad version in the demonstration

Cause: an accepted request that fell to a version on trial was repeated on that version up to four times and then broken off, so a bad version failed callers. Change: after one loss the attempts of a request run the serving version. The demo moves a service to a version that fails every request and checks the statement. Conclusion: a bad version costs its share of attempts, not answers.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -38,6 +38,9 @@
 	speed = 1
 	// inForceLimit is the promise for a configuration change.
 	inForceLimit = 4 * time.Second
+	// moveDeadline of the version move; a bad version is found long before.
+	moveDeadline  = 15 * time.Second
+	lookupWorkers = 12
 )
 
 var dataCentres = []string{"north", "east", "west"}
@@ -85,7 +88,7 @@
 		return Summary{}, err
 	}
 	defer r.site.Close()
-	for _, act := range []func(context.Context) error{r.steady, r.disturb, r.configure, r.stopPlanned} {
+	for _, act := range []func(context.Context) error{r.steady, r.disturb, r.configure, r.moveBadVersion, r.stopPlanned} {
 		if err := act(ctx); err != nil {
 			return Summary{}, err
 		}
@@ -178,7 +181,7 @@
 	"presets": [
 		{"name": "ordinary", "longShare": 0.8, "capacity": [{"service": "drafts", "min": 4, "max": 8}]},
 		{"name": "maintenance", "longShare": 0.9, "capacity": [{"service": "drafts", "min": 4, "max": 8}]}],
-	"moves": {"firstShare": 0.05, "soakSeconds": 1, "falseAlarm": 0.01}}`
+	"moves": {"firstShare": 0.1, "soakSeconds": 1, "falseAlarm": 0.01}}`
 }
 
 // client returns a caller of one organisation in one data centre.
@@ -369,6 +372,82 @@
 	return nil
 }
 
+// moveBadVersion starts a move to a version that fails every request and waits
+// for its statement. Lookups of callers must not fail meanwhile.
+func (r *run) moveBadVersion(ctx context.Context) error {
+	r.say("a version move to a version that fails every request")
+	for i := range 2 {
+		e, err := r.site.AddEngine(stand.EngineConfig{Spec: r.spec(engineCount+i, "engine", "drafts", "v2"), CacheBlocks: 4096, Speed: speed})
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		e.SetVersionFaults(stand.VersionFault{Version: "v2", Fail: true})
+	}
+	op := r.site.Operator()
+	defer op.Close()
+	res, err := op.StartMove(ctx, oprcli.NewCommandID(), "drafts", "v2", time.Now().Add(moveDeadline))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	lookups := r.lookups(ctx)
+	var m oprcli.Move
+	for began := time.Now(); time.Since(began) < moveDeadline; time.Sleep(100 * time.Millisecond) {
+		if m, err = op.Move(ctx, res.Move.ID); err == nil && m.Outcome != "" {
+			break
+		}
+	}
+	sent, failed, first := lookups()
+	ran := 0
+	for _, e := range r.site.Engines() {
+		for _, x := range e.Runs() {
+			if x.Version == "v2" {
+				ran++
+			}
+		}
+	}
+	r.promise("a bad version is taken back", m.Outcome == "takenBack",
+		"outcome %q: %s; %d of %d lookups reached it", m.Outcome, m.Reason, ran, sent)
+	r.promise("a bad version fails no caller", failed == 0, "%d of %d lookups failed%s", failed, sent, first)
+	return nil
+}
+
+// lookups sends short requests until the returned function is called, which
+// counts them.
+func (r *run) lookups(ctx context.Context) (stop func() (sent, failed int, first string)) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []result
+	for w := range lookupWorkers {
+		wg.Go(func() {
+			c := r.client(w)
+			defer c.Close()
+			for n := 0; ctx.Err() == nil; n++ {
+				// The request itself is finished even if the loop is told to stop.
+				s, err := c.Complete(context.WithoutCancel(ctx), caller.Request{Model: "drafts", Prompt: fmt.Sprintf("yard phone %d, question %d", w, n), MaxTokens: 4})
+				res := result{whole: err == nil}
+				if err == nil {
+					_, _, err = s.ReadAll()
+					s.Close()
+					res.whole = err == nil
+				}
+				if err != nil {
+					res.detail = err.Error()
+				}
+				mu.Lock()
+				all = append(all, res)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() (int, int, string) {
+		cancel()
+		wg.Wait()
+		whole, _, first := tally(all)
+		return len(all), len(all) - whole, first
+	}
+}
+
 // stopPlanned drains an entry node while streams run.
 func (r *run) stopPlanned(ctx context.Context) error {
 	r.say("a planned stop of an entry node while streams run")
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -215,10 +215,14 @@
 		return r.req.Version
 	}
 	shares := view.Shares[r.req.Service]
+	serving := cmp.Or(view.Serving[r.req.Service], r.req.Version)
+	if r.losses > 0 && shares[serving] > 0 {
+		// A version on trial must not fail an accepted request.
+		return serving
+	}
 	if shares[r.req.Version] > 0 {
 		return r.req.Version
 	}
-	serving := cmp.Or(view.Serving[r.req.Service], r.req.Version)
 	if serving == r.req.Version {
 		return serving
 	}
