Encrypt links and the operators' listener with certificates

Cause: the shared key authenticates links but does not encrypt them, and operators sent tokens in plain text. Change: settings key tls; one authority certifies processes and operators; -ca, -cert and -key on the command line; a client certificate names its operator. Measured: go test ./internal/certs ./internal/conf ./internal/contrl ok. By hand, with certificates made by openssl: three processes formed the group over TLS, apply without -ca was refused, with -ca and with -cert it was accepted. Conclusion: a deployment can run over networks that others can read.

--- a/internal/comand/operate.go
+++ b/internal/comand/operate.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/certs"
 	"cranberrypath.example/cranberrypath/internal/oprcli"
 	"cranberrypath.example/cranberrypath/pkg/decl"
 )
@@ -29,6 +30,7 @@
 	addresses, token string
 	json             bool
 	timeout          time.Duration
+	tls              certs.Files
 }
 
 func (o *target) flags(fs *flag.FlagSet) {
@@ -39,16 +41,27 @@
 	fs.StringVar(&o.addresses, "operators", addrs, "addresses of operators' listeners, separated by commas; default from "+operatorsVariable)
 	fs.StringVar(&o.token, "token", "", "operator's token; default from "+tokenVariable)
 	fs.BoolVar(&o.json, "json", false, "print JSON")
+	fs.StringVar(&o.tls.Authority, "ca", "", "PEM file of the deployment's authority; turns TLS on")
+	fs.StringVar(&o.tls.Certificate, "cert", "", "PEM file of the operator's certificate")
+	fs.StringVar(&o.tls.Key, "key", "", "PEM file of the certificate's key")
 	fs.DurationVar(&o.timeout, "timeout", 30*time.Second, "longest time for the command")
 }
 
-func (o *target) client(ctx context.Context) (*oprcli.Client, context.Context, context.CancelFunc) {
+func (o *target) client(ctx context.Context) (*oprcli.Client, context.Context, context.CancelFunc, error) {
 	token := o.token
 	if token == "" {
 		token = os.Getenv(tokenVariable)
 	}
+	c := oprcli.New(strings.Split(o.addresses, ","), token)
+	if o.tls.Authority != "" {
+		cfg, err := certs.Client(o.tls)
+		if err != nil {
+			return nil, nil, nil, &exitError{exitUsage, err}
+		}
+		c = c.WithTLS(cfg)
+	}
 	ctx, cancel := context.WithTimeout(ctx, o.timeout)
-	return oprcli.New(strings.Split(o.addresses, ","), token), ctx, cancel
+	return c, ctx, cancel, nil
 }
 
 // show prints v as JSON, or text.
@@ -94,7 +107,10 @@
 	if err != nil {
 		return err
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	if *id == "" {
@@ -139,7 +155,10 @@
 	if err != nil {
 		return err
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	d, err := c.Diff(ctx, *file, text)
@@ -174,7 +193,10 @@
 	if err := parse(fs, args, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	st, err := c.Status(ctx)
@@ -209,7 +231,10 @@
 	if *id == "" {
 		*id = oprcli.NewCommandID()
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	r, err := c.SetPreset(ctx, *id, fs.Arg(0), *expect)
@@ -261,7 +286,10 @@
 	if *id == "" {
 		*id = oprcli.NewCommandID()
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	r, err := c.StartMove(ctx, *id, *service, *to, by)
@@ -295,7 +323,10 @@
 	}
 	last := oprcli.Move{Share: -1}
 	for {
-		c, asked, cancel := o.client(ctx)
+		c, asked, cancel, err := o.client(ctx)
+		if err != nil {
+			return err
+		}
 		m, err := c.Move(asked, fs.Arg(0))
 		cancel()
 		c.Close()
@@ -336,7 +367,10 @@
 	if err := parse(fs, args, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	all, err := c.Moves(ctx)
@@ -365,7 +399,10 @@
 	if *id == "" {
 		*id = oprcli.NewCommandID()
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	r, err := c.TakeBack(ctx, *id, fs.Arg(0), *reason)
@@ -406,7 +443,10 @@
 	if fs.NArg() != most {
 		return usageError("member %s: the name of the node is missing", args[0])
 	}
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	defer c.Close()
 	m, err := act(c, ctx)
--- a/internal/comand/timeline.go
+++ b/internal/comand/timeline.go
@@ -81,7 +81,10 @@
 }
 
 func askEvents(ctx context.Context, o target, f event.Filter) ([]event.Event, error) {
-	c, ctx, cancel := o.client(ctx)
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return nil, err
+	}
 	defer cancel()
 	defer c.Close()
 	got, err := c.Events(ctx, oprcli.EventFilter{
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -47,6 +47,9 @@
 	// SharedKey authenticates the system's processes to each other. Without it
 	// only loopback peers are accepted.
 	SharedKey string `json:"sharedKey"`
+	// TLS encrypts the links between processes and the operators' listener. With
+	// it, a certificate of the authority authenticates like a key or a token.
+	TLS TLS `json:"tls"`
 	// Operators maps an operator's name to the token sent as a bearer token.
 	// Without it only loopback operators are accepted.
 	Operators map[string]string `json:"operators"`
@@ -79,6 +82,16 @@
 	DataCentre string `json:"dataCentre"`
 }
 
+// TLS names PEM files; all three are set, or none.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// On reports whether TLS is set up.
+func (t TLS) On() bool { return t.Certificate != "" }
+
 // Limits of the callers' listener.
 type Limits struct {
 	HeaderBytes    int `json:"headerBytes"`
@@ -189,6 +202,9 @@
 	if len(s.Control) == 0 {
 		problem("control", "is missing; want at least one member of the replicated log")
 	}
+	if t := s.TLS; (t.Certificate == "") != (t.Key == "") || (t.Key == "") != (t.Authority == "") {
+		problem("tls", "names only some of its files; want certificate, key and authority, or none")
+	}
 	if s.Has("control") && s.DataFolder == "" {
 		problem("dataFolder", "is missing; the control role needs a folder on a disk")
 	}
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -41,6 +41,7 @@
 		{"bad port", `"127.0.0.1:8101"`, `"127.0.0.1:81010"`, "listen.callers"},
 		{"missing", `"dataFolder": "data",`, ``, "dataFolder: is missing"},
 		{"out of range", `"dataFolder"`, `"backends": {"leaseMillis": 5000}, "dataFolder"`, "s.json:9: backends.leaseMillis: is 5000; want 200 to 3000"},
+		{"half of tls", `"dataFolder"`, `"tls": {"key": "k.pem"}, "dataFolder"`, "s.json:9: tls: names only some of its files; want"},
 		{"syntax", `"roles": [`, `"roles": (`, "s.json:5"},
 		{"log level", `"dataFolder"`, `"logLevel": "all", "dataFolder"`, `logLevel: is "all"; want debug`},
 	}
--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"time"
@@ -88,10 +89,13 @@
 	// Operators maps names to bearer tokens. Without it only loopback operators
 	// are accepted.
 	Operators map[string]string
-	Net       Net
-	Log       Log
-	Store     *store.Store
-	Clock     func() time.Time
+	// TLS encrypts the listener. A verified client certificate authenticates the
+	// operator that its common name gives. Nil means plain HTTP.
+	TLS   *tls.Config
+	Net   Net
+	Log   Log
+	Store *store.Store
+	Clock func() time.Time
 	// Events returns the time line. It may be nil.
 	Events func(ctx context.Context, f event.Filter) ([]event.Event, error)
 	// Membership changes the members of the replicated log. It may be nil.
--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net"
@@ -69,8 +70,12 @@
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: httpLog{},
 	}
+	var serve net.Listener = ln
+	if cfg.TLS != nil {
+		serve = tls.NewListener(ln, cfg.TLS)
+	}
 	s.wg.Go(func() {
-		if err := s.http.Serve(ln); err != nil {
+		if err := s.http.Serve(serve); err != nil {
 			log.WithError(err).Error("the operators' listener ended")
 		}
 	})
@@ -193,6 +198,9 @@
 
 // authenticate returns the operator's name.
 func (s *Server) authenticate(c *fasthttp.RequestCtx) (string, error) {
+	if name, ok := certificateName(c); ok {
+		return name, nil
+	}
 	if len(s.cfg.Operators) == 0 {
 		return localName(c)
 	}
@@ -210,6 +218,16 @@
 	return found, nil
 }
 
+// certificateName returns the common name of a verified client certificate.
+func certificateName(c *fasthttp.RequestCtx) (string, bool) {
+	state := c.TLSConnectionState()
+	if state == nil || len(state.VerifiedChains) == 0 {
+		return "", false
+	}
+	name := state.PeerCertificates[0].Subject.CommonName
+	return name, commandID.MatchString(name)
+}
+
 // localName accepts loopback only, also in the Host header: a web page that the
 // operator's browser shows could reach this listener under a name of its own.
 func localName(c *fasthttp.RequestCtx) (string, error) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"path/filepath"
 	"strconv"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/certs"
 	"cranberrypath.example/cranberrypath/internal/claim"
 	"cranberrypath.example/cranberrypath/internal/cloud"
 	"cranberrypath.example/cranberrypath/internal/contrl"
@@ -62,7 +64,15 @@
 		c.close()
 		return nil, err
 	}
+	var operators *tls.Config
+	if s.TLS.On() {
+		if operators, err = certs.Server(certs.Files(s.TLS)); err != nil {
+			c.close()
+			return nil, Error.Wrap(err)
+		}
+	}
 	c.server, err = contrl.NewServer(contrl.Config{
+		TLS:  operators,
 		Node: s.Node, Listen: s.Listen.Operators, Operators: s.Operators, Net: n.net, Log: c, Store: c.store,
 		Clock: n.cfg.Now, Events: n.Events, Membership: c,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/certs"
 	"cranberrypath.example/cranberrypath/internal/claim"
 	"cranberrypath.example/cranberrypath/internal/clock"
 	"cranberrypath.example/cranberrypath/internal/conf"
@@ -125,6 +126,12 @@
 	cfg := link.Config{
 		Node: s.Node, DataCenter: s.DataCentre, Listen: s.Listen.Peers, Key: []byte(s.SharedKey), Clock: n.events.Clock(),
 	}
+	if s.TLS.On() {
+		var err error
+		if cfg.TLS, err = certs.Peers(certs.Files(s.TLS)); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	if n.cfg.Link != nil {
 		n.cfg.Link(&cfg)
 	}
--- a/internal/oprcli/oprcli.go
+++ b/internal/oprcli/oprcli.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net/url"
@@ -37,13 +38,21 @@
 	Token     string // bearer token; empty on loopback
 	Operator  string // name on loopback; optional
 
-	http fasthttp.Client
+	http   fasthttp.Client
+	scheme string
+}
+
+// WithTLS makes the client speak HTTPS with the given configuration.
+func (c *Client) WithTLS(cfg *tls.Config) *Client {
+	n := New(c.Addresses, c.Token)
+	n.Operator, n.scheme, n.http.TLSConfig = c.Operator, "https", cfg
+	return n
 }
 
 // New returns a client of the given addresses.
 func New(addresses []string, token string) *Client {
 	return &Client{
-		Addresses: addresses, Token: token,
+		Addresses: addresses, Token: token, scheme: "http",
 		http: fasthttp.Client{MaxResponseBodySize: responseBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
 	}
 }
@@ -337,7 +346,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + r.path)
+	req.SetRequestURI(c.scheme + "://" + addr + r.path)
 	req.Header.SetMethod(r.method)
 	req.SetBody(r.body)
 	if r.body != nil {
