manage: divide a cell's capacity twice a second instead of per report

Cause: each report merged the servers of its cell and allocated its capacity again, 216 us of the leader's time per report, 7.6% of a core at 350 entry instances. Change: keep the division of a cell for 500 ms; a node that is new in the cell or a new configuration divides again at once. Measured: go test -run XXX -bench Demand -count 3 ./internal/manage: 33.5 to 35.9 us per report with time advancing as at 350 reports a second, 1.2% of a core (load average 13). The unit tests pass with -race.

--- a/internal/manage/demand.go
+++ b/internal/manage/demand.go
@@ -22,9 +22,22 @@
 type collector struct {
 	window time.Duration
 
-	mu    sync.Mutex
-	since time.Time // of the leadership; zero while the grants loop does not run
-	nodes map[string]nodeReport
+	mu     sync.Mutex
+	since  time.Time // of the leadership; zero while the grants loop does not run
+	nodes  map[string]nodeReport
+	pruned time.Time
+	// divided holds the latest division of each cell's capacity.
+	divided map[string]division
+}
+
+// divideEvery bounds how often a cell's capacity is divided anew; grants last 3 s.
+const divideEvery = 500 * time.Millisecond
+
+// division is the capacity of a cell divided among its nodes.
+type division struct {
+	at     time.Time
+	config uint64
+	byNode map[string][]*entrpb.Grant
 }
 
 type nodeReport struct {
@@ -42,7 +55,7 @@
 }
 
 func newCollector(window time.Duration) *collector {
-	return &collector{window: window, nodes: map[string]nodeReport{}}
+	return &collector{window: window, nodes: map[string]nodeReport{}, divided: map[string]division{}}
 }
 
 // runGrants marks the time during which grants are given.
@@ -57,6 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.since = now
+	clear(c.divided)
 }
 
 // Demand answers the demand section of a report with the sender's grants.
@@ -79,6 +93,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nodes[node] = r
+	if now.Sub(c.pruned) < c.window {
+		return
+	}
+	c.pruned = now
 	for n, old := range c.nodes {
 		if now.Sub(old.at) >= c.window {
 			delete(c.nodes, n)
@@ -103,34 +121,39 @@
 func (c *collector) servers(cell string, now time.Time) []server {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	byID := map[string]server{}
+	var out []server
+	for _, s := range c.merged(cell, now) {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// merged returns the newest report on each server. mu is held.
+func (c *collector) merged(cell string, now time.Time) map[string]*server {
+	byID := map[string]*server{}
 	for _, r := range c.nodes {
 		if now.Sub(r.at) >= c.window || cell != "" && r.cell != cell {
 			continue
 		}
-		for _, s := range r.backends {
-			old, ok := byID[s.ID]
-			if !ok || s.newer(old) {
+		for i := range r.backends {
+			s := &r.backends[i]
+			if old := byID[s.ID]; old == nil || s.newer(old) {
 				byID[s.ID] = s
 			}
 		}
 	}
-	out := make([]server, 0, len(byID))
-	for _, s := range byID {
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b server) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return byID
 }
 
 // newer compares two reports on a server, which may come from its old and its new
 // home. The states of one incarnation are passed in order, so the last one counts.
-func (s server) newer(o server) bool {
+func (s *server) newer(o *server) bool {
 	return cmp.Or(cmp.Compare(s.Incarnation, o.Incarnation), cmp.Compare(s.State, o.State), s.at.Compare(o.at)) > 0
 }
 
 // isReady reports whether the server takes new work.
-func (s server) isReady() bool { return s.State == world.Ready && s.LeaveBy.IsZero() }
+func (s *server) isReady() bool { return s.State == world.Ready && s.LeaveBy.IsZero() }
 
 // load sums the reports: by service, the slots in use and the slots that are in
 // use or wanted.
@@ -157,13 +180,28 @@
 // may still be in use.
 func (c *collector) grants(node string, v *store.View, now time.Time) []*entrpb.Grant {
 	c.mu.Lock()
-	self, ok := c.nodes[node]
-	ready := !c.since.IsZero() && now.Sub(c.since) >= c.window
+	defer c.mu.Unlock()
+	if c.since.IsZero() || now.Sub(c.since) < c.window {
+		return nil
+	}
+	cell := c.nodes[node].cell
+	d := c.divided[cell]
+	if _, ok := d.byNode[node]; !ok || d.config != v.Config || now.Sub(d.at) >= divideEvery {
+		d = c.divide(cell, v, now)
+		c.divided[cell] = d
+	}
+	return d.byNode[node]
+}
+
+// divide allocates the capacity of a cell. mu is held.
+func (c *collector) divide(cell string, v *store.View, now time.Time) division {
+	out := division{at: now, config: v.Config, byNode: map[string][]*entrpb.Grant{}}
 	demands := map[string][]limit.Demand{}
 	for n, r := range c.nodes {
-		if now.Sub(r.at) >= c.window || r.cell != self.cell {
+		if now.Sub(r.at) >= c.window || r.cell != cell {
 			continue
 		}
+		out.byNode[n] = nil
 		for _, s := range r.services {
 			for _, o := range s.Orgs {
 				demands[s.Service] = append(demands[s.Service], limit.Demand{
@@ -172,17 +210,10 @@
 			}
 		}
 	}
-	c.mu.Unlock()
-	if !ok || !ready {
-		return nil
-	}
-	var out []*entrpb.Grant
-	all := c.servers(self.cell, now)
-	for _, s := range self.services {
-		for _, g := range limit.Allocate(entry.Overcommit*slots(s.Service, all, v), demands[s.Service]) {
-			if g.Node == node {
-				out = append(out, &entrpb.Grant{Service: s.Service, Org: g.Org, Amount: g.Amount})
-			}
+	all := c.merged(cell, now)
+	for service, list := range demands {
+		for _, g := range limit.Allocate(entry.Overcommit*slots(service, all, v), list) {
+			out.byNode[g.Node] = append(out.byNode[g.Node], &entrpb.Grant{Service: service, Org: g.Org, Amount: g.Amount})
 		}
 	}
 	return out
@@ -200,7 +231,7 @@
 // slots returns the slots of ready servers that traffic can use. During a move
 // each version gets its share of the traffic, so the version with the fewest
 // slots for its share bounds the whole.
-func slots(service string, all []server, v *store.View) float64 {
+func slots(service string, all map[string]*server, v *store.View) float64 {
 	total, byVersion := 0.0, map[string]float64{}
 	for _, s := range all {
 		if s.Service != service || !s.isReady() {
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -587,6 +587,7 @@
 	now := start.Add(time.Hour)
 	n := 0
 	for b.Loop() {
+		now = now.Add(time.Second / 350)
 		if _, err := m.Demand(context.Background(), link.Peer{Node: fmt.Sprint(n % 350)}, reports[n%350], now); err != nil {
 			b.Fatal(err)
 		}
