entry: Bound the servers that one request crashes and the memory of bodies

Cause 1: each entry instance let a new request run on two servers, so a request that came to four instances at once crashed five. A server that restarted within the probe's time did not count as crashed. A request that became a suspect between its check and its start ran without the permit for suspects. Cause 2: fasthttp reserved the memory of a whole body when its length was announced, so 100 slow callers cost 500 MB. A caller that stopped reading held its connection without limit. Ruled out: the judgement in package poison, which condemned the right request.

Change: the home of a fingerprint counts its runs in the whole cell and lets two run at a time until one has completed. A broken run counts until it is known whether its server restarted (up to 2.5 s). Both are one commit because they touch the same lines of the handlers. The cost is one call to the home for each attempt.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -18,12 +18,12 @@
 }
 
 // serveAnnounce takes the announcement of a backend server.
-func (e *Entry) serveAnnounce(ctx *fasthttp.RequestCtx) *failure {
+func (e *Entry) serveAnnounce(ctx *fasthttp.RequestCtx, body []byte) *failure {
 	if f := wantMethod(ctx, fasthttp.MethodPost); f != nil {
 		return f
 	}
 	now := e.cfg.Now()
-	a, err := backnd.DecodeAnnouncement(ctx.PostBody(), now)
+	a, err := backnd.DecodeAnnouncement(body, now)
 	if err != nil {
 		return badRequest("badJson", err.Error())
 	}
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -14,6 +14,7 @@
 	"cranberrypath.example/cranberrypath/internal/entry/entrpb"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/member"
 	"cranberrypath.example/cranberrypath/internal/poison"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
@@ -26,6 +27,10 @@
 	// probeTimeout is how long a server that broke a stream has to accept a new
 	// connection before it counts as crashed.
 	probeTimeout = 300 * time.Millisecond
+	// restartKnown is how long the announcement of a restarted server takes to
+	// reach every node of the cell: one pull of 1 s, and one that was lost.
+	restartKnown = 2500 * time.Millisecond
+	restartPoll  = 50 * time.Millisecond
 	// permitTimeout bounds the question whether a suspect may run.
 	permitTimeout = 300 * time.Millisecond
 )
@@ -67,12 +72,7 @@
 
 // obtain asks for one permit at its home.
 func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
-	nodes := []string{e.cfg.Settings.Node}
-	for _, p := range e.member.Peers(now) {
-		nodes = append(nodes, p.Node)
-	}
-	slices.Sort(nodes)
-	home := poison.Home(key, nodes)
+	home := e.homeOf(key, now)
 	if !e.askPermit(ctx, home, key, false, now) {
 		return false
 	}
@@ -80,6 +80,16 @@
 	return true
 }
 
+// homeOf returns the node that gives the permits of a key.
+func (e *Entry) homeOf(key poison.Fingerprint, now time.Time) string {
+	nodes := []string{e.cfg.Settings.Node}
+	for _, p := range e.member.Peers(now) {
+		nodes = append(nodes, p.Node)
+	}
+	slices.Sort(nodes)
+	return poison.Home(key, nodes)
+}
+
 // takeSlot lets a suspect run on a server only if no other suspect does, so that
 // a crash shows which of them caused it.
 func (e *Entry) takeSlot(ctx context.Context, g *gate, b world.Backend, now time.Time) bool {
@@ -98,15 +108,19 @@
 	if home == self {
 		return e.permit(f, self, release, now)
 	}
+	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Release: release})
+	return err == nil && resp.Granted
+}
+
+func (e *Entry) callPermit(ctx context.Context, home string, req *entrpb.PermitRequest) (*entrpb.PermitResponse, error) {
 	p, ok := e.peerNamed(home)
 	if !ok {
-		return false
+		return nil, Error.New("%s is not in the cell", home)
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	var resp entrpb.PermitResponse
-	err := e.cfg.Net.Call(ctx, p.Address, permitCall, &entrpb.PermitRequest{Fingerprint: f[:], Release: release}, &resp)
-	return err == nil && resp.Granted
+	resp := &entrpb.PermitResponse{}
+	return resp, Error.Wrap(e.cfg.Net.Call(ctx, p.Address, permitCall, req, resp))
 }
 
 func (e *Entry) permit(f poison.Fingerprint, node string, release bool, now time.Time) bool {
@@ -126,6 +140,13 @@
 	if copy(f[:], req.Fingerprint) != len(f) {
 		return nil, Error.New("fingerprint has %d bytes", len(req.Fingerprint))
 	}
+	switch {
+	case req.Run != "" && req.Release:
+		e.entrances.exit(f, req.Run, req.Completed)
+		return &entrpb.PermitResponse{Granted: true}, nil
+	case req.Run != "":
+		return &entrpb.PermitResponse{Granted: e.entrances.enter(f, req.Run, e.cfg.Now())}, nil
+	}
 	return &entrpb.PermitResponse{Granted: e.permit(f, from.Node, req.Release, e.cfg.Now())}, nil
 }
 
@@ -188,14 +209,36 @@
 }
 
 // ended tells the ledger how a run ended. A broken connection counts as a crash
-// only if the server accepts no new one.
-func (e *Entry) ended(f poison.Fingerprint, b world.Backend, broken, completed bool) {
+// only if the server accepts no new one, or turns out to have restarted. Until
+// that is known the run counts as running, so that a request which crashes
+// servers that restart quickly does not run on a third one.
+func (e *Entry) ended(f poison.Fingerprint, b world.Backend, broken, completed bool, exit func(completed bool)) {
 	now := e.cfg.Now()
-	if !broken || e.reclaimed(b, now) || accepts(e.runs, b.Address) {
+	switch {
+	case !broken || e.reclaimed(b, now):
 		e.ledger.Ended(f, b.ID, b.Incarnation, completed, now)
-		return
+		exit(completed)
+	case !accepts(e.runs, b.Address) || e.restarted(b, now):
+		e.crashed(b.ID, b.Incarnation)
+		exit(false)
+	default:
+		e.running.Go(func() {
+			defer exit(false)
+			for until := now.Add(e.restart); e.cfg.Now().Before(until) && pause(e.runs, restartPoll); {
+				if e.restarted(b, e.cfg.Now()) {
+					e.crashed(b.ID, b.Incarnation)
+					return
+				}
+			}
+			e.ledger.Ended(f, b.ID, b.Incarnation, completed, e.cfg.Now())
+		})
 	}
-	e.crashed(b.ID, b.Incarnation)
+}
+
+// restarted reports whether the server has announced a newer incarnation.
+func (e *Entry) restarted(b world.Backend, now time.Time) bool {
+	newer := func(p member.Permit) bool { return p.ID == b.ID && p.Incarnation > b.Incarnation }
+	return slices.ContainsFunc(e.member.Permits(now), newer) || slices.ContainsFunc(e.member.Announced(now), newer)
 }
 
 func (e *Entry) crashed(id string, incarnation uint64) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,14 +68,17 @@
 	shares  shares
 	results *judge.Recorder
 	server  *server
+	bodies  bodies
 	engines engines
 	quiet   time.Duration // how long an engine may be silent
+	restart time.Duration // how long a restart of a backend server may stay unknown
 
-	active   activeRuns
-	holders  keepersOf
-	reserved reservations
-	greeted  greeted
-	tally    tally
+	active    activeRuns
+	holders   keepersOf
+	reserved  reservations
+	entrances entrances
+	greeted   greeted
+	tally     tally
 
 	claims    atomic.Uint64 // number of claims taken, part of their owner's name
 	inFlight  sync.Map      // owners of claims whose calls are being served
@@ -114,7 +117,7 @@
 		ledger:  poison.New(),
 		resync:  map[string]bool{},
 		results: judge.NewRecorder(s.Node, cfg.Incarnation),
-		engines: engineClient{cfg.Backends}, quiet: silence,
+		engines: engineClient{cfg.Backends}, quiet: silence, restart: restartKnown,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.runs, e.stop = context.WithCancel(context.Background())
@@ -129,6 +132,7 @@
 	e.loop(sweepEvery, func(now time.Time) {
 		e.answers.Sweep(now)
 		e.reserved.sweep(now)
+		e.entrances.sweep(now)
 		e.adoptOrphans(now)
 		e.learnCaches(now)
 		e.noteServing(now)
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -28,6 +28,7 @@
 // call is one request of a caller with what every handler needs.
 type call struct {
 	http *fasthttp.RequestCtx
+	body []byte
 	now  time.Time
 	view *store.View
 	org  decl.Organisation
@@ -41,24 +42,31 @@
 	if e.server.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	if f := e.dispatch(ctx); f != nil {
-		e.count(f)
-		f.write(ctx)
-		if e.server.draining.Load() {
-			ctx.SetConnectionClose()
-		}
+	body, release, f := e.readBody(ctx)
+	defer release()
+	unread := f != nil
+	if !unread {
+		f = e.dispatch(ctx, body)
+	}
+	if f == nil {
+		return
+	}
+	e.count(f)
+	f.write(ctx)
+	if unread || e.server.draining.Load() {
+		ctx.SetConnectionClose()
 	}
 }
 
-func (e *Entry) dispatch(ctx *fasthttp.RequestCtx) *failure {
+func (e *Entry) dispatch(ctx *fasthttp.RequestCtx, body []byte) *failure {
 	path := string(ctx.Path())
 	switch path {
 	case "/v1/addresses":
 		return e.serveAddresses(ctx)
 	case "/v1/backends/announce":
-		return e.serveAnnounce(ctx)
+		return e.serveAnnounce(ctx, body)
 	}
-	c, f := e.newCall(ctx)
+	c, f := e.newCall(ctx, body)
 	if f != nil {
 		return f
 	}
@@ -78,9 +86,9 @@
 }
 
 // newCall checks who calls and whether this instance may take requests.
-func (e *Entry) newCall(ctx *fasthttp.RequestCtx) (*call, *failure) {
+func (e *Entry) newCall(ctx *fasthttp.RequestCtx, body []byte) (*call, *failure) {
 	now := e.cfg.Now()
-	c := &call{http: ctx, now: now}
+	c := &call{http: ctx, now: now, body: body}
 	id := string(ctx.Request.Header.Peek(headerRequestID))
 	if !validID(id) {
 		return nil, badRequest("badHeader", "X-Request-Id must have 1 to 128 visible ASCII characters")
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -73,7 +73,7 @@
 func (e *Entry) take(ctx context.Context, p *plainCall, key claim.Key, owner string) (claim.State, *failure) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	hash := bodyHash(p.http)
+	hash := bodyHash(p.call)
 	state, err := e.cfg.Claims.Take(ctx, key, hash, owner, p.now)
 	if err == nil {
 		return state, nil
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -38,7 +38,6 @@
 	version string
 	path    string
 	header  []backnd.Header
-	body    []byte
 	print   poison.Fingerprint
 	limits  *limit.Limits
 }
@@ -61,7 +60,7 @@
 	p := &plainCall{
 		call: c, service: service, path: string(c.http.RequestURI()),
 		version: chooseVersion(c.view.Shares[service.Name], answerID(c.org.Name, c.id), c.view.Serving[service.Name]),
-		header:  forwarded(c), body: c.http.PostBody(),
+		header:  forwarded(c),
 	}
 	p.print = poison.Of(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
 	if f := e.checkPoison(p.print, c.now); f != nil {
@@ -147,7 +146,7 @@
 	if !e.takeSlot(ctx, &g, choice.Backend, now) {
 		return "", nil, notSent("suspect", errHeld)
 	}
-	ans, err := e.attemptPlain(ctx, p, choice, attempt)
+	ans, err := e.attemptPlain(ctx, p, choice, &g, attempt)
 	return choice.Backend.ID, ans, err
 }
 
@@ -156,17 +155,18 @@
 	return &backnd.CallError{Outcome: backnd.NotRun, Code: code, Err: err, RetryAfter: time.Second}
 }
 
-func (e *Entry) attemptPlain(ctx context.Context, p *plainCall, c route.Choice, attempt uint64) (*plainAnswer, error) {
+func (e *Entry) attemptPlain(ctx context.Context, p *plainCall, c route.Choice, g *gate, attempt uint64) (*plainAnswer, error) {
 	began := e.cfg.Now()
 	b := c.Backend
-	if !e.ledger.Started(p.print, b.ID, b.Incarnation, began) {
+	exit, ok := e.begin(ctx, p.print, g, b, began)
+	if !ok {
 		return nil, notSent("suspect", errHeld)
 	}
 	e.table.Started(b.ID, c.Cost, began)
 	ans, err := e.callPlain(ctx, p, b, attempt)
 	now := e.cfg.Now()
 	lost := err != nil && backnd.OutcomeOf(err) != backnd.NotRun
-	e.ended(p.print, b, lost && ctx.Err() == nil, err == nil)
+	e.ended(p.print, b, lost && ctx.Err() == nil, err == nil, exit)
 	e.table.Ended(b.ID, route.Result{Cost: c.Cost, Failed: lost, Took: now.Sub(began)}, now)
 	e.results.Add(judge.Result{
 		Service: p.service.Name, Version: p.version, Route: p.service.Path, Server: b.ID,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -165,7 +165,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		err = r.attempt(ctx, choice)
+		err = r.attempt(ctx, choice, &g)
 		r.e.leave(g)
 		if r.over(ctx, choice.Backend, err) {
 			return
@@ -227,12 +227,13 @@
 
 // attempt runs the answer on one server from where the record stands. It
 // returns nil when the answer has ended.
-func (r *runner) attempt(ctx context.Context, c route.Choice) error {
+func (r *runner) attempt(ctx context.Context, c route.Choice, g *gate) error {
 	e := r.e
 	began := e.cfg.Now()
 	n := r.a.Attempt()
 	r.number = n
-	if !e.ledger.Started(r.print, c.Backend.ID, c.Backend.Incarnation, began) {
+	exit, ok := e.begin(ctx, r.print, g, c.Backend, began)
+	if !ok {
 		return errHeld
 	}
 	e.table.Started(c.Backend.ID, c.Cost, began)
@@ -248,7 +249,7 @@
 	err := r.generate(ctx, c, n, at, &res, began)
 	now := e.cfg.Now()
 	lost := isLoss(err)
-	e.ended(r.print, c.Backend, crashed(err), err == nil)
+	e.ended(r.print, c.Backend, crashed(err), err == nil, exit)
 	e.table.Ended(c.Backend.ID, route.Result{Cost: c.Cost, Failed: lost, Took: now.Sub(began)}, now)
 	if lost || err == nil {
 		res.Failed, res.Crashed = lost, crashed(err) && !accepts(ctx, c.Backend.Address)
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -177,7 +177,7 @@
 		cfg:    Config{Settings: set, Configuration: fixedView{}, Events: event.NewLog("n1", &clock.Clock{}, 100, nil), Now: time.Now, Seed: seed},
 		member: m, answers: stream.NewRegistry(stream.Config{Node: "n1", TotalBytes: 64 << 20, Keep: time.Minute}),
 		table: route.New(route.Config{Seed: seed}), ledger: poison.New(), results: judge.NewRecorder("n1", 1), resync: map[string]bool{},
-		engines: engines, quiet: silence,
+		engines: engines, quiet: silence, restart: time.Millisecond,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.runs, e.stop = context.WithCancel(context.Background())
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -49,8 +49,7 @@
 	if f := wantMethod(c.http, fasthttp.MethodPost); f != nil {
 		return f
 	}
-	body := c.http.PostBody()
-	m, f := parseModelRequest(body, chat, string(c.http.Request.Header.Peek(headerClass)))
+	m, f := parseModelRequest(c.body, chat, string(c.http.Request.Header.Peek(headerClass)))
 	if f != nil {
 		return f
 	}
@@ -62,7 +61,7 @@
 	if !ok || service.Kind != decl.Model {
 		return notFound("unknownModel", "model "+strconv.Quote(m.Service)+" is not declared")
 	}
-	hash := bodyHash(c.http)
+	hash := bodyHash(c)
 	id := answerID(c.org.Name, c.id)
 	if c.named {
 		l, known, f := e.reserve(e.ctx, id, hash)
@@ -85,13 +84,13 @@
 }
 
 // bodyHash identifies a request by its path and body.
-func bodyHash(ctx *fasthttp.RequestCtx) uint64 {
+func bodyHash(c *call) uint64 {
 	d := xxhash.New()
-	_, _ = d.Write(ctx.Method())
+	_, _ = d.Write(c.http.Method())
 	_, _ = d.WriteString("\x00")
-	_, _ = d.Write(ctx.RequestURI())
+	_, _ = d.Write(c.http.RequestURI())
 	_, _ = d.WriteString("\x00")
-	_, _ = d.Write(ctx.PostBody())
+	_, _ = d.Write(c.body)
 	return d.Sum64()
 }
 
