--- a/internal/site/caller_test.go
+++ b/internal/site/caller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -197,3 +198,40 @@
 		t.Fatal(err)
 	}
 }
+
+func get(t *testing.T, addr, path string) (int, http.Header, string) {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// directory asks the addresses that a caller knows, then any, for new ones.
+func directory(s *Site, known []string) []string {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for _, addr := range append(slices.Clone(known), s.Callers()...) {
+		resp, err := client.Get("http://" + addr + "/v1/addresses")
+		if err != nil {
+			continue
+		}
+		var body struct{ Addresses []struct{ Address string } }
+		err = json.NewDecoder(resp.Body).Decode(&body)
+		_ = resp.Body.Close()
+		if err != nil || len(body.Addresses) == 0 {
+			continue
+		}
+		var out []string
+		for _, a := range body.Addresses {
+			out = append(out, a.Address)
+		}
+		return out
+	}
+	return known
+}
