manage: keep demand, statements and judges over a change of leader

Cause: tests and a busy machine showed three gaps at a change of leader. The highest demand was recorded once and expired while demand stayed the same, so a new leader drained 5 of 13 instances. The end of a move that the leader before recorded last was missing on the time line. Conclusion: a change of leader at the deadline can still make a statement late by the time that the new leader waits for reports.

--- a/internal/manage/fleet.go
+++ b/internal/manage/fleet.go
@@ -141,7 +141,7 @@
 	out := fleet.View{
 		Declaration: v.Declaration, Preset: v.Preset, Previous: v.Previous, PresetAt: v.PresetAt, Versions: v.Serving,
 		Moves: running(v), Provision: map[string]float64{}, Instances: v.Instances, Bought: v.Bought, Refusals: n.Refusals,
-		Work: map[string]int{}, Demand: k.recent(n, now), Offers: k.offers, Queue: k.cfg.Queue,
+		Work: map[string]int{}, Demand: k.recent(now), Offers: k.offers, Queue: k.cfg.Queue,
 		Fence: fleet.Fence{Term: k.l.Term, Index: k.l.Index}, Fixed: k.cfg.Cloud == nil,
 	}
 	plan := moves.New(v.Declaration.Moves)
@@ -170,6 +170,11 @@
 		return n, err
 	}
 	_, wanted := k.demand.load(now)
+	if len(k.peaks) == 0 { // what the leader before has seen
+		for service, p := range n.Recent {
+			k.peaks[service] = []peak{p}
+		}
+	}
 	changed := k.remember(&n, wanted, now)
 	at := map[string]server{}
 	for _, s := range servers {
@@ -215,7 +220,7 @@
 		}
 		k.peaks[service] = append(all, peak{w, now})
 		highest, old := k.peaks[service][0].Slots, n.Recent[service]
-		if highest > old.Slots*recordChange || now.Sub(old.At) >= remembered && highest != old.Slots {
+		if highest > old.Slots*recordChange || now.Sub(old.At) >= remembered/2 && highest > 0 {
 			next := map[string]peak{service: {highest, now}}
 			for s, p := range n.Recent {
 				if s != service {
@@ -229,7 +234,7 @@
 }
 
 // recent returns the demand of each service.
-func (k *keeper) recent(n fleetNotes, now time.Time) map[string]fleet.Demand {
+func (k *keeper) recent(now time.Time) map[string]fleet.Demand {
 	_, wanted := k.demand.load(now)
 	out := map[string]fleet.Demand{}
 	for service, w := range wanted {
@@ -244,12 +249,6 @@
 		}
 		out[service] = d
 	}
-	for service, p := range n.Recent {
-		if d := out[service]; now.Sub(p.At) < remembered {
-			d.Recent = max(d.Recent, p.Slots)
-			out[service] = d
-		}
-	}
 	return out
 }
 
--- a/internal/manage/moves.go
+++ b/internal/manage/moves.go
@@ -57,6 +57,8 @@
 	// Judges counts the judges that each running move has had; each of them
 	// uses its own part of the probability of a false alarm.
 	Judges map[string]int `json:"judges"`
+	// Stated is the raft index of the last end of a move that is on the time line.
+	Stated uint64 `json:"stated,omitempty"`
 }
 
 const moveNotesName = "moves"
@@ -69,13 +71,12 @@
 	judges   map[string]*judge.Judge
 	verdicts map[string]judge.Verdict
 	told     map[string]string // by move id: what it waits for
-	running  map[string]bool   // moves whose end has not been seen
 }
 
 func newMover(m *Manager, l contrl.Leadership) *mover {
 	return &mover{
 		Manager: m, l: l, began: m.cfg.Clock(), judges: map[string]*judge.Judge{}, verdicts: map[string]judge.Verdict{},
-		told: map[string]string{}, running: map[string]bool{},
+		told: map[string]string{},
 	}
 }
 
@@ -85,8 +86,10 @@
 }
 
 func (s *mover) step(ctx context.Context, now time.Time) error {
+	if err := s.observe(ctx, now); err != nil {
+		return err
+	}
 	v := s.cfg.Store.View()
-	s.observe(ctx, v)
 	if err := s.appoint(ctx, v, now); err != nil {
 		return err
 	}
@@ -99,8 +102,7 @@
 			return err
 		}
 	}
-	s.observe(ctx, s.cfg.Store.View())
-	return nil
+	return s.observe(ctx, now)
 }
 
 // appoint makes sure that each running move has a judge. That a judge starts is
@@ -110,7 +112,7 @@
 	if err := notes(v, moveNotesName, &old); err != nil {
 		return err
 	}
-	next, start := moveNotes{Judges: map[string]int{}}, []store.Move{}
+	next, start := moveNotes{Judges: map[string]int{}, Stated: old.Stated}, []store.Move{}
 	for _, m := range v.Moves {
 		if m.Outcome != "" {
 			delete(s.judges, m.ID)
@@ -231,23 +233,31 @@
 	s.cfg.Event(event.Of("move.waits").WithMove(st.Move).With("reason", st.Reason))
 }
 
-// observe puts the end of a move on the time line, whoever ended it. Moves that
-// ended before this leadership are left to the leader before.
-func (s *mover) observe(ctx context.Context, v *store.View) {
+// observe puts the ends of moves on the time line, whoever ended them and under
+// whichever leader. What was stated is recorded afterwards: a leader that dies in
+// between lets an end be stated twice, which is better than never.
+func (s *mover) observe(ctx context.Context, now time.Time) error {
+	v := s.cfg.Store.View()
+	var n moveNotes
+	if err := notes(v, moveNotesName, &n); err != nil {
+		return err
+	}
+	last := n.Stated
 	for _, m := range v.Moves {
-		if m.Outcome == "" {
-			s.running[m.ID] = true
-			continue
-		}
-		if !s.running[m.ID] {
+		if m.Outcome == "" || m.Version <= n.Stated {
 			continue
 		}
-		delete(s.running, m.ID)
+		last = max(last, m.Version)
 		delete(s.verdicts, m.ID)
 		delete(s.told, m.ID)
 		count(ctx, s.meters.ended, "outcome", string(m.Outcome))
 		s.cfg.Event(event.Of("move.ended").WithMove(m.ID).With("outcome", string(m.Outcome)).With("reason", m.Reason).With("by", m.EndedBy))
 	}
+	if last == n.Stated {
+		return nil
+	}
+	n.Stated = last
+	return s.setNotes(ctx, s.l, moveNotesName, n, now)
 }
 
 // refusedText names the places of a machine class that refuse starts.
