--- a/internal/bench/model.go
+++ b/internal/bench/model.go
@@ -52,6 +52,7 @@
 	first    time.Time // of the first token
 	gaps     []time.Duration
 	dropped  bool // the caller has dropped its connection as planned
+	codes    []string
 	detail   string
 }
 
@@ -116,7 +117,7 @@
 }
 
 func (m *modelCall) outcome(kind string) outcome {
-	o := outcome{ID: m.r.ID, Org: m.r.Org, Class: m.r.Class, Kind: kind, Gaps: m.gaps}
+	o := outcome{ID: m.r.ID, Org: m.r.Org, Class: m.r.Class, Kind: kind, Gaps: m.gaps, Codes: m.codes}
 	if kind != "answered" {
 		return o
 	}
@@ -157,6 +158,7 @@
 	resp, err := m.c.client.Do(req)
 	if err != nil {
 		m.detail = err.Error()
+		m.codes = append(m.codes, noResponse)
 		return broken
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -202,10 +204,12 @@
 func (m *modelCall) refusal(resp *http.Response) verdict {
 	code, message := errorOf(resp.Body)
 	m.detail = fmt.Sprintf("status %d %s: %s", resp.StatusCode, code, message)
-	return m.verdictOf(code, resp.Header.Get("X-Outcome"))
+	return m.verdictOf(resp.StatusCode, code, resp.Header.Get("X-Outcome"))
 }
 
-func (m *modelCall) verdictOf(code, said string) verdict {
+// verdictOf judges an error of a response with a status, or of a stream.
+func (m *modelCall) verdictOf(status int, code, said string) verdict {
+	m.codes = append(m.codes, code)
 	switch {
 	case code == "crashesServers":
 		return final
@@ -213,7 +217,7 @@
 		return refused
 	case code == "unknownRequest", code == "timeLimit", code == "outcomeUnknown":
 		return gone
-	case said == "not-run" && (code == "noCapacity" || code == "notConfirmed"):
+	case said == "not-run" && status == http.StatusServiceUnavailable:
 		return notRun
 	case code == "": // the response broke
 		return broken
@@ -263,7 +267,7 @@
 		case key == "data" && event == "error":
 			code, message := errorOf(strings.NewReader(value))
 			m.detail = "event " + code + ": " + message
-			return m.verdictOf(code, "")
+			return m.verdictOf(0, code, "")
 		case key == "data" && event == "moved":
 			m.detail = "moved"
 			return broken
--- a/internal/bench/player.go
+++ b/internal/bench/player.go
@@ -16,6 +16,9 @@
 
 const (
 	startTimeout = 15 * time.Second
+	// startTries is how often a deployment is started: another program may take a
+	// port between its choice and its use.
+	startTries = 3
 	// grace is how long running requests may take after the load has ended. It
 	// exceeds the longest review on a full engine.
 	grace = 9 * time.Second
@@ -82,10 +85,15 @@
 	if err != nil {
 		return err
 	}
-	p.site, err = site.Start(ctx, site.Config{
-		Seed: p.in.cfg.Seed, DataCentres: dataCentres, EntriesPer: entriesPer, Controls: controls, Declaration: d,
-		Router: routerOf(p.policy), ReplayOnly: p.policy != ours,
-	})
+	for range startTries {
+		p.site, err = site.Start(ctx, site.Config{
+			Seed: p.in.cfg.Seed, DataCentres: dataCentres, EntriesPer: entriesPer, Controls: controls, Declaration: d,
+			Router: routerOf(p.policy), ReplayOnly: p.policy != ours,
+		})
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -51,7 +51,8 @@
 	Kind   string
 	First  time.Duration // to the first token, or to the answer of an order
 	Gaps   []time.Duration
-	Met    bool // answered within the target
+	Codes  []string // of the errors that the caller received on the way
+	Met    bool     // answered within the target
 	broken []breach
 }
 
@@ -103,11 +104,13 @@
 
 // Result is what one policy did in a scenario.
 type Result struct {
-	Policy   string             `json:"policy"`
-	Partial  bool               `json:"partial"` // the run was interrupted
-	Requests int                `json:"requests"`
-	Outcomes map[string]int     `json:"outcomes"`
-	Latency  map[string]Latency `json:"latency"` // by class
+	Policy   string         `json:"policy"`
+	Partial  bool           `json:"partial"` // the run was interrupted
+	Requests int            `json:"requests"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Codes counts the error responses, also of requests that were answered later.
+	Codes   map[string]int     `json:"codes"`
+	Latency map[string]Latency `json:"latency"` // by class
 	// SmallP95 is the 95th percentile of the first token of all organisations but
 	// the large one, in milliseconds.
 	SmallP95 float64 `json:"smallOrganisationsFirstP95"`
@@ -158,7 +161,7 @@
 
 // judge computes the result of the run. The deployment must still exist.
 func (p *player) judge() *Result {
-	r := &Result{Policy: p.policy, Partial: p.interrupted(), Outcomes: map[string]int{}, Latency: map[string]Latency{}, Broken: map[string]int{}}
+	r := &Result{Policy: p.policy, Partial: p.interrupted(), Outcomes: map[string]int{}, Codes: map[string]int{}, Latency: map[string]Latency{}, Broken: map[string]int{}}
 	p.summarise(r)
 	r.Cost = p.cost
 	if r.Met > 0 {
@@ -186,6 +189,9 @@
 	r.Requests = len(p.results.all)
 	for _, o := range p.results.all {
 		r.Outcomes[o.Kind]++
+		for _, c := range o.Codes {
+			r.Codes[c]++
+		}
 		if o.Met {
 			r.Met++
 		}
