link: Honour the context in every phase and join small writes

Cause: a call waited up to 2 s after its context for a handshake, for another goroutine that dialed the same peer, or for a blocked write of yamux, which heeds no deadline there. Open, request, result and response, and the header and body of each yamux frame, were separate writes. Change: one shared dial attempt that no caller can cancel; opening, writing and closing run on goroutines that the caller can leave; NotSent stays exact. Open and request are one frame, and so are result and response; a connection wrapper joins header and body and holds frames that open, acknowledge or close a stream for at most 2 ms. Net.Traffic counts bytes and system calls of all connections, Net.TrafficByName the messages of each call.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -10,7 +10,6 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -86,23 +85,15 @@
 	streams  map[string]StreamHandler
 	dialed   map[string]*dialed
 	accepted map[*yamux.Session]struct{}
+	byName   map[string]*counters
 	closed   bool
 
+	total  counters
 	wg     sync.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// dialed is the session to one address. mu is held while dialing, so that
-// callers of one peer share the attempt.
-type dialed struct {
-	mu      sync.Mutex
-	session *yamux.Session
-	peer    Peer
-	failed  time.Time
-	err     error
-}
-
 // Listen opens the listener and serves the peers that connect.
 func Listen(cfg Config) (*Net, error) {
 	if cfg.Clock == nil {
@@ -120,7 +111,7 @@
 	n := &Net{
 		cfg: cfg, ln: ln, ctx: ctx, cancel: cancel,
 		handlers: map[string]Handler{}, streams: map[string]StreamHandler{},
-		dialed: map[string]*dialed{}, accepted: map[*yamux.Session]struct{}{},
+		dialed: map[string]*dialed{}, accepted: map[*yamux.Session]struct{}{}, byName: map[string]*counters{},
 	}
 	n.wg.Go(func() {
 		for {
@@ -164,19 +155,13 @@
 	for s := range n.accepted {
 		sessions = append(sessions, s)
 	}
-	links := make([]*dialed, 0, len(n.dialed))
 	for _, d := range n.dialed {
-		links = append(links, d)
-	}
-	n.mu.Unlock()
-	err := n.ln.Close()
-	for _, d := range links {
-		d.mu.Lock()
 		if d.session != nil {
 			sessions = append(sessions, d.session)
 		}
-		d.mu.Unlock()
 	}
+	n.mu.Unlock()
+	err := n.ln.Close()
 	for _, s := range sessions {
 		_ = s.Close()
 	}
@@ -194,7 +179,8 @@
 }
 
 // serve authenticates one accepted connection and serves its streams.
-func (n *Net) serve(conn net.Conn) {
+func (n *Net) serve(raw net.Conn) {
+	var conn net.Conn = &countedConn{Conn: raw, net: n}
 	if n.cfg.TLS != nil {
 		conn = tls.Server(conn, n.cfg.TLS)
 	}
@@ -203,7 +189,7 @@
 		_ = conn.Close()
 		return
 	}
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := yamux.Server(newMerger(conn), yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -232,11 +218,14 @@
 
 func (n *Net) serveStream(peer Peer, y *yamux.Stream) {
 	defer y.Close()
-	s := &Stream{y: y}
+	s := newStream(n, y)
 	var open linkpb.Open
 	if s.Recv(&open) != nil {
 		return
 	}
+	first := s.count.traffic()
+	s.count = n.counters(open.Name)
+	s.count.read(int(first.BytesReceived))
 	n.cfg.Clock.Observe(clock.Stamp(open.Stamp))
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
@@ -263,6 +252,7 @@
 	}
 }
 
+// reply sends the result and the response as one write.
 func (n *Net) reply(s *Stream, resp proto.Message, err error) {
 	res := &linkpb.Result{Stamp: uint64(n.cfg.Clock.Now(time.Now()))}
 	if err != nil {
@@ -271,133 +261,22 @@
 		if errors.As(err, &re) {
 			res.Code, res.Message = re.Code, re.Message
 		}
-	}
-	if s.Send(res) != nil || err != nil || resp == nil {
+		_ = s.Send(res)
 		return
 	}
-	_ = s.Send(resp)
-}
-
-// Call sends req to the process at addr and waits for its response. An error
-// of type *RemoteError came from the peer; with any other the outcome is unknown
-// unless NotSent reports true.
-func (n *Net) Call(ctx context.Context, addr, name string, req, resp proto.Message) error {
-	s, err := n.Open(ctx, addr, name)
-	if err != nil {
-		return err
-	}
-	defer s.Close()
-	stop := context.AfterFunc(ctx, func() { _ = s.y.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := s.Send(req); err != nil {
-		return ctxError(ctx, err)
-	}
-	var res linkpb.Result
-	if err := s.Recv(&res); err != nil {
-		return ctxError(ctx, err)
-	}
-	n.cfg.Clock.Observe(clock.Stamp(res.Stamp))
-	if res.Code != "" {
-		return &RemoteError{Code: res.Code, Message: res.Message}
-	}
-	if err := s.Recv(resp); err != nil {
-		return ctxError(ctx, err)
-	}
-	return nil
-}
-
-func ctxError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return Error.Wrap(ctx.Err())
-	}
-	return err
-}
-
-// Open opens a stream to the process at addr. The stream ends with the session;
-// the caller must close it.
-func (n *Net) Open(ctx context.Context, addr, name string) (*Stream, error) {
-	session, err := n.session(ctx, addr)
-	if err != nil {
-		return nil, &notSent{err}
-	}
-	y, err := session.OpenStream()
-	if err != nil {
-		return nil, &notSent{Error.Wrap(err)}
-	}
-	open := &linkpb.Open{Name: name, Stamp: uint64(n.cfg.Clock.Now(time.Now()))}
-	if d, ok := ctx.Deadline(); ok {
-		open.TimeoutMs = uint64(max(time.Until(d).Milliseconds(), 1))
-	}
-	s := &Stream{y: y}
-	if err := s.Send(open); err != nil {
-		_ = y.Close()
-		return nil, err
-	}
-	return s, nil
-}
-
-// notSent marks an error of a call of which no byte left this process.
-type notSent struct{ err error }
-
-func (e *notSent) Error() string { return e.err.Error() }
-func (e *notSent) Unwrap() error { return e.err }
-
-// NotSent reports whether err means that no byte of the call left this process.
-func NotSent(err error) bool {
-	var e *notSent
-	return errors.As(err, &e)
-}
-
-func (n *Net) session(ctx context.Context, addr string) (*yamux.Session, error) {
-	n.mu.Lock()
-	if n.closed {
-		n.mu.Unlock()
-		return nil, Error.New("closed")
-	}
-	d := n.dialed[addr]
-	if d == nil {
-		d = &dialed{}
-		n.dialed[addr] = d
-	}
-	n.mu.Unlock()
-
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.session != nil && !d.session.IsClosed() {
-		return d.session, nil
-	}
-	now := time.Now()
-	if d.err != nil && now.Sub(d.failed) < redialPause {
-		return nil, d.err
-	}
-	d.session, d.peer, d.err = n.dial(ctx, addr)
-	if d.err != nil {
-		d.failed = now
-	}
-	return d.session, d.err
-}
-
-func (n *Net) dial(ctx context.Context, addr string) (*yamux.Session, Peer, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := n.cfg.Dial(ctx, addr)
-	if err != nil {
-		return nil, Peer{}, Error.Wrap(err)
-	}
-	if n.cfg.TLS != nil {
-		conn = tls.Client(conn, n.cfg.TLS)
+	if resp == nil {
+		_ = s.Send(res)
+		return
 	}
-	peer, err := n.handshake(conn, true)
-	if err != nil {
-		_ = conn.Close()
-		return nil, Peer{}, err
+	b, err := appendFrame(nil, res)
+	if err == nil {
+		b, err = appendFrame(b, resp)
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
-		_ = conn.Close()
-		return nil, Peer{}, Error.Wrap(err)
+		n.reply(s, nil, err)
+		return
 	}
-	return session, peer, nil
+	_ = s.write(b)
 }
 
 // handshake exchanges names and proofs. Each proof covers both nonces, the
@@ -455,62 +334,3 @@
 	ip := net.ParseIP(host)
 	return ip != nil && ip.IsLoopback()
 }
-
-// Stream carries protobuf messages in both directions. Send and Recv may run
-// at the same time, but each only once at a time.
-type Stream struct {
-	y *yamux.Stream
-}
-
-// Send writes one message.
-func (s *Stream) Send(m proto.Message) error { return writeFrame(s.y, m) }
-
-// Recv reads one message into m. At the end of the stream it returns an error
-// that wraps io.EOF.
-func (s *Stream) Recv(m proto.Message) error { return readFrame(s.y, m) }
-
-func (s *Stream) recvBytes() ([]byte, error) { return readBytes(s.y) }
-
-// SetDeadline bounds both directions.
-func (s *Stream) SetDeadline(t time.Time) error { return Error.Wrap(s.y.SetDeadline(t)) }
-
-// Close ends the stream.
-func (s *Stream) Close() error { return Error.Wrap(s.y.Close()) }
-
-func writeFrame(w io.Writer, m proto.Message) error {
-	b := make([]byte, 4, 4+proto.Size(m))
-	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if len(b)-4 > maxFrameBytes {
-		return Error.New("message of %d bytes exceeds %d", len(b)-4, maxFrameBytes)
-	}
-	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
-	_, err = w.Write(b)
-	return Error.Wrap(err)
-}
-
-func readBytes(r io.Reader) ([]byte, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > maxFrameBytes {
-		return nil, Error.New("message of %d bytes exceeds %d", n, maxFrameBytes)
-	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return b, nil
-}
-
-func readFrame(r io.Reader, m proto.Message) error {
-	b, err := readBytes(r)
-	if err != nil {
-		return err
-	}
-	return Error.Wrap(proto.Unmarshal(b, m))
-}
