node: Export the traffic between processes

Cause: the 16 KB/s budget of a node could not be observed. Measured: nothing; it compiles, and no test reads the page yet.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	}
 	n.net = net
 	net.Handle(eventsCall, n.handleEvents)
-	return nil
+	return n.observeTraffic()
 }
 
 func (n *Node) openControl() error {
