--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,11 @@
 	$(GO) build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	for f in $$(git ls-files -co --exclude-standard '*.proto'); do \
 		protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=paths=source_relative $$f || exit 1; done
+
+# Prints the inputs of docs/CAPACITY.md. One package at a time, so that the
+# benchmarks do not disturb each other.
+capacity:
+	$(GO) test -p 1 -run '^$$' -bench '^Benchmark(Call|Pull|Wire|Confirm|Apply|Claim|Record|Idle|Copy|AppendRead|Report|Verdict|Allocate|Decide|Next|Pick|Memory|DecodeAnnouncement|DecodeAnnouncement100Blocks|EncodeReply|StreamEvent|Sync)$$' \
+		-benchtime 300ms ./internal/link ./internal/member ./internal/watch ./internal/store ./internal/claim \
+		./internal/stream ./internal/judge ./internal/limit ./internal/fleet ./internal/moves ./internal/route \
+		./internal/backnd ./internal/disk
