raft: Transfer leadership, spread leaders and resign before a planned stop

Cause: the leaders of the claim groups stayed wherever the elections put them, and a planned stop of a control member cost its groups an election timeout.

Change: Transfer holds new proposals back until the chosen voter has the whole log and every proposal is answered, gives up the leadership of its term for good, and only then asks the voter to stand. That voter's election needs no pre-vote, and voters grant it within their lease: the leases of all earlier terms have ended. Spread passes a claim group's leadership to voter (group modulo voters) after 10 s if it is caught up and in contact. Resign transfers before a planned stop; Drain of a process with the control role calls it for all groups.

The elapsed time of a transfer was not measured.

Conclusion: a planned stop needs no election timeout. The configuration group has no preference, because its leader's controllers start anew with each change.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -6,6 +6,7 @@
 	"errors"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
@@ -91,16 +92,31 @@
 // leads; it covers the lease of the replicated log and 1% of clock drift.
 const leaderLease = time.Second
 
+const (
+	// claimSpread is how long a member leads a claim group before the leadership
+	// goes to the group's preferred member. Changes are rare enough that an
+	// unstable member costs little. The configuration group has no preference,
+	// because its leader's controllers start anew with each change.
+	claimSpread = 10 * time.Second
+	// resignTimeout bounds how long a planned stop waits for other leaders; a
+	// group that has none to offer elects one as after a crash.
+	resignTimeout = 2 * time.Second
+)
+
 func (n *Node) openGroup(number uint32, m raft.Machine, t raft.Transport) (*raft.Group, error) {
 	s := n.cfg.Settings
 	var ids []string
 	for _, c := range s.Control {
 		ids = append(ids, c.Node)
 	}
+	var spread time.Duration
+	if number > 0 {
+		spread = claimSpread
+	}
 	g, err := raft.Open(raft.Config{
 		Group: number, ID: s.Node, Members: ids, FS: disk.Real{},
 		Dir:     filepath.Join(s.DataFolder, "group"+strconv.Itoa(int(number))),
-		Machine: m, Transport: t, Clock: n.cfg.Now, Seed: n.cfg.Seed + uint64(number),
+		Machine: m, Transport: t, Clock: n.cfg.Now, Seed: n.cfg.Seed + uint64(number), Spread: spread,
 		Failed: func(err error) {
 			n.event(event.Of("control.stopped").With("group", strconv.Itoa(int(number))).With("error", err.Error()))
 			n.log.WithError(err).WithField("group", number).Error("replicated log stopped")
@@ -178,6 +194,21 @@
 	return ""
 }
 
+// resign passes the leaderships of this process on, before a planned stop.
+func (c *control) resign(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i, g := range c.groups {
+		wg.Go(func() {
+			if err := g.Resign(ctx); err != nil {
+				c.n.log.WithError(err).WithField("group", i).Warn("stops without passing the leadership on")
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // close stops the role; the links have been closed before.
 func (c *control) close() {
 	if c.runner != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,8 +298,12 @@
 	return wrapperspb.Bytes(encodeEvents(n.events.Events(f))), nil
 }
 
-// Drain ends the entry role without cutting a request. ctx bounds the time.
+// Drain passes the leaderships of the control role on, and ends the entry role
+// without cutting a request. ctx bounds the time.
 func (n *Node) Drain(ctx context.Context) error {
+	if n.control != nil {
+		n.control.resign(ctx)
+	}
 	if n.entry == nil {
 		return nil
 	}
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -26,6 +26,9 @@
 		select {
 		case <-g.ctx.Done():
 			return
+		case term := <-g.summons:
+			g.takeOver(term)
+			continue
 		case <-t.C:
 		}
 		now := g.cfg.Clock()
@@ -38,6 +41,7 @@
 			g.follow("")
 			g.delayElection(now)
 		}
+		g.pass(now)
 		stand := g.role != Leader && !stalled && !now.Before(g.electAt) && g.mayStand()
 		g.mu.Unlock()
 		if stand {
@@ -70,7 +74,7 @@
 		g.resign()
 		g.resign = nil
 	}
-	g.peers = nil
+	g.peers, g.target = nil, ""
 	for index, p := range g.waiters {
 		p.finish(result{err: ErrUnknown})
 		delete(g.waiters, index)
@@ -151,15 +155,22 @@
 	if granted := g.poll(req, voters, need, g.cfg.Election); len(granted) < need {
 		return
 	}
+	g.elect(term, voters, need, false)
+}
+
+// elect holds the election of the term after term. A transfer needs no pre-vote
+// and no lost leader, as the leader of term has given up.
+func (g *Group) elect(term uint64, voters members, need int, transfer bool) {
+	var req *raftpb.Message
 	g.io.Lock()
 	g.mu.Lock()
-	stands := g.err == nil && g.state.Term == term && g.role != Leader && g.leaderLost(g.cfg.Clock()) &&
+	stands := g.err == nil && g.state.Term == term && g.role != Leader && (transfer || g.leaderLost(g.cfg.Clock())) &&
 		g.enter(term+1, voteFor(g.cfg.ID, g.state.Incarnation))
 	if stands {
 		g.follow("")
 		g.role = Candidate
 		req = g.newMessage(raftpb.Kind_KIND_VOTE)
-		req.Index, req.LogTerm = g.last(), g.termAt(g.last())
+		req.Index, req.LogTerm, req.Transfer = g.last(), g.termAt(g.last()), transfer
 	}
 	g.mu.Unlock()
 	g.io.Unlock()
@@ -269,7 +280,10 @@
 		resp.Stranger = true // the group exists already
 		return
 	}
-	if !g.leaderLost(now) {
+	// The leases of all terms before req.Term have ended if its candidate was
+	// asked to stand by the leader of the one before.
+	transfer := req.Transfer && req.Kind == raftpb.Kind_KIND_VOTE
+	if !transfer && !g.leaderLost(now) {
 		return
 	}
 	lastTerm := g.termAt(g.last())
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -24,7 +24,7 @@
 func (g *Group) Handle(ctx context.Context, req *raftpb.Message) *raftpb.Message {
 	g.mu.Lock()
 	resp := g.newMessage(req.Kind)
-	resp.Leader = g.leader
+	resp.Leader, resp.Leaving = g.leader, g.leaving
 	stopped := g.err != nil
 	resp.Stranger = req.ToIncarnation != 0 && req.ToIncarnation != resp.FromIncarnation
 	g.stranger = g.stranger || resp.Stranger
@@ -44,6 +44,8 @@
 		g.handleSnapshot(req, resp)
 	case raftpb.Kind_KIND_HEARTBEAT:
 		g.handleHeartbeat(req, resp)
+	case raftpb.Kind_KIND_TRANSFER:
+		g.handleTransfer(req, resp)
 	case raftpb.Kind_KIND_BARRIER:
 		index, err := g.confirm(ctx)
 		resp.Ok, resp.Match = err == nil, index
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -21,6 +21,7 @@
 	next, match uint64
 	contact     time.Time // when the last confirmed request was sent
 	stranger    bool
+	leaving     bool
 	promoting   bool
 	known       uint64 // commit index that the member has been told
 	unsure      bool   // the member did not confirm: send an append even if it is empty
@@ -59,6 +60,9 @@
 
 // take removes a batch from the queue. The caller holds mu.
 func (g *Group) take() []*proposal {
+	if g.target != "" {
+		return nil
+	}
 	n, size := 0, 0
 	for n < len(g.queue) && (n == 0 || size+len(g.queue[n].data) <= maxBatchBytes) {
 		size += len(g.queue[n].data)
@@ -258,6 +262,9 @@
 	p.known, p.unsure = req.Commit, false
 	g.advance()
 	g.promote(p)
+	if g.target != "" {
+		g.broadcast()
+	}
 	return p.next <= g.last(), nil
 }
 
@@ -278,7 +285,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.stranger = stranger
+	p.stranger, p.leaving = stranger, resp.Leaving
 	if stranger || resp.From != p.id || resp.Term != req.Term || req.Kind == raftpb.Kind_KIND_HEARTBEAT && !resp.Ok {
 		return nil, Error.New("%q did not confirm", p.id)
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -110,6 +110,8 @@
 	Dir       string
 	Machine   Machine
 	Transport Transport
+	// Clock must give times with a monotonic reading, as time.Now does: leases
+	// would not be exclusive on a clock that is set.
 	Clock     func() time.Time
 	Seed      uint64        // of the election timeouts
 	Heartbeat time.Duration // 0 means 100 ms
@@ -118,6 +120,10 @@
 	SnapshotBytes int
 	// SegmentBytes of the log's files; 0 means the default of walog.
 	SegmentBytes int
+	// Spread is how long a leader leads before it passes the leadership to the
+	// preferred member: the voter at position group number modulo voters, in the
+	// order of the ids. 0 means that it never does.
+	Spread time.Duration
 	// Failed is called once if the member stops because of its disk or its machine.
 	Failed func(error)
 }
@@ -191,6 +197,7 @@
 	changed chan struct{} // closed and replaced when a waiter's condition may hold
 	wake    chan struct{} // the queue has proposals
 	ready   chan struct{} // the apply loop has work
+	summons chan uint64   // the leader of this term asks this member to stand
 	rng     *rand.Rand
 	err     error // why the member stopped
 
@@ -216,6 +223,11 @@
 	restore   *raftpb.Snapshot
 	incoming  incoming
 
+	target   string    // whom the leadership is being passed to; the queue waits meanwhile
+	passing  bool      // a transfer started by the tick is under way
+	passedAt time.Time // when the last such transfer began
+	leaving  bool      // this member is about to stop
+
 	queue      []*proposal
 	queueBytes int
 	waiters    map[uint64]*proposal
@@ -233,7 +245,8 @@
 	cfg = cfg.withDefaults()
 	g := &Group{
 		cfg: cfg, changed: make(chan struct{}), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1),
-		rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Group))), waiters: map[uint64]*proposal{},
+		summons: make(chan uint64, 1),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Group))), waiters: map[uint64]*proposal{},
 	}
 	if err := g.load(); err != nil {
 		return nil, err
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -77,6 +77,7 @@
 	mu     sync.Mutex
 	groups map[string]*Group
 	cut    map[[2]string]bool
+	kinds  map[raftpb.Kind]int // requests sent so far
 }
 
 var errCut = errors.New("cut")
@@ -96,12 +97,27 @@
 	n.cut[[2]string{from, to}] = cut
 }
 
+func (n *network) count(k raftpb.Kind) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.kinds != nil {
+		n.kinds[k]++
+	}
+}
+
+func (n *network) sent(k raftpb.Kind) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.kinds[k]
+}
+
 type endpoint struct {
 	net *network
 	id  string
 }
 
 func (e endpoint) Call(ctx context.Context, to string, req *raftpb.Message) (*raftpb.Message, error) {
+	e.net.count(req.Kind)
 	g := e.net.open(e.id, to)
 	if g == nil {
 		<-ctx.Done() // a silent partition
@@ -127,6 +143,9 @@
 	net  *network
 	ids  []string
 	snap int
+	// clock returns the clock of a member; nil means time.Now for all.
+	clock  func(id string) func() time.Time
+	spread time.Duration
 
 	mu       sync.Mutex
 	disks    map[string]*disk.Fake
@@ -135,11 +154,19 @@
 }
 
 func newCluster(t *testing.T, n int, seed uint64, snap int) *cluster {
+	t.Helper()
+	return newClusterWith(t, n, seed, snap, func(*cluster) {})
+}
+
+// newClusterWith starts a cluster after set has changed it.
+func newClusterWith(t *testing.T, n int, seed uint64, snap int, set func(*cluster)) *cluster {
+	t.Helper()
 	t.Logf("seed %d", seed)
 	c := &cluster{
-		t: t, net: &network{groups: map[string]*Group{}, cut: map[[2]string]bool{}}, snap: snap, seed: seed,
+		t: t, net: &network{groups: map[string]*Group{}, cut: map[[2]string]bool{}, kinds: map[raftpb.Kind]int{}}, snap: snap, seed: seed,
 		disks: map[string]*disk.Fake{}, machines: map[string]*machine{},
 	}
+	set(c)
 	for i := range n {
 		c.ids = append(c.ids, string(rune('a'+i)))
 	}
@@ -159,7 +186,12 @@
 	c.t.Helper()
 	m := &machine{}
 	c.seed++
+	now := time.Now
+	if c.clock != nil {
+		now = c.clock(id)
+	}
 	g, err := Open(Config{
+		Clock: now, Spread: c.spread,
 		Group: 1, ID: id, Members: initial, FS: c.disks[id], Dir: "raft", Machine: m, Transport: endpoint{c.net, id},
 		Seed: c.seed, Heartbeat: 15 * time.Millisecond, Election: 80 * time.Millisecond,
 		SnapshotBytes: c.snap, SegmentBytes: 1000,
@@ -232,7 +264,7 @@
 	eventually(c.t, "a leader", func() bool {
 		for _, id := range c.ids {
 			if g := c.group(id); g != nil && id != not {
-				if _, ok := g.Lease(time.Now()); ok {
+				if _, ok := g.Lease(g.cfg.Clock()); ok {
 					found = id
 					return true
 				}
--- /dev/null
+++ b/internal/raft/transfer_test.go
@@ -0,0 +1,233 @@
+package raft
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/raft/raftpb"
+)
+
+// stillClock is a clock that a test can stop.
+type stillClock struct {
+	mu    sync.Mutex
+	still time.Time
+}
+
+func (c *stillClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.still.IsZero() {
+		return time.Now()
+	}
+	return c.still
+}
+
+func (c *stillClock) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.still = time.Now()
+}
+
+// Guards against a planned stop that costs an election timeout, refuses a
+// proposal for longer than the transfer, leaves one with an unknown outcome or loses
+// one. All members' clocks stand still, so no
+// timeout can help; of five members, one that follows must vote within its lease.
+func TestPlannedStopNeedsNoTimeout(t *testing.T) {
+	for seed := uint64(51); seed <= 55; seed++ {
+		clock := &stillClock{}
+		c := newClusterWith(t, 5, seed, 400, func(c *cluster) {
+			c.clock = func(string) func() time.Time { return clock.now }
+		})
+		c.propose("first")
+		old := c.leader("")
+		eventually(t, "all members have the log and answer", func() bool {
+			clock := clock.now()
+			g := c.group(old)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			for _, p := range g.peers {
+				if p.match < g.last() || clock.Sub(p.contact) > g.cfg.Heartbeat {
+					return false
+				}
+			}
+			return g.role == Leader
+		})
+		clock.stop()
+		term, polls := c.group(old).Status().Term, c.net.sent(raftpb.Kind_KIND_PRE_VOTE)
+		done := make(chan struct{})
+		var wg sync.WaitGroup
+		acked := make([][]string, 4)
+		for n := range acked {
+			wg.Go(func() { acked[n] = insist(t, c, done, n) })
+		}
+		time.Sleep(20 * time.Millisecond)
+		if err := c.group(old).Resign(t.Context()); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		next := c.leader(old)
+		c.stop(old)
+		c.propose("after the stop")
+		time.Sleep(20 * time.Millisecond)
+		close(done)
+		wg.Wait()
+		if s := c.group(next).Status(); s.Term != term+1 || c.net.sent(raftpb.Kind_KIND_PRE_VOTE) != polls {
+			t.Fatalf("seed %d: term went from %d to %d, with %d pre-votes", seed, term, s.Term, c.net.sent(raftpb.Kind_KIND_PRE_VOTE)-polls)
+		}
+		_, all := c.machine(next).read()
+		total := 0
+		for _, list := range acked {
+			total += len(list)
+			for _, cmd := range list {
+				if !slices.Contains(all, cmd) {
+					t.Fatalf("seed %d: acknowledged command %q is lost", seed, cmd)
+				}
+			}
+		}
+		t.Logf("%d commands acknowledged", total)
+	}
+}
+
+// insist proposes one command after the other to whoever leads. No outcome may be unknown.
+func insist(t *testing.T, c *cluster, done <-chan struct{}, n int) []string {
+	var acked []string
+	for i := 0; ; i++ {
+		cmd := fmt.Sprint(n, "/", i)
+		for {
+			select {
+			case <-done:
+				return acked
+			default:
+			}
+			err := ErrStopped
+			for _, id := range c.ids {
+				if g := c.group(id); g != nil {
+					if _, err = g.Propose(context.Background(), []byte(cmd)); err == nil {
+						break
+					}
+				}
+				if errors.Is(err, ErrUnknown) {
+					t.Errorf("the outcome of %q is unknown", cmd)
+				}
+			}
+			if err == nil {
+				acked = append(acked, cmd)
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against a transfer to a member that is behind, unreachable, a learner or
+// about to stop, and against a leader that no longer takes proposals afterwards.
+func TestTransferIsRefused(t *testing.T) {
+	c := newCluster(t, 3, 56, 0)
+	c.propose("one")
+	lead := c.leader("")
+	g := c.group(lead)
+	others := members{{ID: "a"}, {ID: "b"}, {ID: "c"}}.without(lead)
+	behind, other := others[0].ID, others[1].ID
+	if err := g.Transfer(t.Context(), "nobody"); err == nil {
+		t.Fatal("a transfer to no member succeeded")
+	}
+	if err := c.group(behind).Transfer(t.Context(), ""); !errors.As(err, new(*NotLeader)) {
+		t.Fatalf("a follower answered %v, want not the leader", err)
+	}
+	c.net.set(lead, behind, true)
+	c.propose("two")
+	if err := g.Transfer(t.Context(), behind); err == nil {
+		t.Fatal("a transfer to a member that is cut off succeeded")
+	}
+	c.propose("three")
+	c.net.set(lead, behind, false)
+	if err := c.group(other).Resign(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the leader knows who is about to stop", func() bool {
+		g := c.group(c.leader(""))
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		p := g.peers[other]
+		return p != nil && p.leaving
+	})
+	if err := c.group(c.leader("")).Transfer(t.Context(), other); err == nil {
+		t.Fatal("a transfer to a member that is about to stop succeeded")
+	}
+	c.propose("four")
+}
+
+// Guards against leaders that stay on one member, and against a preference that
+// a member which is cut off or about to stop gets.
+func TestLeadersMoveToThePreferredMember(t *testing.T) {
+	c := newClusterWith(t, 3, 57, 0, func(c *cluster) { c.spread = 50 * time.Millisecond })
+	c.propose("one")
+	eventually(t, "b, the preferred member of group 1, leads", func() bool { return c.leader("") == "b" })
+	c.isolate("b", true)
+	c.leader("b")
+	c.propose("two")
+	c.isolate("b", false)
+	eventually(t, "b leads again", func() bool { return c.leader("") == "b" })
+	if err := c.group("b").Resign(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next := c.leader("b")
+	time.Sleep(300 * time.Millisecond) // several times the spread
+	if s := c.group("b").Status(); s.Role == Leader {
+		t.Fatalf("b leads again after it resigned; %s led before", next)
+	}
+	c.propose("three")
+}
+
+// Guards against reads and writes that are lost or stale while the leadership is
+// transferred again and again, with lost messages and crashes.
+func TestLinearizableWithTransfers(t *testing.T) {
+	for seed := uint64(61); seed <= 64; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, seed, 300)
+			c.leader("")
+			h := &history{start: time.Now()}
+			done := make(chan struct{})
+			var wg sync.WaitGroup
+			for n := range 4 {
+				wg.Go(func() {
+					h.client(done, n, seed, c.ids, c.group, func(id string) string { last, _ := c.machine(id).read(); return last })
+				})
+			}
+			var moved int
+			rng := rand.New(rand.NewPCG(seed, 7))
+			for range 60 {
+				time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+				from, to := c.leader(""), c.ids[rng.IntN(3)]
+				one := rng.IntN(6)
+				switch one {
+				case 0: // the request to stand, or votes, may be lost
+					c.net.set(from, to, from != to)
+				case 1:
+					c.crash(to)
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				if g := c.group(from); g.Transfer(ctx, to) == nil {
+					moved++
+				}
+				cancel()
+				c.net.set(from, to, false)
+			}
+			close(done)
+			wg.Wait()
+			t.Logf("%d transfers", moved)
+			if moved < 10 {
+				t.Fatalf("only %d transfers succeeded, which proves little", moved)
+			}
+			h.check(t, 100)
+			c.propose("end")
+			c.expectSame(c.ids...)
+		})
+	}
+}
