raft: Test that a former leader has no lease after a transfer

Cause: the linearizability history with transfers did not notice a leader that kept its lease after it had asked its successor to stand, since the successor's messages reach it within microseconds in memory.

Change: a test that cuts the former leader off from every message to it, with clocks that stand still, and expects that it has no lease and answers no read.

Conclusion: the order of the two steps is now guarded.

--- a/internal/raft/transfer_test.go
+++ b/internal/raft/transfer_test.go
@@ -231,3 +231,46 @@
 		})
 	}
 }
+
+// Guards against a former leader that answers reads after it has passed the
+// leadership on, when it hears nothing of its successor. The clocks stand still, so
+// its lease does not end by time.
+func TestFormerLeaderHasNoLease(t *testing.T) {
+	clock := &stillClock{}
+	c := newClusterWith(t, 3, 58, 0, func(c *cluster) {
+		c.clock = func(string) func() time.Time { return clock.now }
+	})
+	c.propose("one")
+	old := c.leader("")
+	var next string
+	eventually(t, "a member may lead next", func() bool {
+		g := c.group(old)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		p := g.successor("", clock.now())
+		if p != nil {
+			next = p.id
+			clock.stop()
+		}
+		return p != nil && p.match >= g.last()
+	})
+	for _, id := range c.ids {
+		c.net.set(id, old, id != old)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if c.group(old).Transfer(ctx, next) == nil {
+		t.Fatal("the former leader knows its successor although it is cut off")
+	}
+	if got := c.leader(old); got != next {
+		t.Fatalf("%s leads, want %s", got, next)
+	}
+	if l, ok := c.group(old).Lease(clock.now()); ok {
+		t.Fatalf("the former leader has a lease %v", l)
+	}
+	ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := c.group(old).Barrier(ctx); err == nil {
+		t.Fatal("the former leader answered a read")
+	}
+}
