--- a/internal/disk/fake.go
+++ b/internal/disk/fake.go
@@ -34,8 +34,9 @@
 	ops      int // writes, syncs and changes of names so far
 	crashAt  int // crash at this operation; 0 never
 	syncs    int
-	failSync int // fail this sync; 0 never
-	free     int // bytes until the disk is full; negative is unlimited
+	failSync int           // fail this sync; 0 never
+	free     int           // bytes until the disk is full; negative is unlimited
+	held     chan struct{} // syncs of files wait until it is closed; nil without Hold
 }
 
 type inode struct {
@@ -90,6 +91,40 @@
 	d.free = n
 }
 
+// Hold makes the syncs of files wait until Release, as on a disk that does not
+// answer. A crash ends the wait.
+func (d *Fake) Hold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.held == nil {
+		d.held = make(chan struct{})
+	}
+}
+
+// Release ends Hold.
+func (d *Fake) Release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.release()
+}
+
+func (d *Fake) release() {
+	if d.held != nil {
+		close(d.held)
+		d.held = nil
+	}
+}
+
+// await waits while syncs are held.
+func (d *Fake) await() {
+	d.mu.Lock()
+	held := d.held
+	d.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // Ops returns the number of writes, syncs and changes of names so far.
 func (d *Fake) Ops() int {
 	d.mu.Lock()
@@ -144,6 +179,7 @@
 		return
 	}
 	d.crashed = true
+	d.release()
 	for _, op := range d.dirOps[:d.rng.IntN(len(d.dirOps)+1)] {
 		op.apply(d.durable)
 	}
@@ -406,6 +442,7 @@
 
 func (f *fakeFile) Sync() error {
 	d := f.disk
+	d.await()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	crashing, err := f.step()
