walog, raft: Create and remove segments outside the write lock

Change: Prepare creates the next segment once the current one is half full, and Trim separates the removal of old segments from the decision; raft runs both in one goroutine without its locks. Open drops a last segment without frames, since the one before it may end with an interrupted write. The crash tests of the log now mix Prepare and Trim with everything else.

Segments of the votes are still created under the lock; that happens every few thousand terms.

--- a/internal/raft/apply.go
+++ b/internal/raft/apply.go
@@ -174,7 +174,8 @@
 	at := membersAt{index, g.membersAt(index)}
 	g.history = append([]membersAt{at}, g.historyAfter(index)...)
 	g.mu.Unlock()
-	return old, Error.Wrap(g.log.Release(base))
+	g.later(g.log.Trim(base))
+	return old, nil
 }
 
 func (g *Group) historyAfter(index uint64) []membersAt {
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -230,7 +230,7 @@
 		err = g.log.Reset(snap.Index)
 	}
 	if err == nil {
-		err = g.log.Release(snap.Index)
+		g.later(g.log.Trim(snap.Index))
 	}
 	if err == nil && old > 0 {
 		err = g.cfg.FS.Remove(g.snapPath(old))
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -136,7 +136,13 @@
 		}
 		records[i] = b
 	}
-	return Error.Wrap(g.log.Append(first, records))
+	if err := g.log.Append(first, records); err != nil {
+		return Error.Wrap(err)
+	}
+	if f := g.log.Prepare(); f != nil {
+		g.later(f)
+	}
+	return nil
 }
 
 // syncPeers starts and stops replication to match the membership. The caller holds mu.
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -83,6 +83,9 @@
 	maxStall = 3 * time.Second
 	// stateSegmentBytes holds some thousand terms and votes.
 	stateSegmentBytes = 256 << 10
+	// maxUpkeep is how much work on files may wait: a segment to create and the
+	// removals of a few snapshots.
+	maxUpkeep = 8
 )
 
 // Machine is the replicated state machine. Apply must be deterministic. Calls
@@ -194,10 +197,11 @@
 	voteIndex uint64
 
 	mu      sync.Mutex
-	changed chan struct{} // closed and replaced when a waiter's condition may hold
-	wake    chan struct{} // the queue has proposals
-	ready   chan struct{} // the apply loop has work
-	summons chan uint64   // the leader of this term asks this member to stand
+	changed chan struct{}     // closed and replaced when a waiter's condition may hold
+	wake    chan struct{}     // the queue has proposals
+	ready   chan struct{}     // the apply loop has work
+	upkeep  chan func() error // work on files that needs no lock, in order
+	summons chan uint64       // the leader of this term asks this member to stand
 	rng     *rand.Rand
 	err     error // why the member stopped
 
@@ -245,8 +249,8 @@
 	cfg = cfg.withDefaults()
 	g := &Group{
 		cfg: cfg, changed: make(chan struct{}), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1),
-		summons: make(chan uint64, 1),
-		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Group))), waiters: map[uint64]*proposal{},
+		summons: make(chan uint64, 1), upkeep: make(chan func() error, maxUpkeep),
+		rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Group))), waiters: map[uint64]*proposal{},
 	}
 	if err := g.load(); err != nil {
 		return nil, err
@@ -257,6 +261,7 @@
 	g.wg.Go(g.tick)
 	g.wg.Go(g.write)
 	g.wg.Go(g.apply)
+	g.wg.Go(g.keep)
 	return g, nil
 }
 
@@ -363,6 +368,31 @@
 // last returns the index of the last entry.
 func (g *Group) last() uint64 { return g.base + uint64(len(g.entries)) }
 
+// keep does the work on files that needs no lock, so that proposals do not wait
+// for directory syncs.
+func (g *Group) keep() {
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case f := <-g.upkeep:
+			if err := f(); err != nil {
+				g.mu.Lock()
+				g.fail(Error.Wrap(err))
+				g.mu.Unlock()
+			}
+		}
+	}
+}
+
+// later passes work to keep. The caller holds io.
+func (g *Group) later(f func() error) {
+	select {
+	case g.upkeep <- f:
+	case <-g.ctx.Done():
+	}
+}
+
 // termAt returns the term of an entry, or 0 if it is not in the log.
 func (g *Group) termAt(index uint64) uint64 {
 	switch {
--- a/internal/walog/walog.go
+++ b/internal/walog/walog.go
@@ -10,10 +10,12 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
@@ -71,6 +73,16 @@
 	size int
 	last uint64
 	err  error // the first failure; nothing is accepted after it
+	// next creates the next segment, or returns it if that has begun; nil before Prepare.
+	next func() created
+}
+
+// created is a segment without frames.
+type created struct {
+	seg  segment
+	file disk.File
+	size int
+	err  error
 }
 
 type segment struct {
@@ -108,6 +120,9 @@
 	if err != nil {
 		return nil, Content{}, err
 	}
+	if seqs, err = l.dropSpare(seqs); err != nil {
+		return nil, Content{}, err
+	}
 	content := Content{First: 1}
 	for i, seq := range seqs {
 		if i > 0 && seq != seqs[i-1]+1 {
@@ -180,19 +195,30 @@
 	return Error.Wrap(err)
 }
 
-// dropUnborn removes a segment whose creation was interrupted and continues
-// with a new one of the same number.
+// dropSpare removes the last segment if it has no frames and is not the only
+// one. It was prepared, perhaps not completely, while the one before it was still
+// written, so that one may end with an interrupted write.
+func (l *Log) dropSpare(seqs []uint64) ([]uint64, error) {
+	n := len(seqs) - 1
+	if n < 1 || seqs[n] != seqs[n-1]+1 {
+		return seqs, nil
+	}
+	b, err := disk.Read(l.cfg.FS, l.path(seqs[n]))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(b) > segmentHeader {
+		return seqs, nil
+	}
+	return seqs[:n], l.dropUnborn(seqs[n])
+}
+
+// dropUnborn removes a segment that never got a frame.
 func (l *Log) dropUnborn(seq uint64) error {
 	if err := l.cfg.FS.Remove(l.path(seq)); err != nil {
 		return Error.Wrap(err)
 	}
-	if err := l.cfg.FS.SyncDir(l.cfg.Dir); err != nil {
-		return Error.Wrap(err)
-	}
-	if len(l.segs) == 0 {
-		return nil
-	}
-	return l.roll(seq)
+	return Error.Wrap(l.cfg.FS.SyncDir(l.cfg.Dir))
 }
 
 func parseHeader(b []byte, seq uint64) (segment, bool) {
@@ -391,7 +417,37 @@
 		if err := l.file.Close(); err != nil {
 			return Error.Wrap(err)
 		}
+		l.file = nil
+	}
+	if l.next == nil {
+		l.next = func() created { return l.create(seq) }
+	}
+	c := l.next()
+	l.next = nil
+	if c.err != nil {
+		return c.err
+	}
+	l.file, l.size = c.file, c.size
+	l.segs = append(l.segs, c.seg)
+	return nil
+}
+
+// Prepare returns a function that creates the next segment ahead of its use, or
+// nil if that is not due yet. The function may run at the same time as any other
+// use of the log; the write that needs the segment waits for it, or creates the
+// segment if the function has not been called.
+func (l *Log) Prepare() func() error {
+	if l.err != nil || l.next != nil || l.size < l.cfg.SegmentBytes/2 {
+		return nil
 	}
+	seq := l.segs[len(l.segs)-1].seq + 1
+	next := sync.OnceValue(func() created { return l.create(seq) })
+	l.next = next
+	return func() error { return next().err }
+}
+
+// create makes an empty segment that is durable.
+func (l *Log) create(seq uint64) created {
 	seg := segment{seq: seq, salt: rand.Uint64()}
 	b := binary.LittleEndian.AppendUint64(nil, segmentMagic)
 	b = binary.LittleEndian.AppendUint64(b, seg.salt)
@@ -399,39 +455,67 @@
 	b = binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
 	f, err := l.cfg.FS.Create(l.path(seq))
 	if err != nil {
-		return Error.Wrap(err)
+		return created{err: Error.Wrap(err)}
 	}
-	l.file, l.size = f, len(b)
-	if _, err := f.Write(b); err != nil {
-		return Error.Wrap(err)
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
 	}
-	if err := f.Sync(); err != nil {
-		return Error.Wrap(err)
+	if err == nil {
+		err = l.cfg.FS.SyncDir(l.cfg.Dir)
 	}
-	l.segs = append(l.segs, seg)
-	return Error.Wrap(l.cfg.FS.SyncDir(l.cfg.Dir))
+	if err != nil {
+		return created{err: Error.Wrap(errors.Join(err, f.Close()))}
+	}
+	return created{seg: seg, file: f, size: len(b)}
 }
 
-// Release removes the segments that hold only records up to index. Each removal
-// is synced before the next, so that a crash leaves no gap.
+// Release removes the segments that hold only records up to index.
 func (l *Log) Release(index uint64) error {
 	if l.err != nil {
 		return l.err
 	}
+	if err := l.Trim(index)(); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// Trim does what Release does in the function that it returns. The function may
+// run at the same time as any other use of the log, but those of several calls must
+// run one after the other in the order of the calls. Each removal is synced before
+// the next, so that a crash leaves no gap.
+func (l *Log) Trim(index uint64) func() error {
+	var paths []string
 	for len(l.segs) > 1 && l.segs[0].max <= index {
-		if err := l.cfg.FS.Remove(l.path(l.segs[0].seq)); err != nil {
-			return l.fail(err)
-		}
-		if err := l.cfg.FS.SyncDir(l.cfg.Dir); err != nil {
-			return l.fail(err)
-		}
+		paths = append(paths, l.path(l.segs[0].seq))
 		l.segs = l.segs[1:]
 	}
-	return nil
+	return func() error {
+		for _, path := range paths {
+			if err := l.cfg.FS.Remove(path); err != nil {
+				return Error.Wrap(err)
+			}
+			if err := l.cfg.FS.SyncDir(l.cfg.Dir); err != nil {
+				return Error.Wrap(err)
+			}
+		}
+		return nil
+	}
 }
 
 // Close closes the open segment. Everything appended is durable already.
 func (l *Log) Close() error {
 	l.err = Error.New("closed")
+	if l.next != nil {
+		if c := l.next(); c.err == nil {
+			// Open drops the segment if it comes back after a crash.
+			_ = c.file.Close()
+			_ = l.cfg.FS.Remove(l.path(c.seg.seq))
+		}
+	}
+	if l.file == nil {
+		return nil
+	}
 	return Error.Wrap(l.file.Close())
 }
--- a/internal/walog/walog_test.go
+++ b/internal/walog/walog_test.go
@@ -75,13 +75,25 @@
 // drive changes the log until it fails. It returns what was acknowledged and
 // what a crash in the last change may have left instead.
 func drive(rng *rand.Rand, l *Log, done model, tag string) (acked, maybe model) {
+	var trims []func() error
 	for n := 0; ; n++ {
 		next, err := done, error(nil)
+		if f := l.Prepare(); f != nil && rng.IntN(3) > 0 {
+			_ = f() // an error comes back in the write that needs the segment
+		}
+		if len(trims) > 0 && rng.IntN(3) == 0 {
+			_ = trims[0]()
+			trims = trims[1:]
+		}
 		switch op := rng.IntN(12); {
 		case op == 0 && len(done.records) > 0:
 			index := done.base + uint64(rng.IntN(len(done.records)))
 			next = model{index, done.records[index-done.base:]}
-			err = l.Release(index)
+			if len(trims) == 0 && rng.IntN(2) == 0 {
+				err = l.Release(index)
+			} else {
+				trims = append(trims, l.Trim(index))
+			}
 		case op == 1:
 			next = model{base: done.last() + uint64(rng.IntN(5))}
 			err = l.Reset(next.base)
@@ -141,6 +153,44 @@
 	}
 }
 
+// Guards against a prepared segment that hides or excuses damage: only the last
+// frame before it can be taken for an interrupted write.
+func TestDamageBeforeAPreparedSegment(t *testing.T) {
+	fill := func(d *disk.Fake) {
+		l, _, err := Open(Config{FS: d, Dir: "log", SegmentBytes: 1000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range uint64(12) {
+			if err := l.Append(i+1, [][]byte{fmt.Append(nil, "record ", i)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := l.Prepare()(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	probe := disk.NewFake(1)
+	fill(probe)
+	names, _ := probe.List("log")
+	b, _ := disk.Read(probe, "log/"+names[len(names)-2])
+	if l, c, err := Open(Config{FS: probe, Dir: "log", SegmentBytes: 1000}); err != nil || c.Last() != 12 || l.Append(13, [][]byte{nil}) != nil {
+		t.Fatalf("undamaged: %d, %v", c.Last(), err)
+	}
+	for at := range b {
+		d := disk.NewFake(uint64(at + 1))
+		fill(d)
+		d.Flip("log/"+names[len(names)-2], at)
+		_, c, err := Open(Config{FS: d, Dir: "log", SegmentBytes: 1000})
+		if tail := at >= len(b)-(frameHeader+len("record 11")+1); tail && err == nil && c.Last() == 11 {
+			continue
+		}
+		if !Corrupt.Has(err) {
+			t.Fatalf("byte %d: got %v, want a refusal", at, err)
+		}
+	}
+}
+
 // Guards against a lost segment that goes unnoticed.
 func TestMissingSegmentIsRefused(t *testing.T) {
 	d := disk.NewFake(1)
