--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -83,6 +83,9 @@
 	maxStall = 3 * time.Second
 	// stateSegmentBytes holds some thousand terms and votes.
 	stateSegmentBytes = 256 << 10
+	// maxUpkeep is how much work on files may wait: a segment to create and the
+	// removals of a few snapshots.
+	maxUpkeep = 8
 )
 
 // Machine is the replicated state machine. Apply must be deterministic. Calls
@@ -110,6 +113,8 @@
 	Dir       string
 	Machine   Machine
 	Transport Transport
+	// Clock must give times with a monotonic reading, as time.Now does: leases
+	// would not be exclusive on a clock that is set.
 	Clock     func() time.Time
 	Seed      uint64        // of the election timeouts
 	Heartbeat time.Duration // 0 means 100 ms
@@ -118,6 +123,10 @@
 	SnapshotBytes int
 	// SegmentBytes of the log's files; 0 means the default of walog.
 	SegmentBytes int
+	// Spread is how long a leader leads before it passes the leadership to the
+	// preferred member: the voter at position group number modulo voters, in the
+	// order of the ids. 0 means that it never does.
+	Spread time.Duration
 	// Failed is called once if the member stops because of its disk or its machine.
 	Failed func(error)
 }
@@ -188,9 +197,11 @@
 	voteIndex uint64
 
 	mu      sync.Mutex
-	changed chan struct{} // closed and replaced when a waiter's condition may hold
-	wake    chan struct{} // the queue has proposals
-	ready   chan struct{} // the apply loop has work
+	changed chan struct{}     // closed and replaced when a waiter's condition may hold
+	wake    chan struct{}     // the queue has proposals
+	ready   chan struct{}     // the apply loop has work
+	upkeep  chan func() error // work on files that needs no lock, in order
+	summons chan uint64       // the leader of this term asks this member to stand
 	rng     *rand.Rand
 	err     error // why the member stopped
 
@@ -216,6 +227,11 @@
 	restore   *raftpb.Snapshot
 	incoming  incoming
 
+	target   string    // whom the leadership is being passed to; the queue waits meanwhile
+	passing  bool      // a transfer started by the tick is under way
+	passedAt time.Time // when the last such transfer began
+	leaving  bool      // this member is about to stop
+
 	queue      []*proposal
 	queueBytes int
 	waiters    map[uint64]*proposal
@@ -233,6 +249,7 @@
 	cfg = cfg.withDefaults()
 	g := &Group{
 		cfg: cfg, changed: make(chan struct{}), wake: make(chan struct{}, 1), ready: make(chan struct{}, 1),
+		summons: make(chan uint64, 1), upkeep: make(chan func() error, maxUpkeep),
 		rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Group))), waiters: map[uint64]*proposal{},
 	}
 	if err := g.load(); err != nil {
@@ -244,6 +261,7 @@
 	g.wg.Go(g.tick)
 	g.wg.Go(g.write)
 	g.wg.Go(g.apply)
+	g.wg.Go(g.keep)
 	return g, nil
 }
 
@@ -350,6 +368,31 @@
 // last returns the index of the last entry.
 func (g *Group) last() uint64 { return g.base + uint64(len(g.entries)) }
 
+// keep does the work on files that needs no lock, so that proposals do not wait
+// for directory syncs.
+func (g *Group) keep() {
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case f := <-g.upkeep:
+			if err := f(); err != nil {
+				g.mu.Lock()
+				g.fail(Error.Wrap(err))
+				g.mu.Unlock()
+			}
+		}
+	}
+}
+
+// later passes work to keep. The caller holds io.
+func (g *Group) later(f func() error) {
+	select {
+	case g.upkeep <- f:
+	case <-g.ctx.Done():
+	}
+}
+
 // termAt returns the term of an entry, or 0 if it is not in the log.
 func (g *Group) termAt(index uint64) uint64 {
 	switch {
