route: Weigh the reviews' side of the fleet by slot time

Cause: the share of the fleet that reviews prefer was counted in requests. Reviews hold their slots many times longer than lookups, so about a quarter of the engines got nearly all of them and their first tokens came late. Change: the share is that of the answer tokens. Also: closing an entry node no longer waits for a listener that fasthttp had not registered yet, or for callers that do not end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -308,6 +308,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	err := e.server.stop(ctx)
+	e.server.ln.abort() // of callers that did not end in time
 	e.wg.Wait()
 	e.running.Wait()
 	return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -133,6 +133,8 @@
 func (s *server) stop(ctx context.Context) error {
 	var err error
 	s.once.Do(func() { err = s.http.ShutdownWithContext(ctx) })
+	// fasthttp does not know the listener before Serve has begun.
+	_ = s.ln.Close()
 	return Error.Wrap(err)
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -95,13 +95,14 @@
 
 // group is the servers that are ready for one version of a service.
 type group struct {
-	servers []*server
-	others  float64 // mean load from other instances for each server, smoothed
-	price   float64 // mean, currency units an hour
-	review  float64 // smoothed share of reviews in this instance's slot time
-	first   float64 // smoothed time to first token, s
-	prompt  float64 // smoothed tokens to prefill of one request
-	ejected int
+	servers              []*server
+	others               float64 // mean load from other instances for each server, smoothed
+	price                float64 // mean, currency units an hour
+	review               float64 // share of reviews in this instance's slot time: reviewTokens/tokens
+	tokens, reviewTokens float64 // smoothed answer lengths, of all requests and of reviews
+	first                float64 // smoothed time to first token, s
+	prompt               float64 // smoothed tokens to prefill of one request
+	ejected              int
 }
 
 // server is what this instance knows about one backend server.
@@ -206,6 +207,7 @@
 				g = &group{}
 				if o := old[key]; o != nil {
 					g.others, g.review, g.first, g.prompt = o.others, o.review, o.first, o.prompt
+					g.tokens, g.reviewTokens = o.tokens, o.reviewTokens
 				}
 				t.groups[key] = g
 			}
@@ -236,10 +238,10 @@
 	}
 	s.own++
 	s.step(now, 1)
-	review := 0.0
+	reviewTokens := 0.0
 	if cost.Class == world.Review {
 		s.ownRev++
-		review = 1
+		reviewTokens = float64(cost.MaxTokens)
 	}
 	if s.busy.Before(now) {
 		s.busy = now
@@ -247,7 +249,11 @@
 	s.busy = s.busy.Add(time.Duration(cost.UncachedTokens) * s.perToken())
 	s.health.started(now)
 	if g := s.group; g != nil {
-		g.review = smooth(g.review, review, groupWeight)
+		// Slots are held for as long as answers are generated, so a few long
+		// reviews may need most of the fleet.
+		g.tokens = smooth(g.tokens, float64(cost.MaxTokens), groupWeight)
+		g.reviewTokens = smooth(g.reviewTokens, reviewTokens, groupWeight)
+		g.review = g.reviewTokens / max(g.tokens, 1)
 		g.prompt = smooth(g.prompt, float64(cost.UncachedTokens), groupWeight)
 	}
 	for _, h := range cost.Prefix {
