comand: Share the code of commands that change something

Cause: preset, move start and move back repeated the same ten lines. Change: target.call and changing.change. Conclusion: none.

--- a/internal/comand/operate.go
+++ b/internal/comand/operate.go
@@ -64,6 +64,42 @@
 	return c, ctx, cancel, nil
 }
 
+// call runs f with a client and a bounded context.
+func (o *target) call(ctx context.Context, f func(ctx context.Context, c *oprcli.Client) error) error {
+	c, ctx, cancel, err := o.client(ctx)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	defer c.Close()
+	return f(ctx, c)
+}
+
+// changing is the flags of a subcommand that changes something.
+type changing struct {
+	target
+	id string
+}
+
+func (o *changing) flags(fs *flag.FlagSet) {
+	o.target.flags(fs)
+	fs.StringVar(&o.id, "id", "", "command id, to repeat a command whose answer was lost")
+}
+
+// change runs f with a command id and prints its result.
+func (o *changing) change(ctx context.Context, t terminal, f func(ctx context.Context, c *oprcli.Client, id string) (oprcli.Result, error), text func(oprcli.Result) string) error {
+	if o.id == "" {
+		o.id = oprcli.NewCommandID()
+	}
+	return o.call(ctx, func(ctx context.Context, c *oprcli.Client) error {
+		r, err := f(ctx, c, o.id)
+		if err != nil {
+			return repeatHint(err, o.id)
+		}
+		return o.show(t, r, text(r))
+	})
+}
+
 // show prints v as JSON, or text.
 func (o *target) show(t terminal, v any, text string) error {
 	if !o.json {
@@ -218,30 +254,20 @@
 // preset puts a preset in force.
 func preset(ctx context.Context, t terminal, args []string) error {
 	fs := flags(t, "preset")
-	var o target
+	var o changing
 	o.flags(fs)
 	expect := fs.Uint64("expect", 0, "version of the preset to replace; 0 replaces any")
-	id := fs.String("id", "", "command id, to repeat a command whose answer was lost")
 	if err := parse(fs, args, 1); err != nil {
 		return err
 	}
 	if fs.NArg() != 1 {
 		return usageError("preset: the name of the preset is missing")
 	}
-	if *id == "" {
-		*id = oprcli.NewCommandID()
-	}
-	c, ctx, cancel, err := o.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer c.Close()
-	r, err := c.SetPreset(ctx, *id, fs.Arg(0), *expect)
-	if err != nil {
-		return repeatHint(err, *id)
-	}
-	return o.show(t, r, fmt.Sprintf("preset %q is in force as version %d\n", fs.Arg(0), r.Version))
+	return o.change(ctx, t, func(ctx context.Context, c *oprcli.Client, id string) (oprcli.Result, error) {
+		return c.SetPreset(ctx, id, fs.Arg(0), *expect)
+	}, func(r oprcli.Result) string {
+		return fmt.Sprintf("preset %q is in force as version %d\n", fs.Arg(0), r.Version)
+	})
 }
 
 // move starts, watches or takes back a version move.
@@ -267,12 +293,11 @@
 
 func moveStart(ctx context.Context, t terminal, args []string) error {
 	fs := flags(t, "move start")
-	var o target
+	var o changing
 	o.flags(fs)
 	service := fs.String("service", "", "service to move")
 	to := fs.String("to", "", "version to move to")
 	deadline := fs.String("deadline", "", "time by which the move must end: RFC 3339, or a duration from now such as 2h")
-	id := fs.String("id", "", "command id, to repeat a command whose answer was lost")
 	if err := parse(fs, args, 0); err != nil {
 		return err
 	}
@@ -283,20 +308,9 @@
 	if err != nil {
 		return err
 	}
-	if *id == "" {
-		*id = oprcli.NewCommandID()
-	}
-	c, ctx, cancel, err := o.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer c.Close()
-	r, err := c.StartMove(ctx, *id, *service, *to, by)
-	if err != nil {
-		return repeatHint(err, *id)
-	}
-	return o.show(t, r, fmt.Sprintf("move %s started\n", r.Move.ID))
+	return o.change(ctx, t, func(ctx context.Context, c *oprcli.Client, id string) (oprcli.Result, error) {
+		return c.StartMove(ctx, id, *service, *to, by)
+	}, func(r oprcli.Result) string { return fmt.Sprintf("move %s started\n", r.Move.ID) })
 }
 
 func parseDeadline(s string, now time.Time) (time.Time, error) {
@@ -367,49 +381,35 @@
 	if err := parse(fs, args, 0); err != nil {
 		return err
 	}
-	c, ctx, cancel, err := o.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer c.Close()
-	all, err := c.Moves(ctx)
-	if err != nil {
-		return err
-	}
-	var s strings.Builder
-	for _, m := range all {
-		s.WriteString(moveLine(m))
-	}
-	return o.show(t, all, s.String())
+	return o.call(ctx, func(ctx context.Context, c *oprcli.Client) error {
+		all, err := c.Moves(ctx)
+		if err != nil {
+			return err
+		}
+		var s strings.Builder
+		for _, m := range all {
+			s.WriteString(moveLine(m))
+		}
+		return o.show(t, all, s.String())
+	})
 }
 
 func moveBack(ctx context.Context, t terminal, args []string) error {
 	fs := flags(t, "move back")
-	var o target
+	var o changing
 	o.flags(fs)
 	reason := fs.String("reason", "", "why, for the move's statement")
-	id := fs.String("id", "", "command id, to repeat a command whose answer was lost")
 	if err := parse(fs, args, 1); err != nil {
 		return err
 	}
 	if fs.NArg() != 1 || *reason == "" {
 		return usageError("move back: the id of the move and -reason are needed")
 	}
-	if *id == "" {
-		*id = oprcli.NewCommandID()
-	}
-	c, ctx, cancel, err := o.client(ctx)
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	defer c.Close()
-	r, err := c.TakeBack(ctx, *id, fs.Arg(0), *reason)
-	if err != nil {
-		return repeatHint(err, *id)
-	}
-	return o.show(t, r, fmt.Sprintf("move %s is taken back as version %d\n", fs.Arg(0), r.Version))
+	return o.change(ctx, t, func(ctx context.Context, c *oprcli.Client, id string) (oprcli.Result, error) {
+		return c.TakeBack(ctx, id, fs.Arg(0), *reason)
+	}, func(r oprcli.Result) string {
+		return fmt.Sprintf("move %s is taken back as version %d\n", fs.Arg(0), r.Version)
+	})
 }
 
 // memberCommand shows or changes the members of the replicated log.
