--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -85,13 +85,15 @@
 			return rep, nil
 		}
 		res, err := runPolicy(ctx, in, p)
+		if res != nil {
+			rep.Results = append(rep.Results, res)
+		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return rep, nil // interrupted before the load began
 			}
 			return rep, err
 		}
-		rep.Results = append(rep.Results, res)
 	}
 	return rep, nil
 }
