entry: Refuse further runs of a request while a crash may still be unknown

Cause, read from the code; no trace of a failing run was taken. Several ways let a request crash a third server: - a run of a request that was already in one crash was let in beside a run on another instance that had not ended yet (one crash and two live runs); - the end of a crashed run freed its place after 200 ms, whether or not the cell knew of the crash; - a home that did not answer within 300 ms let the run pass; - a connection that closed before the response header (io.EOF), and a run stopped as a suspect, never counted as a crash; - a server whose restart was not announced within 2.5 s counted as alive.

Ruled out: nothing by measurement. Which of these caused the failures that were seen is not known.

Change: two homes count the runs of a request, further ones are asked only if neither answers. Enter and exit carry the crash records of the request, so a place is never freed before its home knows of the crash, unless the message is lost three times. A home lets a suspect in only if no other run of it is live. A server that broke a stream and accepts connections counts as alive once it announces the same incarnation again, and as crashed if it has no permission left after 10 s.

The new paths have no tests of their own yet.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -27,10 +27,14 @@
 	// probeTimeout is how long a server that broke a stream has to accept a new
 	// connection before it counts as crashed.
 	probeTimeout = 300 * time.Millisecond
-	// restartKnown is how long the announcement of a restarted server takes to
-	// reach every node of the cell: one pull of 1 s, and one that was lost.
-	restartKnown = 2500 * time.Millisecond
-	restartPoll  = 50 * time.Millisecond
+	// restartKnown is how long a server that broke a stream has to announce
+	// itself, with the same incarnation or a new one, before it counts as crashed.
+	// It covers several lost announcements and pulls of 1 s each.
+	restartKnown = 10 * time.Second
+	// inFlight is how long an announcement may travel that was sent before a
+	// crash; only later ones show that a server lives.
+	inFlight    = 500 * time.Millisecond
+	restartPoll = 50 * time.Millisecond
 	// permitTimeout bounds the question whether a suspect may run.
 	permitTimeout = 300 * time.Millisecond
 )
@@ -82,12 +86,17 @@
 
 // homeOf returns the node that gives the permits of a key.
 func (e *Entry) homeOf(key poison.Fingerprint, now time.Time) string {
+	return e.homesOf(key, now)[0]
+}
+
+// homesOf returns the nodes of the cell in the order in which they are homes of
+// a key.
+func (e *Entry) homesOf(key poison.Fingerprint, now time.Time) []string {
 	nodes := []string{e.cfg.Settings.Node}
 	for _, p := range e.member.Peers(now) {
 		nodes = append(nodes, p.Node)
 	}
-	slices.Sort(nodes)
-	return poison.Home(key, nodes)
+	return poison.Homes(key, nodes)
 }
 
 // takeSlot lets a suspect run on a server only if no other suspect does, so that
@@ -140,12 +149,17 @@
 	if copy(f[:], req.Fingerprint) != len(f) {
 		return nil, Error.New("fingerprint has %d bytes", len(req.Fingerprint))
 	}
+	now := e.cfg.Now()
+	if err := e.ledger.Merge(req.Records, now); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	switch {
 	case req.Run != "" && req.Release:
 		e.entrances.exit(f, req.Run, req.Completed)
 		return &entrpb.PermitResponse{Granted: true}, nil
 	case req.Run != "":
-		return &entrpb.PermitResponse{Granted: e.entrances.enter(f, req.Run, e.cfg.Now())}, nil
+		granted := e.enterHere(f, req.Run, now)
+		return &entrpb.PermitResponse{Granted: granted, Records: e.ledger.Of(f, now)}, nil
 	}
 	return &entrpb.PermitResponse{Granted: e.permit(f, from.Node, req.Release, e.cfg.Now())}, nil
 }
@@ -209,9 +223,9 @@
 }
 
 // ended tells the ledger how a run ended. A broken connection counts as a crash
-// only if the server accepts no new one, or turns out to have restarted. Until
-// that is known the run counts as running, so that a request which crashes
-// servers that restart quickly does not run on a third one.
+// if the server accepts no new one, turns out to have restarted or announces
+// nothing more. Until that is known the run counts as running, so that a request
+// which crashes servers that restart quickly does not run on a third one.
 func (e *Entry) ended(f poison.Fingerprint, b world.Backend, broken, completed bool, exit func(completed bool)) {
 	now := e.cfg.Now()
 	switch {
@@ -225,16 +239,33 @@
 		e.running.Go(func() {
 			defer exit(false)
 			for until := now.Add(e.restart); e.cfg.Now().Before(until) && pause(e.runs, restartPoll); {
-				if e.restarted(b, e.cfg.Now()) {
+				switch at := e.cfg.Now(); {
+				case e.restarted(b, at):
 					e.crashed(b.ID, b.Incarnation)
 					return
+				case e.announcedSince(b, now.Add(inFlight), at):
+					e.ledger.Ended(f, b.ID, b.Incarnation, completed, at)
+					return
 				}
 			}
+			if at := e.cfg.Now(); !e.announcedSince(b, time.Time{}, at) {
+				e.crashed(b.ID, b.Incarnation)
+				return
+			}
 			e.ledger.Ended(f, b.ID, b.Incarnation, completed, e.cfg.Now())
 		})
 	}
 }
 
+// announcedSince reports whether the incarnation of b announced itself after
+// since, and not longer than a lease ago.
+func (e *Entry) announcedSince(b world.Backend, since, now time.Time) bool {
+	same := func(p member.Permit) bool {
+		return p.ID == b.ID && p.Incarnation == b.Incarnation && p.At.After(since)
+	}
+	return slices.ContainsFunc(e.member.Permits(now), same) || slices.ContainsFunc(e.member.Announced(now), same)
+}
+
 // restarted reports whether the server has announced a newer incarnation.
 func (e *Entry) restarted(b world.Backend, now time.Time) bool {
 	newer := func(p member.Permit) bool { return p.ID == b.ID && p.Incarnation > b.Incarnation }
--- a/internal/entry/enter.go
+++ b/internal/entry/enter.go
@@ -20,12 +20,17 @@
 	exitDelay = 4 * crashTick
 	// maxHarmless bounds one of two generations of requests that have completed.
 	maxHarmless = 1 << 15
+	// entranceHomes is how many homes count the runs of a request, so that one
+	// which does not answer in time does not let a further run pass.
+	entranceHomes = 2
+	// exitTries is how often the end of a run is sent to a home that fails.
+	exitTries = 3
 )
 
 // entrances bound the runs of each request in the whole cell to the number of
 // servers that it may crash, until one of them has completed. Without it a
 // request that comes to several instances at once crashes a server for each.
-// Each node keeps those of the fingerprints whose home it is.
+// Each node keeps those of the fingerprints of which it is one of the homes.
 type entrances struct {
 	mu       sync.Mutex
 	runs     map[poison.Fingerprint][]entrance
@@ -38,14 +43,14 @@
 	until time.Time
 }
 
-func (s *entrances) enter(f poison.Fingerprint, run string, now time.Time) bool {
+func (s *entrances) enter(f poison.Fingerprint, run string, limit int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isHarmless(f) {
 		return true
 	}
 	live := slices.DeleteFunc(s.runs[f], func(e entrance) bool { return !now.Before(e.until) || e.run == run })
-	if len(live) >= poison.MaxCrashes {
+	if len(live) >= limit {
 		s.runs[f] = live
 		return false
 	}
@@ -95,31 +100,70 @@
 	}
 }
 
-// enter asks the home of a request whether it may run now. exit ends the run. A
-// home that does not answer refuses nobody: its instance may be lost for seconds
-// before the cell agrees on another one. The permits of g are held until exit.
+// enterHere answers a run that wants to start, as a home of its request. A
+// request that is in a crash runs only if no other run of it may still crash.
+func (e *Entry) enterHere(f poison.Fingerprint, run string, now time.Time) bool {
+	limit := poison.MaxCrashes
+	if e.suspect(f, now) {
+		limit = 1
+	}
+	return e.entrances.enter(f, run, limit, now)
+}
+
+// enter asks the homes of a request whether it may run now. exit ends the run.
+// The permits of g are held until exit.
 func (e *Entry) enter(ctx context.Context, f poison.Fingerprint, g *gate, now time.Time) (exit func(completed bool), ok bool) {
 	run := fmt.Sprintf("%s%d", e.ownerPrefix(), e.claims.Add(1))
-	home := e.homeOf(f, now)
-	if home != e.cfg.Settings.Node {
-		resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Run: run})
-		ok = err != nil || resp.Granted
-	} else {
-		ok = e.entrances.enter(f, run, now)
+	homes, ok := e.askEntrance(ctx, f, run, now)
+	if !ok {
+		e.running.Go(func() { e.exit(f, homes, run, false) })
+		return nil, false
 	}
 	held := *g
-	if ok {
-		g.permits = nil
-	} else {
-		held.permits = nil
-	}
+	g.permits = nil
 	exit = func(completed bool) {
 		e.running.Go(func() {
-			e.exit(f, home, run, completed)
+			if !completed {
+				pause(e.runs, exitDelay)
+			}
+			e.exit(f, homes, run, completed)
 			e.leave(held)
 		})
 	}
-	return exit, ok
+	return exit, true
+}
+
+// askEntrance asks two homes, and two more while none answers; this node is in
+// the list and answers. Every home that answers must agree. It returns the
+// homes that may have counted the run.
+func (e *Entry) askEntrance(ctx context.Context, f poison.Fingerprint, run string, now time.Time) (asked []string, ok bool) {
+	for homes := range slices.Chunk(e.homesOf(f, now), entranceHomes) {
+		asked = append(asked, homes...)
+		answers := make([]*entrpb.PermitResponse, len(homes))
+		var wg sync.WaitGroup
+		for i, home := range homes {
+			wg.Go(func() { answers[i] = e.askHome(ctx, home, f, run, now) })
+		}
+		wg.Wait()
+		answers = slices.DeleteFunc(answers, func(a *entrpb.PermitResponse) bool { return a == nil })
+		if len(answers) > 0 {
+			return asked, !slices.ContainsFunc(answers, func(a *entrpb.PermitResponse) bool { return !a.Granted })
+		}
+	}
+	return asked, false
+}
+
+// askHome returns nil if the home does not answer. What the home knows of
+// crashes with the request is known here afterwards.
+func (e *Entry) askHome(ctx context.Context, home string, f poison.Fingerprint, run string, now time.Time) *entrpb.PermitResponse {
+	if home == e.cfg.Settings.Node {
+		return &entrpb.PermitResponse{Granted: e.enterHere(f, run, now)}
+	}
+	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Run: run, Records: e.ledger.Of(f, now)})
+	if err != nil || e.ledger.Merge(resp.Records, now) != nil {
+		return nil
+	}
+	return resp
 }
 
 // begin records a run on a server that is about to start. It refuses a request
@@ -140,14 +184,23 @@
 	return exit, true
 }
 
-func (e *Entry) exit(f poison.Fingerprint, home, run string, completed bool) {
-	if !completed {
-		pause(e.runs, exitDelay)
-	}
-	if home == e.cfg.Settings.Node {
-		e.entrances.exit(f, run, completed)
-		return
+// exit tells the homes that a run has ended, with the crash that ended it. A
+// home that is not reached lets the run lapse.
+func (e *Entry) exit(f poison.Fingerprint, homes []string, run string, completed bool) {
+	var wg sync.WaitGroup
+	for _, home := range homes {
+		wg.Go(func() {
+			if home == e.cfg.Settings.Node {
+				e.entrances.exit(f, run, completed)
+				return
+			}
+			req := &entrpb.PermitRequest{Fingerprint: f[:], Run: run, Release: true, Completed: completed, Records: e.ledger.Of(f, e.cfg.Now())}
+			for range exitTries {
+				if _, err := e.callPermit(e.runs, home, req); err == nil || e.runs.Err() != nil {
+					return
+				}
+			}
+		})
 	}
-	// A home that is not reached lets the run lapse.
-	_, _ = e.callPermit(e.runs, home, &entrpb.PermitRequest{Fingerprint: f[:], Run: run, Release: true, Completed: completed})
+	wg.Wait()
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -433,9 +432,11 @@
 	return backnd.OutcomeOf(err) != backnd.NotRun
 }
 
-// crashed reports whether the connection to the server broke during the attempt.
+// crashed reports whether the server may have crashed during the attempt: the
+// connection broke, or the run was stopped as a suspect after it was sent. A
+// crash before the response header reads as io.EOF.
 func crashed(err error) bool {
-	return isLoss(err) && !errors.Is(err, io.EOF) && backnd.OutcomeOf(err) == backnd.Unknown
+	return (isLoss(err) || errors.Is(err, errHeld)) && backnd.OutcomeOf(err) == backnd.Unknown
 }
 
 func priorityOf(c world.Class) int {
--- a/internal/member/leaving.go
+++ b/internal/member/leaving.go
@@ -52,7 +52,7 @@
 	var out []Permit
 	for _, e := range m.table.entries {
 		if until := e.at.Add(m.cfg.Lease); now.Before(until) {
-			out = append(out, Permit{Backend: e.backend, Load: loadFromWire(e.load, e.at), Until: until})
+			out = append(out, Permit{Backend: e.backend, Load: loadFromWire(e.load, e.at), At: e.at, Until: until})
 		}
 	}
 	slices.SortFunc(out, func(a, b Permit) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/member/permit.go
+++ b/internal/member/permit.go
@@ -13,6 +13,8 @@
 type Permit struct {
 	world.Backend
 	Load world.Load
+	// At is when the server sent the announcement behind it, at the earliest.
+	At time.Time
 	// Until is when the permission ends unless it is renewed.
 	Until time.Time
 }
@@ -84,7 +86,7 @@
 	if ok && (o.less(have.order) || (o == have.order && !until.After(have.Until))) {
 		return
 	}
-	best[b.ID] = held{Permit{Backend: b, Load: loadFromWire(load, at), Until: until}, o}
+	best[b.ID] = held{Permit{Backend: b, Load: loadFromWire(load, at), At: at, Until: until}, o}
 }
 
 const (
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -6,9 +6,11 @@
 package poison
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -373,14 +375,23 @@
 // Home returns the node that gives the permits of a fingerprint: the one with
 // the highest hash, so that all instances with the same list of nodes agree.
 func Home(f Fingerprint, nodes []string) string {
-	best, top := "", Fingerprint{}
+	if len(nodes) == 0 {
+		return ""
+	}
+	return Homes(f, nodes)[0]
+}
+
+// Homes returns the nodes in the order in which they are homes of a fingerprint.
+// Lists that differ in one node give the same order for the others.
+func Homes(f Fingerprint, nodes []string) []string {
+	hash := map[string]Fingerprint{}
 	for _, n := range nodes {
-		h := Of(n, "", f[:])
-		if c := slices.Compare(h[:], top[:]); best == "" || c > 0 || c == 0 && n < best {
-			best, top = n, h
-		}
+		hash[n] = Of(n, "", f[:])
 	}
-	return best
+	return slices.SortedFunc(maps.Keys(hash), func(a, b string) int {
+		x, y := hash[a], hash[b]
+		return cmp.Or(slices.Compare(y[:], x[:]), cmp.Compare(a, b))
+	})
 }
 
 // State returns what is known about a fingerprint.
--- a/internal/poison/wire.go
+++ b/internal/poison/wire.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -35,6 +36,31 @@
 	return encode(&m)
 }
 
+// Of returns an encoded message with the crashes that a fingerprint is in, or
+// nil if there are none.
+func (l *Ledger) Of(f Fingerprint, now time.Time) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	var m poispb.Records
+	for key, c := range l.crashes {
+		if slices.Contains(c.all, f) {
+			m.Crashes = append(m.Crashes, l.crashRecord(key, now))
+		}
+	}
+	if len(m.Crashes) == 0 {
+		return nil
+	}
+	for _, c := range m.Crashes {
+		for _, b := range c.Fingerprints {
+			if at, ok := l.clears[Fingerprint(b)]; ok {
+				m.Clears = append(m.Clears, clearRecord(Fingerprint(b), at, now))
+			}
+		}
+	}
+	return encode(&m)
+}
+
 // All returns an encoded message with everything known, for an instance that joins.
 func (l *Ledger) All(now time.Time) []byte {
 	l.mu.Lock()
