member: Tell the cell whether an instance takes requests

Cause: a node learned from its own pulls only whether a peer takes requests, so nodes that could not reach an instance cut off from control kept it in their directories (TestCutOffEntryLeavesEveryDirectory, failed in every run). Change: the peer record carries the state with a counter that only the instance raises; the higher one wins, whichever way it came. Ruled out: leaving it to failure detection; other nodes still hear the instance. Measured: go test -race -run 'CutOff|Leaving' -count 2 ./internal/site: ok, the test passes twice. Conclusion: the directory fault is repaired.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -86,6 +86,7 @@
 	Incarnation uint64
 	// Serving is whether it takes requests from callers, as it said last.
 	Serving bool
+	turn    uint64 // number of changes of Serving in the incarnation
 }
 
 // Member is this node's membership of its cell. Its methods may be called from
@@ -171,7 +172,12 @@
 func (m *Member) SetServing(on bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.self.Serving == on {
+		return
+	}
 	m.self.Serving = on
+	m.self.turn++
+	m.list.changed()
 }
 
 // Leave marks this node as draining and returns when every live peer knows, or
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -64,9 +64,7 @@
 		m.peers[p.Node] = have
 		m.list.changed()
 	case p.Incarnation > have.Incarnation:
-		serving := have.Serving
 		have.Peer, have.learned, have.told, have.listed = p, now, false, true
-		have.Serving = serving
 		have.remote.forget()
 		m.list.changed()
 	case p.Incarnation < have.Incarnation:
@@ -76,6 +74,10 @@
 		have.Draining = true
 		m.list.changed()
 	}
+	if p.Incarnation == have.Incarnation && p.turn > have.turn {
+		have.Serving, have.turn = p.Serving, p.turn
+		m.list.changed()
+	}
 	if heard.After(have.indirect) {
 		have.indirect = heard
 	}
@@ -228,13 +230,13 @@
 func peerToWire(p Peer) *membpb.Peer {
 	return &membpb.Peer{
 		Node: p.Node, DataCentre: p.DataCentre, Address: p.Address, Callers: p.Callers,
-		Draining: p.Draining, Incarnation: p.Incarnation,
+		Draining: p.Draining, Incarnation: p.Incarnation, Refusing: !p.Serving, Turn: p.turn,
 	}
 }
 
 func peerFromWire(p *membpb.Peer) Peer {
 	return Peer{
 		Node: p.Node, DataCentre: p.DataCentre, Address: p.Address, Callers: p.Callers,
-		Draining: p.Draining, Incarnation: p.Incarnation, Serving: true,
+		Draining: p.Draining, Incarnation: p.Incarnation, Serving: !p.Refusing, turn: p.Turn,
 	}
 }
--- a/internal/member/pull.go
+++ b/internal/member/pull.go
@@ -172,7 +172,10 @@
 	case t.req.From != nil:
 		p.told = t.req.From.Draining == m.self.Draining
 	}
-	p.Serving = resp.Serving
+	if resp.Turn > p.turn {
+		p.Serving, p.turn = resp.Serving, resp.Turn
+		m.list.changed()
+	}
 	m.learnList(resp, t, now) // forgets the table of an earlier incarnation
 	p.remote.incarnation = resp.Incarnation
 	m.applyTable(&p.remote, resp, t.sent, now)
@@ -269,7 +272,7 @@
 	}
 	resp := &membpb.PullResponse{
 		Incarnation: m.cfg.Incarnation, WantRecord: m.peers[from] == nil,
-		Serving: m.self.Serving, Peers: m.list.rev + 1,
+		Serving: m.self.Serving, Turn: m.self.turn, Peers: m.list.rev + 1,
 	}
 	m.table.fill(resp, req.Table, now)
 	resp.Full = resp.Full || req.Incarnation != m.cfg.Incarnation
