entry: Free the place of a run whose process has left

Cause: the cell counts the runs of a request until one completes. Change: a stopping process still tells the homes; a home drops the runs of processes that are no longer in the cell under the same incarnation. Ruled out: the copy of the record; it was complete and taken over at once. A crash of an entry node and of its engine at the same moment may now cost a third server; see docs/design.md.

--- a/internal/entry/enter.go
+++ b/internal/entry/enter.go
@@ -43,13 +43,17 @@
 	until time.Time
 }
 
-func (s *entrances) enter(f poison.Fingerprint, run string, limit int, now time.Time) bool {
+// enter counts a run unless limit others may still crash a server. gone reports
+// that the process of a run has left the cell.
+func (s *entrances) enter(f poison.Fingerprint, run string, limit int, gone func(run string) bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isHarmless(f) {
 		return true
 	}
-	live := slices.DeleteFunc(s.runs[f], func(e entrance) bool { return !now.Before(e.until) || e.run == run })
+	live := slices.DeleteFunc(s.runs[f], func(e entrance) bool {
+		return !now.Before(e.until) || e.run == run || gone(e.run)
+	})
 	if len(live) >= limit {
 		s.runs[f] = live
 		return false
@@ -107,7 +111,10 @@
 	if e.suspect(f, now) {
 		limit = 1
 	}
-	return e.entrances.enter(f, run, limit, now)
+	// An answer whose owners stopped or crashed twice must not wait for their
+	// entrances to lapse.
+	gone := func(run string) bool { return !e.ownerLives(run) }
+	return e.entrances.enter(f, run, limit, gone, now)
 }
 
 // enter asks the homes of a request whether it may run now. exit ends the run.
@@ -185,7 +192,8 @@
 }
 
 // exit tells the homes that a run has ended, with the crash that ended it. A
-// home that is not reached lets the run lapse.
+// home that is not reached lets the run lapse. A process that stops tells them
+// too, since another one continues its answers.
 func (e *Entry) exit(f poison.Fingerprint, homes []string, run string, completed bool) {
 	var wg sync.WaitGroup
 	for _, home := range homes {
@@ -196,7 +204,7 @@
 			}
 			req := &entrpb.PermitRequest{Fingerprint: f[:], Run: run, Release: true, Completed: completed, Records: e.ledger.Of(f, e.cfg.Now())}
 			for range exitTries {
-				if _, err := e.callPermit(e.runs, home, req); err == nil || e.runs.Err() != nil {
+				if _, err := e.callPermit(context.WithoutCancel(e.runs), home, req); err == nil {
 					return
 				}
 			}
