entry: End the reservation of an id with the process that made it

Change: reservations name the process and its incarnation and are dropped when it has left the cell.

--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -108,7 +108,7 @@
 	defer cancel()
 	for {
 		now := e.cfg.Now()
-		l, other := e.search(ctx, &entrpb.Find{Id: id, Reserve: e.cfg.Settings.Node, BodyHash: hash}, now)
+		l, other := e.search(ctx, &entrpb.Find{Id: id, Reserve: e.reserver(), BodyHash: hash}, now)
 		switch {
 		case l.found != nil:
 			return l, true, sameBody(l.found, hash)
@@ -132,9 +132,13 @@
 	return conflict("requestIdReused", "X-Request-Id was used with another body", notRun)
 }
 
+// reserver names this process in reservations. It has the form of a claim's
+// owner, so that a reservation ends with the process that made it.
+func (e *Entry) reserver() string { return e.ownerPrefix() + "id" }
+
 // unreserve lets other nodes accept an id that this node has refused.
 func (e *Entry) unreserve(id string) {
-	req := &entrpb.Find{Id: id, Reserve: e.cfg.Settings.Node, Release: true}
+	req := &entrpb.Find{Id: id, Reserve: e.reserver(), Release: true}
 	for _, p := range e.everyone(id, e.cfg.Now())[:1] {
 		e.running.Go(func() {
 			ctx, cancel := context.WithTimeout(e.runs, findTimeout)
@@ -184,7 +188,7 @@
 		case r == nil:
 		case r.Known && (l.found == nil || better(r, l.found)):
 			l = located{peer: nodes[i], found: r}
-		case r.ReservedBy != "" && r.ReservedBy != e.cfg.Settings.Node:
+		case r.ReservedBy != "" && r.ReservedBy != e.reserver():
 			reserved = r
 		}
 	}
@@ -286,6 +290,7 @@
 		e.reserved.release(req.Id, req.Reserve)
 		return &entrpb.Found{}
 	case req.Reserve != "":
+		e.reserved.drop(req.Id, func(owner string) bool { return !e.ownerLives(owner) })
 		r := e.reserved.take(req.Id, reservation{req.Reserve, req.BodyHash, now})
 		return &entrpb.Found{ReservedBy: r.node, BodyHash: r.hash}
 	}
@@ -371,6 +376,15 @@
 	}
 }
 
+// drop removes the reservation of a process that has left the cell.
+func (r *reservations) drop(id string, gone func(owner string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if have, ok := r.byID[id]; ok && gone(have.node) {
+		delete(r.byID, id)
+	}
+}
+
 // sweep drops the reservations that have lapsed.
 func (r *reservations) sweep(now time.Time) {
 	r.mu.Lock()
