route: Count a full batch as costly as it is

Cause: a full server was preferred to an empty one whenever price or side differed, since its load counted 60 ms at most; reviews then decoded slowly in full batches. Change: loadSeconds is 0.3 s.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -27,8 +27,9 @@
 	// follow. In seconds, and seconds for each second of the report's age.
 	noiseBase = 0.004
 	noiseAge  = 0.012
-	// loadSeconds is the delay that a full batch adds to a first token.
-	loadSeconds = 0.06
+	// loadSeconds is what a full batch costs: later first tokens and slower ones
+	// after them. With 0.06 s, side and price packed reviews on full servers.
+	loadSeconds = 0.3
 	// defaultTook is the duration of a request until one has ended, in seconds.
 	defaultTook = 2.0
 	// defaultPerToken is the prefill time of a token before the first report.
