--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -28,8 +28,9 @@
 	noiseBase = 0.004
 	noiseAge  = 0.012
 	// loadSeconds is what a full batch costs: later first tokens and slower ones
-	// after them. With 0.06 s, side and price packed reviews on full servers.
-	loadSeconds = 0.3
+	// after them. With 0.06 s, side and price packed reviews on full servers;
+	// with 0.3 s, half of the nodes rush to the same idle one.
+	loadSeconds = 0.2
 	// defaultTook is the duration of a request until one has ended, in seconds.
 	defaultTook = 2.0
 	// defaultPerToken is the prefill time of a token before the first report.
