entry: Free the permit of a suspect whose holder is gone

Cause: a suspect needs the cell's one permit. Change: the home drops the permit of a node that has left the cell or restarted; a node whose question failed gives the permit back. The test prints the time line of a stream that fails. Measured: go test ./internal/poison: ok with a test of the lost holder. Conclusion: found by reading; the crash case is watched further.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -78,6 +78,8 @@
 func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
 	home := e.homeOf(key, now)
 	if !e.askPermit(ctx, home, key, false, now) {
+		// The answer may have been lost; a permit that nobody uses must not stay.
+		e.running.Go(func() { e.askPermit(context.WithoutCancel(e.runs), home, key, true, e.cfg.Now()) })
 		return false
 	}
 	g.permits = append(g.permits, heldPermit{key, home})
@@ -137,9 +139,20 @@
 		e.ledger.Release(f, node)
 		return true
 	}
+	e.ledger.Drop(f, e.left)
 	return e.ledger.Permit(f, node, now)
 }
 
+// left reports whether a node has left the cell or restarted since a time. An
+// incarnation is the start of its process in nanoseconds.
+func (e *Entry) left(node string, since time.Time) bool {
+	if node == e.cfg.Settings.Node {
+		return false
+	}
+	p, ok := e.peerNamed(node)
+	return !ok || time.Unix(0, int64(p.Incarnation)).After(since)
+}
+
 func (e *Entry) handlePermit(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
 	var req entrpb.PermitRequest
 	if err := proto.Unmarshal(body, &req); err != nil {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -358,6 +358,16 @@
 	return true
 }
 
+// Drop takes a permit back if its holder, who asked last at since, is gone. A
+// process that dies with a permit would otherwise hold up the request for permitLease.
+func (l *Ledger) Drop(f Fingerprint, gone func(node string, since time.Time) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.permits[f]; ok && gone(p.node, p.until.Add(-permitLease)) {
+		delete(l.permits, f)
+	}
+}
+
 // Release gives a permit back.
 func (l *Ledger) Release(f Fingerprint, node string) {
 	l.mu.Lock()
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -241,3 +241,20 @@
 		}
 	})
 }
+
+// Guards against a suspect that waits for the permit of a process that is gone.
+func TestPermitOfALostHolder(t *testing.T) {
+	l, f, now := New(), Of("s", "v", []byte("x")), time.UnixMilli(1_700_000_000_000)
+	if !l.Permit(f, "lost", now) || l.Permit(f, "other", now.Add(time.Second)) {
+		t.Fatal("want the permit for the first node alone")
+	}
+	asked := time.Time{}
+	l.Drop(f, func(node string, since time.Time) bool { asked = since; return node != "lost" })
+	if l.Permit(f, "other", now.Add(time.Second)) {
+		t.Fatal("the permit of a live holder was given away")
+	}
+	l.Drop(f, func(node string, _ time.Time) bool { return node == "lost" })
+	if !asked.Equal(now) || !l.Permit(f, "other", now.Add(time.Second)) {
+		t.Fatalf("asked since %v; want the permit free after its holder is gone", asked)
+	}
+}
--- a/internal/site/streams_test.go
+++ b/internal/site/streams_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/stand"
 )
 
@@ -128,6 +129,11 @@
 	for _, c := range callers {
 		c.check(t)
 		computedOnce(t, s, "acme", c.id)
+		if t.Failed() {
+			for _, e := range s.Timeline(event.Filter{Request: "acme/" + c.id}) {
+				t.Log(e.Time.Format(time.StampMilli), e.Node, e.Kind, e.Instance, e.Detail)
+			}
+		}
 	}
 	attempts := 0
 	for _, e := range s.Engines() {
