stand: Generate until a lost publication has been noticed

Its 60 requests take 0.2 s, in which the engine publishes a few times only, and all of them can arrive. The test now goes on with requests until a gap has been noticed and still requires that none is without losses.

--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -169,6 +169,19 @@
 				t.Fatalf("seed 5: request %d ended with %+v", i, last)
 			}
 		}
+		// How many publications the requests above make depends on the load of the
+		// machine; few of them may all arrive.
+		more := 60
+		eventually(t, "a publication is lost and noticed", func() bool {
+			if gaps == 0 {
+				return true
+			}
+			more++
+			generate(e, generateRequest{RequestID: fmt.Sprint(more), Prompt: strings.Repeat(fmt.Sprintf("document %08d. ", more), 20), MaxTokens: 2})
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.gaps > 0
+		})
 		e.mu.Lock()
 		e.cfg.CacheGaps = 0
 		e.mu.Unlock()
