--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -119,16 +119,16 @@
 	if home == self {
 		return e.permit(f, self, release, now)
 	}
-	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Release: release})
+	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Release: release}, permitTimeout)
 	return err == nil && resp.Granted
 }
 
-func (e *Entry) callPermit(ctx context.Context, home string, req *entrpb.PermitRequest) (*entrpb.PermitResponse, error) {
+func (e *Entry) callPermit(ctx context.Context, home string, req *entrpb.PermitRequest, timeout time.Duration) (*entrpb.PermitResponse, error) {
 	p, ok := e.peerNamed(home)
 	if !ok {
 		return nil, Error.New("%s is not in the cell", home)
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp := &entrpb.PermitResponse{}
 	return resp, Error.Wrap(e.cfg.Net.Call(ctx, p.Address, permitCall, req, resp))
@@ -168,10 +168,10 @@
 	}
 	switch {
 	case req.Run != "" && req.Release:
-		e.entrances.exit(f, req.Run, req.Completed)
+		e.entrances.exit(f, req.Run, req.Completed, now)
 		return &entrpb.PermitResponse{Granted: true}, nil
 	case req.Run != "":
-		granted := e.enterHere(f, req.Run, now)
+		granted := e.enterHere(f, req.Run, req.Server, now)
 		return &entrpb.PermitResponse{Granted: granted, Records: e.ledger.Of(f, now)}, nil
 	}
 	return &entrpb.PermitResponse{Granted: e.permit(f, from.Node, req.Release, e.cfg.Now())}, nil
@@ -249,6 +249,7 @@
 		e.crashed(b.ID, b.Incarnation)
 		exit(false)
 	default:
+		e.ledger.Broken(f, b.ID, b.Incarnation)
 		e.running.Go(func() {
 			defer exit(false)
 			for until := now.Add(e.restart); e.cfg.Now().Before(until) && pause(e.runs, restartPoll); {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -108,6 +108,7 @@
 	server      string
 	incarnation uint64
 	n           int
+	broken      bool // ended in a way that may turn out to be a crash
 }
 
 // Ledger is one entry instance's knowledge. Its methods may be called concurrently.
@@ -150,18 +151,26 @@
 
 func (l *Ledger) check(f Fingerprint, now time.Time) Verdict {
 	v := Verdict{State: l.state(f, now), Run: true}
-	n := 0
+	n, broken := 0, 0
 	for _, r := range l.running[f] {
 		n += r.n
+		if r.broken {
+			broken += r.n
+		}
 	}
-	switch v.State {
-	case Condemned:
+	switch {
+	case v.State == Condemned:
 		v.Run = false
-	case Quarantined:
+	case v.State == Quarantined:
 		v.Run, v.RetryAfter = false, settle
-	case Suspect:
+	case v.State == Suspect:
 		v.Permit, v.Avoid = true, l.suspectServers(f, now)
 		v.Run = n == 0
+	case broken > 0 && !l.isProven(f):
+		// It may become a suspect at any moment, and shares no server until then:
+		// a second crash beside a suspect would leave both under suspicion.
+		v.Permit, v.Avoid = true, l.suspectServers(f, now)
+		v.Run = n == broken && n < MaxCrashes
 	default:
 		v.Run = n < MaxCrashes || l.isProven(f)
 	}
@@ -174,11 +183,14 @@
 func (l *Ledger) suspectServers(f Fingerprint, now time.Time) []string {
 	var out []string
 	for g, runs := range l.running {
-		if g == f || l.state(g, now) == Clear {
+		if g == f {
 			continue
 		}
+		clear := l.state(g, now) == Clear
 		for _, r := range runs {
-			out = append(out, r.server)
+			if !clear || r.broken {
+				out = append(out, r.server)
+			}
 		}
 	}
 	slices.Sort(out)
@@ -194,6 +206,11 @@
 	if v := l.check(f, now); !v.Run || slices.Contains(v.Avoid, server) {
 		return false
 	}
+	// A server that this request has crashed is at best a later incarnation which
+	// has not been announced here yet. Its crash could not be told from the first.
+	if c := l.crashes[crashKey{server, incarnation}]; c != nil && slices.Contains(c.all, f) && l.state(f, now) != Clear {
+		return false
+	}
 	runs := l.running[f]
 	for i := range runs {
 		if runs[i].server == server && runs[i].incarnation == incarnation {
@@ -201,10 +218,22 @@
 			return true
 		}
 	}
-	l.running[f] = append(runs, run{server, incarnation, 1})
+	l.running[f] = append(runs, run{server: server, incarnation: incarnation, n: 1})
 	return true
 }
 
+// Broken records that the connection of a run broke and that it is not known yet
+// whether the server crashed. Ended or Crashed decides it.
+func (l *Ledger) Broken(f Fingerprint, server string, incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, r := range l.running[f] {
+		if r.server == server && r.incarnation == incarnation {
+			l.running[f][i].broken = true
+		}
+	}
+}
+
 // Ended records that a run ended without a crash. A completed run clears its
 // fingerprint; a cancelled or moved one says nothing.
 func (l *Ledger) Ended(f Fingerprint, server string, incarnation uint64, completed bool, now time.Time) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -258,3 +258,45 @@
 		t.Fatalf("asked since %v; want the permit free after its holder is gone", asked)
 	}
 }
+
+// Guards against a third server lost to a request that runs on a server which has
+// restarted and is still known here by its old incarnation: its second crash
+// would merge with the first.
+func TestSuspectAvoidsTheCrashedIncarnation(t *testing.T) {
+	l, f := New(), fp(1)
+	if !l.Started(f, "a", 1, start) {
+		t.Fatal("the first run did not start")
+	}
+	l.Crashed("a", 1, start)
+	if l.Started(f, "a", 1, start) {
+		t.Error("the request runs again on the incarnation that it crashed")
+	}
+	if !l.Started(f, "a", 2, start) {
+		t.Error("the request does not run on the next incarnation")
+	}
+}
+
+// Guards against a request that shares a server with a suspect before it is known
+// whether its own server crashed: a crash there leaves both under suspicion.
+func TestBrokenRunIsKeptApart(t *testing.T) {
+	l, f, g := New(), fp(1), fp(2)
+	l.Started(f, "a", 1, start)
+	l.Broken(f, "a", 1)
+	v := l.Check(f, start)
+	if !v.Run || !v.Permit || v.State != Clear {
+		t.Errorf("after a broken run: %+v", v)
+	}
+	l.Started(g, "b", 1, start)
+	l.Broken(g, "b", 1)
+	if v = l.Check(f, start); len(v.Avoid) != 1 || v.Avoid[0] != "b" {
+		t.Errorf("servers to avoid: %v, want b", v.Avoid)
+	}
+	if !l.Started(f, "c", 1, start) || l.Started(f, "d", 1, start) {
+		t.Error("want one further run until the broken one is decided")
+	}
+	l.Ended(f, "a", 1, false, start)
+	l.Ended(f, "c", 1, false, start)
+	if v = l.Check(f, start); v.Permit {
+		t.Errorf("after the run turned out not to be a crash: %+v", v)
+	}
+}
