poison: Give requests in the same two crashes their final answer

Cause: two requests that were in the same two crashes stay quarantined for an hour, since nothing can tell which of them is the cause.

Change: 3 s after the later crash, when every instance has reported what it ran there, both get crashesServers with Retry-After until the crashes expire. Permits are taken back only when the answer of their home was lost, not after a refusal.

TestAmbiguousQuarantineIsFinal is new; the field it checks did not exist before, so it was not run there.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -53,7 +53,7 @@
 }
 
 var (
-	errCondemned = Error.New("the request crashed two backend servers")
+	errCondemned = Error.New("the request was running on two backend servers when they crashed")
 	errHeld      = Error.New("the request is suspected of crashing servers and must wait")
 )
 
@@ -62,7 +62,7 @@
 func (e *Entry) pass(ctx context.Context, f poison.Fingerprint, now time.Time) (gate, error) {
 	v := e.ledger.Check(f, now)
 	switch {
-	case v.State == poison.Condemned:
+	case v.Final:
 		return gate{}, errCondemned
 	case !v.Run:
 		return gate{}, errHeld
@@ -77,13 +77,15 @@
 // obtain asks for one permit at its home.
 func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
 	home := e.homeOf(key, now)
-	if !e.askPermit(ctx, home, key, false, now) {
+	switch e.askPermit(ctx, home, key, false, now) {
+	case granted:
+		g.permits = append(g.permits, heldPermit{key, home})
+		return true
+	case silent:
 		// The answer may have been lost; a permit that nobody uses must not stay.
 		e.running.Go(func() { e.askPermit(context.WithoutCancel(e.runs), home, key, true, e.cfg.Now()) })
-		return false
 	}
-	g.permits = append(g.permits, heldPermit{key, home})
-	return true
+	return false
 }
 
 // homeOf returns the node that gives the permits of a key.
@@ -114,13 +116,16 @@
 	}
 }
 
-func (e *Entry) askPermit(ctx context.Context, home string, f poison.Fingerprint, release bool, now time.Time) bool {
+func (e *Entry) askPermit(ctx context.Context, home string, f poison.Fingerprint, release bool, now time.Time) answer {
 	self := e.cfg.Settings.Node
 	if home == self {
-		return e.permit(f, self, release, now)
+		return verdict(e.permit(f, self, release, now))
 	}
 	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Release: release}, permitTimeout)
-	return err == nil && resp.Granted
+	if err != nil {
+		return silent
+	}
+	return verdict(resp.Granted)
 }
 
 func (e *Entry) callPermit(ctx context.Context, home string, req *entrpb.PermitRequest, timeout time.Duration) (*entrpb.PermitResponse, error) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -223,13 +223,17 @@
 	return nil
 }
 
+const crashesServers = "this request was running on two backend servers when they crashed and is not run again"
+
 // checkPoison refuses a request that is known or suspected to crash servers and
 // may not run now.
 func (e *Entry) checkPoison(f poison.Fingerprint, now time.Time) *failure {
 	v := e.ledger.Check(f, now)
 	switch {
-	case v.State == poison.Condemned:
-		return unprocessable("crashesServers", "this request crashed two backend servers and is not run again")
+	case v.Final:
+		f := unprocessable("crashesServers", crashesServers)
+		f.retryAfter = v.RetryAfter
+		return f
 	case !v.Run:
 		return unavailable("suspect", "the request may have crashed backend servers").withRetryAfter(max(v.RetryAfter, time.Second))
 	}
@@ -245,7 +249,7 @@
 	}
 	switch {
 	case reason == "crashesServers":
-		return unprocessable(reason, "this request crashed two backend servers and is not run again")
+		return unprocessable(reason, crashesServers)
 	case reason == "timeLimit", errors.Is(err, context.DeadlineExceeded):
 		return &failure{
 			status: fasthttp.StatusGatewayTimeout, kind: "server_error", code: "timeLimit",
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -92,6 +92,9 @@
 	Avoid []string
 	// RetryAfter is set if Run is false but may become true.
 	RetryAfter time.Duration
+	// Final says that the request does not run before RetryAfter has passed, or
+	// never if that is zero; it must not be held until then.
+	Final bool
 }
 
 type crashKey struct {
@@ -160,9 +163,10 @@
 	}
 	switch {
 	case v.State == Condemned:
-		v.Run = false
+		v.Run, v.Final = false, true
 	case v.State == Quarantined:
-		v.Run, v.RetryAfter = false, settle
+		v.Run = false
+		v.RetryAfter, v.Final = l.quarantine(f, now)
 	case v.State == Suspect:
 		v.Permit, v.Avoid = true, l.suspectServers(f, now)
 		v.Run = n == 0
@@ -180,6 +184,28 @@
 	return v
 }
 
+// quarantine returns how long a request in two crashes stays out. It is final
+// once the other instances have had the time to report what else ran there: two
+// requests that were in the same two crashes cannot be told apart without a third.
+func (l *Ledger) quarantine(f Fingerprint, now time.Time) (time.Duration, bool) {
+	var first, last time.Time
+	for _, c := range l.crashes {
+		if !slices.Contains(c.suspects(l.clears, nil), f) {
+			continue
+		}
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
+		}
+		if c.at.After(last) {
+			last = c.at
+		}
+	}
+	if left := settle - now.Sub(last); left > 0 {
+		return left, false
+	}
+	return Expiry - now.Sub(first), true
+}
+
 func (l *Ledger) suspectServers(f Fingerprint, now time.Time) []string {
 	var out []string
 	for g, runs := range l.running {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -300,3 +300,26 @@
 		t.Errorf("after the run turned out not to be a crash: %+v", v)
 	}
 }
+
+// Guards against two requests that were in the same two crashes and are held until
+// their deadlines, as nothing can tell which of them is the cause.
+func TestAmbiguousQuarantineIsFinal(t *testing.T) {
+	l := New()
+	for i := range 2 {
+		at := start.Add(time.Duration(i) * time.Second)
+		key := crashKey{fmt.Sprint(i), 1}
+		l.addCrash(key, []Fingerprint{fp(1), fp(2)}, at)
+	}
+	if v := l.Check(fp(1), start.Add(2*time.Second)); v.Run || v.Final || v.RetryAfter != 2*time.Second {
+		t.Errorf("while others may report: %+v", v)
+	}
+	now := start.Add(time.Second + settle)
+	for _, f := range []Fingerprint{fp(1), fp(2)} {
+		if v := l.Check(f, now); v.State != Quarantined || v.Run || !v.Final || v.RetryAfter != Expiry-now.Sub(start) {
+			t.Errorf("afterwards: %+v", v)
+		}
+	}
+	if v := l.Check(fp(1), start.Add(Expiry+time.Second)); !v.Run {
+		t.Errorf("after the expiry: %+v", v)
+	}
+}
