claim: Bound the claims and hold settled ones encoded

Change: claims are encoded records in chunks, indexed by a 128-bit hash of organisation and key, in the order of their last change, which also replaces the expiry queue. The setting claimBytes bounds them: the leader writes its part of it into each command, all members count encoded bytes, and a full group refuses new claims with the time until the oldest is forgotten. Callers get 503 claimsFull with outcome not-run. A claim is never dropped before its retention ends. At twice the bound only the status of an answer is kept. Refusals are logged, recorded as the event claim.full and counted (claims_refused_total).

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -53,27 +53,40 @@
 	b.ReportMetric(float64(hist.ValueAtQuantile(99))/1000, "take-p99-ms")
 }
 
-// BenchmarkClaimBytes measures the memory and the snapshot of a finished claim
-// with an answer of 300 bytes.
+// BenchmarkClaimBytes measures the memory and the snapshot of a finished claim,
+// and the time to take and restore the snapshot.
 func BenchmarkClaimBytes(b *testing.B) {
-	const claims = 20_000
-	for range b.N {
+	for _, size := range []int{0, 300} {
+		b.Run(fmt.Sprint("answer=", size), func(b *testing.B) { measureFinished(b, size) })
+	}
+}
+
+func measureFinished(b *testing.B, size int) {
+	const claims = 100_000
+	for b.Loop() {
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		m := NewMachine(0)
 		for i := range claims {
-			key := fmt.Sprintf("call-%010d", i)
-			m.run(&clmpb.Command{Id: id(2 * i), Op: clmpb.Op_OP_TAKE, Org: "org", Key: key, Owner: "entry-1", BodyHash: 1, NowMs: 1})
+			key := fmt.Sprintf("orders/key/5e2c9a51-78d4-4c1e-9b77-%012d", i)
+			m.run(&clmpb.Command{Id: id(2 * i), Op: clmpb.Op_OP_TAKE, Org: "org", Key: key, Owner: "tay-1/1700000000000000000/1", BodyHash: 1 << 63, NowMs: 1})
 			m.run(&clmpb.Command{
 				Id: id(2*i + 1), Op: clmpb.Op_OP_FINISH, Org: "org", Key: key, Attempt: 1, NowMs: 1,
-				Answer: &clmpb.Answer{Status: 200, Body: make([]byte, 300)},
+				Answer: &clmpb.Answer{Status: 200, Body: make([]byte, size)},
 			})
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
-		s, _ := m.Snapshot()
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "heap-bytes/claim")
+		start := time.Now()
+		s, _ := m.Snapshot()
+		b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "snapshot-ms")
 		b.ReportMetric(float64(len(s))/claims, "snapshot-bytes/claim")
+		start = time.Now()
+		if err := NewMachine(0).Restore(s); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "restore-ms")
 	}
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -18,7 +18,6 @@
 
 	"cranberrypath.example/cranberrypath/internal/claim/clmpb"
 	"cranberrypath.example/cranberrypath/internal/link"
-	"cranberrypath.example/cranberrypath/internal/raft"
 )
 
 // Error is the class of this package's errors.
@@ -38,6 +37,16 @@
 	ErrTooLarge = errs.New("claim: too large")
 )
 
+// Full is the error of a claim that was refused because its group holds as many
+// bytes of claims as it may. Nothing took effect.
+type Full struct {
+	RetryAfter time.Duration // until the oldest claim is forgotten
+}
+
+func (e *Full) Error() string {
+	return "claim: the group holds as many claims as it may; the oldest is forgotten in " + e.RetryAfter.String()
+}
+
 const (
 	// MaxBodyBytes of an answer are stored. An owner whose answer is longer
 	// finishes with an empty body and Truncated.
@@ -111,58 +120,6 @@
 	Answer  Answer // if Done
 }
 
-// Server serves the claim groups of this process.
-type Server struct {
-	clock func() time.Time
-
-	mu     sync.Mutex
-	groups map[uint32]*raft.Group
-}
-
-// NewServer answers claim calls on net.
-func NewServer(net *link.Net, clock func() time.Time) *Server {
-	s := &Server{clock: clock, groups: map[uint32]*raft.Group{}}
-	net.Handle(callName, s.handle)
-	return s
-}
-
-// Serve passes commands for the raft group number n to g, whose machine must be a Machine.
-func (s *Server) Serve(n uint32, g *raft.Group) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.groups[n] = g
-}
-
-func (s *Server) handle(ctx context.Context, _ link.Peer, body []byte) (proto.Message, error) {
-	var req clmpb.Request
-	var cmd clmpb.Command
-	if err := proto.Unmarshal(body, &req); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if err := proto.Unmarshal(req.Command, &cmd); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	s.mu.Lock()
-	g := s.groups[req.Group]
-	s.mu.Unlock()
-	if g == nil {
-		return &clmpb.Response{NotLeader: true}, nil
-	}
-	if s.clock().Sub(time.UnixMilli(cmd.NowMs)).Abs() > maxSkew {
-		return &clmpb.Response{Result: &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_EXPIRED}}, nil
-	}
-	b, err := g.Propose(ctx, req.Command)
-	var nl *raft.NotLeader
-	if errors.As(err, &nl) {
-		return &clmpb.Response{NotLeader: true, Leader: nl.Leader}, nil
-	}
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	res := &clmpb.Result{}
-	return &clmpb.Response{Result: res}, Error.Wrap(proto.Unmarshal(b, res))
-}
-
 // Member is a process that holds claim groups.
 type Member struct {
 	ID      string // node name
@@ -186,7 +143,8 @@
 	return &Client{net: net, groups: groups, members: members, leaders: map[uint32]string{}}
 }
 
-// Take asks for the right to run the call once. After an error the claim may be
+// Take asks for the right to run the call once. After *Full no claim
+// was granted. After another error the claim may be
 // held under owner's name; owner then finds it Pending and can Release it, as it
 // has sent nothing. The same holds for a claim that is Pending under the caller's own
 // name without running there: a try that was delayed in the network may have been
@@ -208,6 +166,8 @@
 		s.Status = Unknown
 	case clmpb.Outcome_OUTCOME_OTHER_BODY:
 		s.Status = OtherBody
+	case clmpb.Outcome_OUTCOME_FULL:
+		return State{}, &Full{time.Duration(res.RetryMs) * time.Millisecond}
 	default:
 		return State{}, outcomeError(res.Outcome)
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -46,25 +46,51 @@
 	owner   string
 	body    uint64
 	changed int64
+	answer  *clmpb.Answer
 	seen    map[string]*clmpb.Result
+	order   []*clmpb.Seen
+}
+
+// size is what the claim counts against the bound.
+func (p *plain) size() int {
+	n := headerBytes + indexBytes + proto.Size(&clmpb.Record{
+		Phase: p.phase, Attempt: p.attempt, Owner: p.owner, BodyHash: p.body, Answer: p.answer, Seen: p.order,
+	})
+	if p.phase == clmpb.Phase_PHASE_PENDING {
+		n += pendingBytes
+	}
+	return n
+}
+
+func total(all map[string]*plain) (n int) {
+	for _, p := range all {
+		n += p.size()
+	}
+	return n
 }
 
 // Guards against a claim that is granted twice, settles an old attempt, repeats
 // the effect of a repeated command, or is forgotten at another time than in a plain
-// map that is searched in full, with snapshots in between.
+// map that is searched in full, with snapshots in between; against a bound that
+// counts something else than what is held, and one that drops a claim to make room.
 func TestMachineAgainstPlainMap(t *testing.T) {
 	const retention = 1000
+	refused := 0
 	for seed := uint64(1); seed <= 300; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		m := NewMachine(retention * time.Millisecond)
 		all := map[string]*plain{}
 		var sent []*clmpb.Command
-		now := int64(5000)
+		now, keys := int64(5000), 4+rng.IntN(30)
+		limit := uint64(rng.IntN(3) * rng.IntN(8000))
 		for n := range 150 {
 			now += rng.Int64N(60)
 			c := &clmpb.Command{
-				Id: id(n), Op: clmpb.Op(1 + rng.IntN(4)), Org: "o", Key: fmt.Sprint(rng.IntN(4)), BodyHash: uint64(rng.IntN(5) / 4),
-				Owner: fmt.Sprint(rng.IntN(3)), Attempt: uint64(rng.IntN(4)), NowMs: now - rng.Int64N(30),
+				Id: id(n), Op: clmpb.Op(1 + rng.IntN(4)), Org: "o", Key: fmt.Sprint(rng.IntN(keys)), BodyHash: uint64(rng.IntN(5) / 4),
+				Owner: fmt.Sprint(rng.IntN(3)), Attempt: uint64(rng.IntN(4)), NowMs: now - rng.Int64N(30), LimitBytes: limit,
+			}
+			if rng.IntN(2) == 0 {
+				c.Answer = &clmpb.Answer{Status: 200, Body: make([]byte, rng.IntN(3000))}
 			}
 			if p := all[c.Key]; p != nil && rng.IntN(2) == 0 {
 				c.Attempt = p.attempt
@@ -74,9 +100,13 @@
 			}
 			sent = append(sent, c)
 			got, want := run(t, m, c), step(all, c, sent, retention)
-			if got.Outcome != want.Outcome || got.Attempt != want.Attempt {
+			if got.Outcome != want.Outcome || got.Attempt != want.Attempt || got.RetryMs != want.RetryMs || !proto.Equal(got.Answer, want.Answer) {
 				t.Fatalf("seed %d command %d %v: got %v, want %v", seed, n, c, got, want)
 			}
+			if u := m.Usage(); u.Bytes != total(all) || u.Claims != len(all) {
+				t.Fatalf("seed %d command %d: %+v, want %d bytes in %d claims", seed, n, u, total(all), len(all))
+			}
+			refused += min(1, int(got.Outcome)/int(clmpb.Outcome_OUTCOME_FULL))
 			if rng.IntN(20) == 0 {
 				a, _ := m.Snapshot()
 				m = NewMachine(retention * time.Millisecond)
@@ -89,6 +119,9 @@
 			}
 		}
 	}
+	if refused < 500 {
+		t.Fatalf("%d refusals prove little", refused)
+	}
 }
 
 func step(all map[string]*plain, c *clmpb.Command, sent []*clmpb.Command, retention int64) *clmpb.Result {
@@ -118,9 +151,21 @@
 	did := func(o clmpb.Outcome) *clmpb.Result {
 		p.changed = now
 		p.seen[string(c.Id)] = res(o, p.attempt)
+		p.order = append(p.order, &clmpb.Seen{Id: c.Id, Outcome: o, Attempt: p.attempt})
 		return p.seen[string(c.Id)]
 	}
 	if c.Op == clmpb.Op_OP_TAKE {
+		if (p == nil || p.phase == clmpb.Phase_PHASE_RELEASED) && c.LimitBytes > 0 && uint64(total(all)+pendingBytes) > c.LimitBytes {
+			oldest := now
+			for _, o := range all {
+				oldest = min(oldest, o.changed)
+			}
+			full := res(clmpb.Outcome_OUTCOME_FULL, 0)
+			if len(all) > 0 {
+				full.RetryMs = oldest + retention - now
+			}
+			return full
+		}
 		if p == nil {
 			p = &plain{phase: clmpb.Phase_PHASE_RELEASED, seen: map[string]*clmpb.Result{}}
 			all[c.Key] = p
@@ -133,7 +178,9 @@
 		case p.body != c.BodyHash:
 			return res(clmpb.Outcome_OUTCOME_OTHER_BODY, 0)
 		case p.phase == clmpb.Phase_PHASE_DONE:
-			return res(clmpb.Outcome_OUTCOME_DONE, p.attempt)
+			done := res(clmpb.Outcome_OUTCOME_DONE, p.attempt)
+			done.Answer = p.answer
+			return done
 		case p.phase == clmpb.Phase_PHASE_UNKNOWN:
 			return res(clmpb.Outcome_OUTCOME_UNKNOWN, p.attempt)
 		}
@@ -143,6 +190,16 @@
 	if settled || p.attempt != c.Attempt {
 		return res(clmpb.Outcome_OUTCOME_STALE, 0)
 	}
+	if c.Op == clmpb.Op_OP_FINISH {
+		p.answer = &clmpb.Answer{}
+		switch {
+		case c.Answer == nil:
+		case c.LimitBytes > 0 && uint64(total(all)+proto.Size(c.Answer)) > 2*c.LimitBytes:
+			p.answer = &clmpb.Answer{Status: c.Answer.Status, Truncated: true}
+		default:
+			p.answer = c.Answer
+		}
+	}
 	p.phase = map[clmpb.Op]clmpb.Phase{
 		clmpb.Op_OP_FINISH: clmpb.Phase_PHASE_DONE, clmpb.Op_OP_RELEASE: clmpb.Phase_PHASE_RELEASED,
 		clmpb.Op_OP_LOST: clmpb.Phase_PHASE_UNKNOWN,
@@ -161,6 +218,11 @@
 
 // newSite starts three processes; open returns the disk of one of them.
 func newSite(t testing.TB, groups int, election time.Duration, open func(i uint64) disk.FS) *site {
+	return newBoundedSite(t, groups, election, open, 0)
+}
+
+// newBoundedSite also bounds the bytes of claims in each group.
+func newBoundedSite(t testing.TB, groups int, election time.Duration, open func(i uint64) disk.FS, limit int) *site {
 	t.Helper()
 	s := &site{faults: faults.New()}
 	ids := []string{"a", "b", "c"}
@@ -177,12 +239,13 @@
 	}
 	for i, n := range ids {
 		links := raft.NewLinks(s.nets[i], func(id string) string { return addr[id] })
-		srv := NewServer(s.nets[i], time.Now)
+		srv := NewServer(ServerConfig{Net: s.nets[i], Clock: time.Now, LimitBytes: limit})
 		all := map[uint32]*raft.Group{}
 		dir, fs := t.TempDir(), open(uint64(i))
 		for k := uint32(1); k <= uint32(groups); k++ {
+			m := NewMachine(0)
 			g, err := raft.Open(raft.Config{
-				Group: k, ID: n, Members: ids, FS: fs, Dir: fmt.Sprint(dir, "/", k), Machine: NewMachine(0), Transport: links,
+				Group: k, ID: n, Members: ids, FS: fs, Dir: fmt.Sprint(dir, "/", k), Machine: m, Transport: links,
 				Seed: uint64(i), Heartbeat: election / 8, Election: election, SnapshotBytes: 256 << 10,
 			})
 			if err != nil {
@@ -190,7 +253,7 @@
 			}
 			t.Cleanup(func() { _ = g.Close() })
 			links.Serve(g)
-			srv.Serve(k, g)
+			srv.Serve(k, g, m)
 			all[k] = g
 		}
 		s.groups = append(s.groups, all)
@@ -239,6 +302,7 @@
 type outcome struct {
 	unknown bool
 	stale   bool
+	refused bool // by a full group
 	state   claimState
 }
 
@@ -257,6 +321,9 @@
 	Init: func() any { return claimState{} },
 	Step: func(state, in, out any) (bool, any) {
 		s, i, o := state.(claimState), in.(op), out.(outcome)
+		if o.refused {
+			return i.kind == clmpb.Op_OP_TAKE && s.status == 0, s
+		}
 		if i.kind == clmpb.Op_OP_TAKE {
 			if s.status != 0 {
 				return o.unknown || o.state == s, s
@@ -283,9 +350,27 @@
 // a repeated command with a second effect, through leaders that are cut off and
 // links that are reset, on real sockets.
 func TestClaimsAreLinearizable(t *testing.T) {
+	granted, _ := checkHistory(t, 0)
+	if granted < 50 {
+		t.Fatalf("%d grants prove little", granted)
+	}
+}
+
+// Guards against a refusal by a full group that took effect all the same, so that
+// the call it calls "not run" could run, and against a claim dropped to make room.
+func TestFullGroupsAreLinearizable(t *testing.T) {
+	granted, refused := checkHistory(t, 8<<10)
+	if granted < 10 || refused < 50 {
+		t.Fatalf("%d grants and %d refusals prove little", granted, refused)
+	}
+}
+
+// checkHistory checks a history of three groups that hold limit bytes each, and
+// returns how many claims were granted and refused.
+func checkHistory(t *testing.T, limit int) (granted, refused int) {
 	const groups = 3
 	t.Log("seed 41")
-	s := newSite(t, groups, 150*time.Millisecond, fakeDisk)
+	s := newBoundedSite(t, groups, 150*time.Millisecond, fakeDisk, limit)
 	var mu sync.Mutex
 	var ops []porcupine.Operation
 	start := time.Now()
@@ -293,8 +378,11 @@
 		call := time.Since(start)
 		o, err := f()
 		end := time.Since(start)
+		var full *Full
 		if errors.Is(err, ErrStale) {
 			o.stale = true
+		} else if errors.As(err, &full) {
+			o = outcome{refused: true}
 		} else if err != nil {
 			o, end = outcome{unknown: true}, time.Hour
 		}
@@ -331,8 +419,11 @@
 	}
 	close(done)
 	wg.Wait()
-	granted, unknown := 0, 0
+	unknown := 0
 	for _, o := range ops {
+		if o.Output.(outcome).refused {
+			refused++
+		}
 		if o.Output.(outcome).state.status == Granted {
 			granted++
 		}
@@ -340,13 +431,11 @@
 			unknown++
 		}
 	}
-	t.Logf("%d operations, %d grants, %d of unknown outcome", len(ops), granted, unknown)
-	if granted < 50 {
-		t.Fatalf("%d grants prove little", granted)
-	}
+	t.Logf("%d operations, %d grants, %d refused, %d of unknown outcome", len(ops), granted, refused, unknown)
 	if res := porcupine.CheckOperationsTimeout(model, ops, 15*time.Second); res != porcupine.Ok {
 		t.Fatalf("the history is %v", res)
 	}
+	return granted, refused
 }
 
 func claimants(s *site, n int, done <-chan struct{}, record func(int, op, func() (outcome, error)) outcome) {
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"cmp"
-	"container/heap"
 	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"cranberrypath.example/cranberrypath/internal/claim/clmpb"
@@ -23,28 +23,25 @@
 	maxSeen = 64
 	// maxNameBytes bounds organisation, key and owner.
 	maxNameBytes = 1024
+	// indexBytes is what the index and replaced entries cost beside a claim's entry.
+	indexBytes = 72
+	// pendingBytes are counted for a pending claim until its answer is known.
+	pendingBytes = 1 << 10
 	// idBytes is the length of a command id.
 	idBytes = 16
 )
 
-type entryKey struct{ org, key string }
-
-// record is one claim.
-type record struct {
-	*clmpb.Record
-	at int // position in the queue
-}
-
 // Machine holds the claims of one group. It implements raft.Machine. Its clock is
 // the latest time that any command has carried, so that all members forget a
-// claim at the same command.
+// claim at the same command. Nor does it decide by its own memory: the bound comes
+// with the command, and what counts against it is the same on all members.
 type Machine struct {
 	retention int64 // in milliseconds
 
-	mu    sync.Mutex
-	now   int64
-	all   map[entryKey]*record
-	queue queue // oldest change first
+	mu      sync.Mutex
+	now     int64
+	all     *entries
+	pending int // number of pending claims
 }
 
 // NewMachine returns a machine without claims. The retention must be the same
@@ -53,14 +50,27 @@
 	if retention == 0 {
 		retention = DefaultRetention
 	}
-	return &Machine{retention: retention.Milliseconds(), all: map[entryKey]*record{}}
+	return &Machine{retention: retention.Milliseconds(), all: newEntries(0)}
 }
 
-// Len returns the number of claims held.
-func (m *Machine) Len() int {
+// Usage is what a machine holds.
+type Usage struct {
+	Claims, Pending int
+	Bytes           int // as counted against the bound
+}
+
+// Usage returns what the machine holds.
+func (m *Machine) Usage() Usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.all)
+	return Usage{Claims: len(m.all.index), Pending: m.pending, Bytes: m.bytes()}
+}
+
+// Len returns the number of claims held.
+func (m *Machine) Len() int { return m.Usage().Claims }
+
+func (m *Machine) bytes() int {
+	return m.all.live + len(m.all.index)*indexBytes + m.pending*pendingBytes
 }
 
 // Apply implements raft.Machine.
@@ -95,7 +105,7 @@
 		// What this command may have done earlier is forgotten.
 		return &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_EXPIRED}
 	}
-	r := m.all[entryKey{c.Org, c.Key}]
+	r := m.get(digestOf(c.Org, c.Key))
 	if r != nil {
 		for _, s := range r.Seen {
 			if bytes.Equal(s.Id, c.Id) {
@@ -113,14 +123,11 @@
 }
 
 // take grants the claim if nobody holds it. A claim whose outcome is unknown is
-// never granted again.
-func (m *Machine) take(r *record, c *clmpb.Command) *clmpb.Result {
+// never granted again. A group that holds as much as it may grants none, since to
+// make room it would have to forget a call that could then run twice.
+func (m *Machine) take(r *clmpb.Record, c *clmpb.Command) *clmpb.Result {
 	switch {
-	case r == nil:
-		r = &record{Record: &clmpb.Record{Org: c.Org, Key: c.Key}}
-		m.all[entryKey{c.Org, c.Key}] = r
-		heap.Push(&m.queue, r)
-	case r.Phase == clmpb.Phase_PHASE_RELEASED:
+	case r == nil, r.Phase == clmpb.Phase_PHASE_RELEASED:
 	case r.BodyHash != c.BodyHash:
 		return &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_OTHER_BODY}
 	case r.Phase == clmpb.Phase_PHASE_PENDING:
@@ -130,17 +137,32 @@
 	default:
 		return &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_UNKNOWN, Attempt: r.Attempt, Owner: r.Owner}
 	}
-	if len(r.Seen) >= maxSeen {
+	if len(r.GetSeen()) >= maxSeen {
 		return &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_STALE}
 	}
+	if c.LimitBytes > 0 && uint64(m.bytes()+pendingBytes) > c.LimitBytes {
+		return &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_FULL, RetryMs: m.roomIn()}
+	}
+	if r == nil {
+		r = &clmpb.Record{}
+	}
 	r.Phase, r.Owner, r.BodyHash = clmpb.Phase_PHASE_PENDING, c.Owner, c.BodyHash
 	r.Attempt++
 	return m.note(r, c, clmpb.Outcome_OUTCOME_GRANTED)
 }
 
+// roomIn returns the milliseconds until the oldest claim is forgotten.
+func (m *Machine) roomIn() int64 {
+	e, ok := m.all.oldest()
+	if !ok {
+		return 0
+	}
+	return max(e.changed+m.retention-m.now, 0)
+}
+
 // settle ends an attempt. An owner that was reported lost may still tell what
 // became of its attempt: it alone knows.
-func (m *Machine) settle(r *record, c *clmpb.Command) *clmpb.Result {
+func (m *Machine) settle(r *clmpb.Record, c *clmpb.Command) *clmpb.Result {
 	stale := &clmpb.Result{Outcome: clmpb.Outcome_OUTCOME_STALE}
 	if r == nil || r.Attempt != c.Attempt {
 		return stale
@@ -148,10 +170,7 @@
 	open := r.Phase == clmpb.Phase_PHASE_PENDING || r.Phase == clmpb.Phase_PHASE_UNKNOWN
 	switch {
 	case c.Op == clmpb.Op_OP_FINISH && open:
-		r.Phase, r.Answer = clmpb.Phase_PHASE_DONE, c.Answer
-		if r.Answer == nil {
-			r.Answer = &clmpb.Answer{}
-		}
+		r.Phase, r.Answer = clmpb.Phase_PHASE_DONE, m.kept(c)
 	case c.Op == clmpb.Op_OP_RELEASE && open:
 		r.Phase = clmpb.Phase_PHASE_RELEASED
 	case c.Op == clmpb.Op_OP_LOST && open:
@@ -162,42 +181,104 @@
 	return m.note(r, c, clmpb.Outcome_OUTCOME_OK)
 }
 
+// kept returns what is kept of an answer. Calls that run when the bound is
+// reached still have to be finished; at twice the bound only their status is kept,
+// so that the snapshot stays below the limit of the replicated log.
+func (m *Machine) kept(c *clmpb.Command) *clmpb.Answer {
+	switch {
+	case c.Answer == nil:
+		return &clmpb.Answer{}
+	case c.LimitBytes > 0 && uint64(m.bytes()+proto.Size(c.Answer)) > 2*c.LimitBytes:
+		return &clmpb.Answer{Status: c.Answer.Status, Truncated: true}
+	}
+	return c.Answer
+}
+
 // note remembers a command that took effect.
-func (m *Machine) note(r *record, c *clmpb.Command, o clmpb.Outcome) *clmpb.Result {
-	r.ChangedMs = m.now
-	heap.Fix(&m.queue, r.at)
+func (m *Machine) note(r *clmpb.Record, c *clmpb.Command, o clmpb.Outcome) *clmpb.Result {
 	r.Seen = append(r.Seen, &clmpb.Seen{Id: c.Id, Outcome: o, Attempt: r.Attempt})
+	m.put(digestOf(c.Org, c.Key), r, m.now)
 	return &clmpb.Result{Outcome: o, Attempt: r.Attempt, Owner: r.Owner}
 }
 
+// get returns the claim, or nil if there is none.
+func (m *Machine) get(d digest) *clmpb.Record {
+	e, ok := m.all.get(d)
+	if !ok {
+		return nil
+	}
+	return decode(e)
+}
+
+// decode returns the claim in e. What the machine has encoded can be decoded.
+func decode(e entry) *clmpb.Record {
+	r := &clmpb.Record{}
+	_ = proto.Unmarshal(e.content, r)
+	return r
+}
+
+func (m *Machine) put(d digest, r *clmpb.Record, changed int64) {
+	m.drop(d)
+	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	e := entry{digest: d, changed: changed, pending: r.Phase == clmpb.Phase_PHASE_PENDING, content: b}
+	if e.pending {
+		m.pending++
+	}
+	m.all.put(e)
+}
+
+func (m *Machine) drop(d digest) {
+	if e, ok := m.all.get(d); ok && e.pending {
+		m.pending--
+	}
+	m.all.remove(d)
+}
+
 // expire forgets claims whose last change is older than the retention. One that
 // is still pending becomes unknown first and is kept for another retention.
 func (m *Machine) expire() {
-	for len(m.queue) > 0 && m.queue[0].ChangedMs <= m.now-m.retention {
-		r := m.queue[0]
-		if r.Phase == clmpb.Phase_PHASE_PENDING {
-			r.Phase, r.ChangedMs = clmpb.Phase_PHASE_UNKNOWN, m.now
-			heap.Fix(&m.queue, r.at)
+	for {
+		e, ok := m.all.oldest()
+		if !ok || e.changed > m.now-m.retention {
+			return
+		}
+		if !e.pending {
+			m.drop(e.digest)
 			continue
 		}
-		heap.Pop(&m.queue)
-		delete(m.all, entryKey{r.Org, r.Key})
+		r := decode(e)
+		r.Phase = clmpb.Phase_PHASE_UNKNOWN
+		m.put(e.digest, r, m.now)
 	}
 }
 
+// Fields of clmpb.State and clmpb.Record, which Snapshot writes without decoding
+// the claims.
+const (
+	fieldNow     = protowire.Number(1)
+	fieldRecords = protowire.Number(2)
+	fieldChanged = protowire.Number(8)
+	fieldDigest  = protowire.Number(10)
+)
+
 // Snapshot implements raft.Machine. Equal machines give equal bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := &clmpb.State{NowMs: m.now}
-	for _, r := range m.all {
-		s.Records = append(s.Records, r.Record)
-	}
-	slices.SortFunc(s.Records, func(a, b *clmpb.Record) int {
-		return cmp.Or(cmp.Compare(a.Org, b.Org), cmp.Compare(a.Key, b.Key))
+	b := make([]byte, 0, m.all.live+len(m.all.index)*headerBytes)
+	b = protowire.AppendTag(b, fieldNow, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(m.now))
+	var rest []byte
+	m.all.each(func(e entry) {
+		rest = protowire.AppendTag(rest[:0], fieldChanged, protowire.VarintType)
+		rest = protowire.AppendVarint(rest, uint64(e.changed))
+		rest = protowire.AppendTag(rest, fieldDigest, protowire.BytesType)
+		rest = protowire.AppendBytes(rest, e.digest[:])
+		b = protowire.AppendTag(b, fieldRecords, protowire.BytesType)
+		b = protowire.AppendVarint(b, uint64(len(e.content)+len(rest)))
+		b = append(append(b, e.content...), rest...)
 	})
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
-	return b, Error.Wrap(err)
+	return b, nil
 }
 
 // Restore implements raft.Machine.
@@ -206,44 +287,17 @@
 	if err := proto.Unmarshal(b, &s); err != nil {
 		return Error.Wrap(err)
 	}
+	slices.SortStableFunc(s.Records, func(a, b *clmpb.Record) int { return cmp.Compare(a.ChangedMs, b.ChangedMs) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.now, m.all, m.queue = s.NowMs, make(map[entryKey]*record, len(s.Records)), nil
-	for _, p := range s.Records {
-		r := &record{Record: p}
-		m.all[entryKey{p.Org, p.Key}] = r
-		heap.Push(&m.queue, r)
+	m.now, m.all, m.pending = s.NowMs, newEntries(len(s.Records)), 0
+	for _, r := range s.Records {
+		d, changed := digestOf(r.Org, r.Key), r.ChangedMs
+		if len(r.Digest) == digestBytes {
+			d = digest(r.Digest)
+		}
+		r.Org, r.Key, r.Digest, r.ChangedMs = "", "", nil, 0
+		m.put(d, r, changed)
 	}
 	return nil
 }
-
-// queue orders claims by their last change; it implements heap.Interface.
-type queue []*record
-
-func (q queue) Len() int { return len(q) }
-
-func (q queue) Less(i, j int) bool {
-	a, b := q[i], q[j]
-	return cmp.Or(cmp.Compare(a.ChangedMs, b.ChangedMs), cmp.Compare(a.Org, b.Org), cmp.Compare(a.Key, b.Key)) < 0
-}
-
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].at, q[j].at = i, j
-}
-
-// Push implements heap.Interface.
-func (q *queue) Push(x any) {
-	r := x.(*record)
-	r.at = len(*q)
-	*q = append(*q, r)
-}
-
-// Pop implements heap.Interface.
-func (q *queue) Pop() any {
-	old := *q
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	return r
-}
--- a/internal/claim/slope_test.go
+++ b/internal/claim/slope_test.go
@@ -82,10 +82,27 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkIdle measures what the heartbeats of one group of three cost while
-// nothing is proposed, at the heartbeat of 100 ms that deployments use.
+// BenchmarkIdle measures what the heartbeats between three processes cost while
+// nothing is proposed, at the heartbeat of 100 ms that deployments use: with all
+// groups led by one process, and with leaders spread over the three.
 func BenchmarkIdle(b *testing.B) {
-	s := newSite(b, 1, 800*time.Millisecond, func(uint64) disk.FS { return disk.Real{} })
+	for _, groups := range []int{1, 3, 6} {
+		b.Run(fmt.Sprint("groups=", groups), func(b *testing.B) { measureIdle(b, groups, false) })
+	}
+	for _, groups := range []int{3, 6} {
+		b.Run(fmt.Sprint("spread/groups=", groups), func(b *testing.B) { measureIdle(b, groups, true) })
+	}
+}
+
+func measureIdle(b *testing.B, groups int, spread bool) {
+	s := newSite(b, groups, 800*time.Millisecond, fakeDisk)
+	for k := uint32(1); k <= uint32(groups); k++ {
+		lead := 0
+		if spread {
+			lead = int(k) % 3
+		}
+		s.moveLeader(b, k, lead)
+	}
 	sum := func() (n uint64) {
 		for _, l := range s.nets {
 			n += l.Traffic().BytesSent + l.Traffic().BytesReceived
@@ -97,6 +114,21 @@
 		time.Sleep(time.Second)
 		seconds++
 	}
-	b.ReportMetric(float64(sum()-before)/seconds, "groupBytes/s")
-	b.ReportMetric(float64((processor()-began).Microseconds())/seconds, "groupCpuMicros/s")
+	b.ReportMetric(float64(sum()-before)/seconds, "bytes/s")
+	b.ReportMetric(float64((processor()-began).Microseconds())/seconds, "cpuMicros/s")
+}
+
+// moveLeader passes the leadership of a group to the process at position lead.
+func (s *site) moveLeader(b *testing.B, group uint32, lead int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		if _, ok := s.groups[lead][group].Lease(time.Now()); ok {
+			return
+		}
+		for _, all := range s.groups {
+			_ = all[group].Transfer(ctx, s.members[lead].ID)
+		}
+	}
+	b.Fatalf("group %d has no leader at %s", group, s.members[lead].ID)
 }
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -39,6 +39,9 @@
 	// ClaimHours is how long the key of a call that is not idempotent is
 	// remembered after its last change. It must be the same in every process.
 	ClaimHours int `json:"claimHours"`
+	// ClaimBytes bounds the memory of the claims of all groups together. A group
+	// that has reached its part refuses new calls that are not idempotent.
+	ClaimBytes int `json:"claimBytes"`
 
 	DataFolder string `json:"dataFolder"` // control role only
 	EventFile  string `json:"eventFile"`  // JSON lines of the time line; empty keeps them in memory
@@ -126,6 +129,7 @@
 		LogLevel:    "info",
 		ClaimGroups: 2,
 		ClaimHours:  48,
+		ClaimBytes:  32 << 20,
 		Limits: Limits{
 			HeaderBytes: 16 << 10, BodyBytes: 8 << 20, IdleSeconds: 60, ReadSeconds: 30,
 			Connections: 10_000, RequestSeconds: 3600, KeepSeconds: 120,
@@ -256,6 +260,11 @@
 	return err == nil && n >= 0 && n <= 65535
 }
 
+// maxGroupBytes of claims may be held by one group. Answers of calls that run
+// when it is reached come on top, up to as much again, and the replicated log
+// takes snapshots of 256 MB at most.
+const maxGroupBytes = 96 << 20
+
 func (s Settings) checkRanges(problem problemFunc) {
 	ranges := []struct {
 		key        string
@@ -264,6 +273,7 @@
 	}{
 		{"claimGroups", s.ClaimGroups, 1, 64},
 		{"claimHours", s.ClaimHours, 1, 30 * 24},
+		{"claimBytes", s.ClaimBytes, 1 << 20, max(1, s.ClaimGroups) * maxGroupBytes},
 		{"limits.headerBytes", s.Limits.HeaderBytes, 1 << 10, 1 << 20},
 		{"limits.bodyBytes", s.Limits.BodyBytes, 1 << 10, 64 << 20},
 		{"limits.idleSeconds", s.Limits.IdleSeconds, 1, 3600},
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -40,6 +40,7 @@
 		{"bad address", `"127.0.0.1:8101"`, `"localhost:8101"`, `s.json:6: listen.callers: is "localhost:8101"; want an IP address`},
 		{"bad port", `"127.0.0.1:8101"`, `"127.0.0.1:81010"`, "listen.callers"},
 		{"missing", `"dataFolder": "data",`, ``, "dataFolder: is missing"},
+		{"claims beyond a snapshot", `"dataFolder"`, `"claimGroups": 1, "claimBytes": 104857600, "dataFolder"`, "s.json:9: claimBytes: is 104857600; want 1048576 to 100663296"},
 		{"out of range", `"dataFolder"`, `"backends": {"leaseMillis": 5000}, "dataFolder"`, "s.json:9: backends.leaseMillis: is 5000; want 200 to 3000"},
 		{"half of tls", `"dataFolder"`, `"tls": {"key": "k.pem"}, "dataFolder"`, "s.json:9: tls: names only some of its files; want"},
 		{"syntax", `"roles": [`, `"roles": (`, "s.json:5"},
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -82,8 +83,13 @@
 	defer cancel()
 	hash := bodyHash(p.call)
 	state, err := e.cfg.Claims.Take(ctx, key, hash, owner, p.now)
-	if err == nil {
+	var full *claim.Full
+	switch {
+	case err == nil:
 		return state, nil
+	case errors.As(err, &full):
+		f := unavailable("claimsFull", "the call was not run: no more keys of calls can be kept at present")
+		return claim.State{}, f.withRetryAfter(max(full.RetryAfter, time.Second))
 	}
 	// The claim may have been recorded, but the call itself was not sent.
 	e.settle(func(ctx context.Context) error { return e.unclaim(ctx, key, hash, owner) })
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -38,11 +38,17 @@
 	c := &control{n: n, store: store.New()}
 	s := n.cfg.Settings
 	links := raft.NewLinks(n.net, n.controlAddress)
-	claims := claim.NewServer(n.net, n.cfg.Now)
+	claims := claim.NewServer(claim.ServerConfig{
+		Net: n.net, Clock: n.cfg.Now, LimitBytes: s.ClaimBytes / s.ClaimGroups, Full: n.claimsFull,
+	})
+	if err := claims.Observe(n.meters); err != nil {
+		return nil, Error.Wrap(err)
+	}
 	for i := range s.ClaimGroups + 1 {
 		var m raft.Machine = c.store
+		held := claim.NewMachine(time.Duration(s.ClaimHours) * time.Hour)
 		if i > 0 {
-			m = claim.NewMachine(time.Duration(s.ClaimHours) * time.Hour)
+			m = held
 		}
 		g, err := n.openGroup(uint32(i), m, links)
 		if err != nil {
@@ -52,7 +58,7 @@
 		c.groups = append(c.groups, g)
 		links.Serve(g)
 		if i > 0 {
-			claims.Serve(uint32(i), g)
+			claims.Serve(uint32(i), g, held)
 		}
 	}
 	n.net.Handle(changeCall, c.handleChange)
@@ -88,6 +94,13 @@
 	return c, nil
 }
 
+// claimsFull reports that a claim group refuses new calls.
+func (n *Node) claimsFull(group uint32, u claim.Usage) {
+	n.event(event.Of("claim.full").With("group", strconv.Itoa(int(group))).With("bytes", strconv.Itoa(u.Bytes)))
+	n.log.WithField("group", group).WithField("bytes", u.Bytes).WithField("claims", u.Claims).
+		Error("claim group is full; new calls that are not idempotent are refused")
+}
+
 // leaderLease is the longest time that a deposed leader may believe that it
 // leads; it covers the lease of the replicated log and 1% of clock drift.
 const leaderLease = time.Second
