raft: Join the heartbeats of all groups between two members

Cause: each group sent its own heartbeat every 100 ms, and its goroutines woke 10 to 50 times a second without work. Change: all groups of a process beat at the same moments, and the links carry the beats to one process in one short message. It is answered by position, because it can hold beats of two terms of one group. A member that is busy, perhaps with a sync under its lock, is left out of the answer and asked alone, so that it delays no other group's lease. The tick sleeps until a limit can pass; the replication of a peer sleeps until it has work. Opposite directions are not joined: a confirmation would come up to 100 ms later and use up the slack of the lease.

--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -11,7 +11,7 @@
 	"cranberrypath.example/cranberrypath/internal/raft/raftpb"
 )
 
-// ticksPerHeartbeat is how often the time limits are checked.
+// ticksPerHeartbeat is how often the time limits are checked at most.
 const ticksPerHeartbeat = 5
 
 // voteTimeout bounds a vote, which a voter syncs before it answers. A sync takes
@@ -20,7 +20,7 @@
 
 // tick checks the time limits.
 func (g *Group) tick() {
-	t := time.NewTicker(g.cfg.Heartbeat / ticksPerHeartbeat)
+	t := time.NewTimer(g.cfg.Heartbeat / ticksPerHeartbeat)
 	defer t.Stop()
 	for {
 		select {
@@ -28,6 +28,7 @@
 			return
 		case term := <-g.summons:
 			g.takeOver(term)
+			t.Reset(g.untilCheck())
 			continue
 		case <-t.C:
 		}
@@ -47,9 +48,24 @@
 		if stand {
 			g.campaign(now)
 		}
+		t.Reset(g.untilCheck())
 	}
 }
 
+// untilCheck returns how long no time limit can pass. An election that is put
+// off meanwhile is never due earlier than one election timeout from now, so an idle
+// follower wakes about once in that time.
+func (g *Group) untilCheck() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now, least := g.cfg.Clock(), g.cfg.Heartbeat/ticksPerHeartbeat
+	if g.role != Leader {
+		return max(least, min(g.electAt.Sub(now), g.cfg.Election))
+	}
+	silent := g.leaseUntil(now).Add(g.cfg.Election)
+	return max(least, min(silent.Sub(now), g.cfg.Heartbeat))
+}
+
 func (g *Group) mayStand() bool {
 	if g.forming() {
 		// Every member must grant the first election, so two candidates would
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -23,11 +23,7 @@
 // has stopped.
 func (g *Group) Handle(ctx context.Context, req *raftpb.Message) *raftpb.Message {
 	g.mu.Lock()
-	resp := g.newMessage(req.Kind)
-	resp.Leader, resp.Leaving = g.leader, g.leaving
-	stopped := g.err != nil
-	resp.Stranger = req.ToIncarnation != 0 && req.ToIncarnation != resp.FromIncarnation
-	g.stranger = g.stranger || resp.Stranger
+	resp, stopped := g.newResponse(req), g.err != nil
 	g.mu.Unlock()
 	if stopped {
 		return nil
@@ -58,6 +54,16 @@
 	return resp
 }
 
+// newResponse returns the response to req with the fields that all have. The
+// caller holds mu.
+func (g *Group) newResponse(req *raftpb.Message) *raftpb.Message {
+	resp := g.newMessage(req.Kind)
+	resp.Leader, resp.Leaving = g.leader, g.leaving
+	resp.Stranger = req.ToIncarnation != 0 && req.ToIncarnation != resp.FromIncarnation
+	g.stranger = g.stranger || resp.Stranger
+	return resp
+}
+
 // accept checks that a request comes from the leader of the current term, and
 // follows it. The caller holds io and mu.
 func (g *Group) accept(req, resp *raftpb.Message) bool {
@@ -83,6 +89,11 @@
 func (g *Group) handleHeartbeat(req, resp *raftpb.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.confirmLeader(req, resp)
+}
+
+// confirmLeader is handleHeartbeat for a caller that holds mu.
+func (g *Group) confirmLeader(req, resp *raftpb.Message) {
 	resp.Term = g.state.Term
 	if g.err != nil || req.Term != g.state.Term || g.role != Follower || g.leader != req.From || req.ToIncarnation == 0 {
 		return
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -179,8 +179,8 @@
 // ends. One request is under way at a time; entries that arrive meanwhile go
 // into the next.
 func (g *Group) replicate(ctx context.Context, p *peer) {
-	heartbeat := time.NewTicker(g.cfg.Heartbeat)
-	defer heartbeat.Stop()
+	retry := time.NewTimer(g.cfg.Heartbeat)
+	defer retry.Stop()
 	for ctx.Err() == nil {
 		more, err := g.replicateOnce(ctx, p)
 		if more && err == nil {
@@ -190,18 +190,36 @@
 		if err != nil {
 			wake = nil // an unreachable member is tried once a heartbeat
 		}
+		// Without work the goroutine sleeps until it is woken.
+		retry.Stop()
+		if err != nil || g.owes(p) {
+			retry.Reset(g.cfg.Heartbeat)
+		}
 		select {
 		case <-ctx.Done():
 		case <-wake:
-		case <-heartbeat.C:
+		case <-retry.C:
 		}
 	}
 }
 
+// owes reports whether the member lacks something that it has to be sent.
+func (g *Group) owes(p *peer) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.behind(p)
+}
+
+// behind is owes for a caller that holds mu.
+func (g *Group) behind(p *peer) bool {
+	return p.next <= g.last() || p.known != g.commit || p.unsure
+}
+
 // beat confirms the lease with one member. It is apart from replicate, whose
 // requests wait for the member's disk.
 func (g *Group) beat(ctx context.Context, p *peer) {
-	heartbeat := time.NewTicker(g.cfg.Heartbeat)
+	done := beats(g.cfg.Heartbeat)
+	heartbeat := time.NewTimer(untilBeat(g.cfg.Heartbeat, done))
 	defer heartbeat.Stop()
 	for {
 		select {
@@ -209,6 +227,7 @@
 			return
 		case <-heartbeat.C:
 		}
+		done = beats(g.cfg.Heartbeat)
 		req := g.message(raftpb.Kind_KIND_HEARTBEAT)
 		req.ToIncarnation = p.incarnation
 		if ctx.Err() != nil {
@@ -224,13 +243,14 @@
 		if err != nil {
 			poke(p.wake)
 		}
+		heartbeat.Reset(untilBeat(g.cfg.Heartbeat, done))
 	}
 }
 
 // replicateOnce sends one request and reports whether there is more to send.
 func (g *Group) replicateOnce(ctx context.Context, p *peer) (bool, error) {
 	g.mu.Lock()
-	if ctx.Err() != nil || p.next > g.last() && p.known == g.commit && !p.unsure {
+	if ctx.Err() != nil || !g.behind(p) {
 		g.mu.Unlock()
 		return false, nil
 	}
--- a/internal/raft/trans.go
+++ b/internal/raft/trans.go
@@ -19,15 +19,17 @@
 	net     *link.Net
 	address func(id string) string
 
-	mu     sync.Mutex
-	groups map[uint32]*Group
+	mu      sync.Mutex
+	groups  map[uint32]*Group
+	joining map[string]*joined // heartbeats about to be sent, by receiver
 }
 
 // NewLinks serves the groups of this process on net. The function address
 // returns the peer address of a node, or "" if it is not known.
 func NewLinks(net *link.Net, address func(id string) string) *Links {
-	l := &Links{net: net, address: address, groups: map[uint32]*Group{}}
+	l := &Links{net: net, address: address, groups: map[uint32]*Group{}, joining: map[string]*joined{}}
 	net.Handle(callName, l.handle)
+	net.Handle(beatsName, l.handleBeats)
 	return l
 }
 
@@ -59,15 +61,27 @@
 	return resp, nil
 }
 
-// Call implements Transport.
+// Call implements Transport. The heartbeats of all groups to one process share
+// a message.
 func (l *Links) Call(ctx context.Context, to string, req *raftpb.Message) (*raftpb.Message, error) {
-	addr := l.address(to)
-	if addr == "" {
-		return nil, Error.New("the address of %q is not known", to)
+	if req.Kind == raftpb.Kind_KIND_HEARTBEAT {
+		return l.beat(ctx, to, req)
 	}
+	return l.call(ctx, to, req)
+}
+
+func (l *Links) call(ctx context.Context, to string, req *raftpb.Message) (*raftpb.Message, error) {
 	resp := &raftpb.Message{}
-	if err := l.net.Call(ctx, addr, callName, req, resp); err != nil {
-		return nil, Error.Wrap(err)
+	if err := l.do(ctx, to, callName, req, resp); err != nil {
+		return nil, err
 	}
 	return resp, nil
 }
+
+func (l *Links) do(ctx context.Context, to, name string, req, resp proto.Message) error {
+	addr := l.address(to)
+	if addr == "" {
+		return Error.New("the address of %q is not known", to)
+	}
+	return Error.Wrap(l.net.Call(ctx, addr, name, req, resp))
+}
