bench: Show how evenly the engines are used

The report showed late first tokens but not where the requests waited. It now has, for each engine, attempts by class, prefilled tokens, requests at once (mean and most) and the time with a queue in the JSON report, and their least and greatest values in the table.

--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -128,6 +128,7 @@
 	FailedAttempts  int            `json:"failedAttempts"`
 	Broken          map[string]int `json:"brokenPromises"`
 	Details         []string       `json:"brokenDetails,omitempty"`
+	Engines         []EngineUse    `json:"engines"`
 
 	first []float64 // first tokens of model requests in milliseconds, for the plot
 }
@@ -168,6 +169,7 @@
 		r.CostPerThousand = r.Cost / float64(r.Met) * 1000
 	}
 	p.readEngines(r)
+	r.Engines = usesOf(p.engines, p.began, p.in.load)
 	p.readEvents(r)
 	p.checkOrders(r)
 	p.checkLeaving(r)
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -78,6 +78,7 @@
 		row{"prefilled/prompt tokens", func(r *Result) string { return fmt.Sprintf("%d/%d", r.Prefilled, r.Prompt) }},
 		row{"streams moved by export/replay", func(r *Result) string { return fmt.Sprintf("%d/%d", r.Exported, r.Replayed) }},
 		row{"failed attempts", count(func(r *Result) int { return r.FailedAttempts })})
+	rows = append(rows, engineRows()...)
 	for _, c := range keysOf(r.Results, func(r *Result) map[string]int { return r.Codes }) {
 		rows = append(rows, row{"error " + c, count(func(r *Result) int { return r.Codes[c] })})
 	}
