route: Count requests only at the table entry that Pick chose

Ended had the server's id alone. After a restart of a server, the ends of the requests that died with its last incarnation lowered the outstanding work of the new one, which then looked idle, and counted as its failures, which could eject it. The same happened to a server that was away for a moment, because its permission had lapsed. The cost in a Choice now carries the number of the table entry, and Started and Ended ignore a cost of another entry.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -197,7 +197,10 @@
 	return Choice{
 		Backend: best.s.b, CachedTokens: cached,
 		Expected: time.Duration((best.s.delay(now, t.distance(best.s, q)) + prefill) * float64(time.Second)),
-		Cost:     Cost{Class: q.Class, Prefix: q.Prefix, UncachedTokens: q.PromptTokens - cached, MaxTokens: q.MaxTokens},
+		Cost: Cost{
+			Class: q.Class, Prefix: q.Prefix, UncachedTokens: q.PromptTokens - cached, MaxTokens: q.MaxTokens,
+			server: best.s.num,
+		},
 	}
 }
 
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -26,6 +26,11 @@
 	return out
 }
 
+// cost returns the cost of a request as Pick does when it selects the server.
+func (t *Table) cost(id string, prefix []uint64) Cost {
+	return Cost{Prefix: prefix, server: t.servers[id].num}
+}
+
 func prompt(doc, blocks int) []uint64 {
 	out := make([]uint64, blocks)
 	for i := range out {
@@ -251,7 +256,7 @@
 		tab.Set(servers, start)
 		q := Query{Service: "m", Version: "2", Adapter: "x", MaxTokens: 100, Exclude: []string{servers[0].ID, servers[len(servers)/2].ID}, Prefix: prompt(1, 64), PromptTokens: 1000}
 		for _, s := range servers {
-			tab.Started(s.ID, Cost{Prefix: q.Prefix}, start) // the block index must not bypass the rules
+			tab.Started(s.ID, tab.cost(s.ID, q.Prefix), start) // the block index must not bypass the rules
 		}
 		ok := func(b world.Backend) bool {
 			return b.State == world.Ready && b.Runs("2") && slices.Contains(b.Adapters, "x") && !slices.Contains(q.Exclude, b.ID) && b.LeaveBy.IsZero()
@@ -285,8 +290,8 @@
 	for i := range 10 {
 		for range failuresInRow {
 			id := fmt.Sprintf("e%04d", i)
-			tab.Started(id, Cost{}, start)
-			tab.Ended(id, Result{Failed: true}, start)
+			tab.Started(id, tab.cost(id, nil), start)
+			tab.Ended(id, Result{Cost: tab.cost(id, nil), Failed: true}, start)
 		}
 	}
 	q := Query{Service: "m", Version: "1"}
@@ -305,11 +310,12 @@
 	if n := used(later); n["e0000"] == 0 {
 		t.Fatal("not probed after the ejection")
 	}
-	tab.Started("e0000", Cost{}, later)
+	probe := tab.cost("e0000", nil)
+	tab.Started("e0000", probe, later)
 	if n := used(later); n["e0000"] != 0 {
 		t.Fatal("second request beside the probe")
 	}
-	tab.Ended("e0000", Result{Took: time.Second}, later)
+	tab.Ended("e0000", Result{Cost: probe, Took: time.Second}, later)
 	if n := used(later); n["e0000"] == 0 {
 		t.Fatal("not used after the probe succeeded")
 	}
@@ -328,6 +334,55 @@
 	}
 }
 
+// Guards against an end of a request on a lost incarnation, or from before the
+// server left the table, that lowers the outstanding work of its successor or
+// counts as its failure, and against a start that raises it.
+func TestLostIncarnation(t *testing.T) {
+	q := Query{Service: "m", Version: "1", Class: world.Review}
+	for name, lose := range map[string]func(tab *Table, b world.Backend){
+		"restarted": func(tab *Table, b world.Backend) {
+			b.Incarnation++
+			tab.Set([]world.Backend{b}, start)
+		},
+		"away": func(tab *Table, b world.Backend) {
+			tab.Set(nil, start)
+			tab.Set([]world.Backend{b}, start)
+		},
+	} {
+		tab, servers := New(Config{}), fleet(1)
+		tab.Set(servers, start)
+		var old []Choice
+		for range failuresInRow + 1 {
+			c, err := tab.Pick(q, start)
+			if err != nil {
+				t.Fatal(err)
+			}
+			old = append(old, c)
+			if len(old) > 1 {
+				tab.Started(c.Backend.ID, c.Cost, start)
+			}
+		}
+		lose(tab, servers[0])
+		tab.Started(old[0].Backend.ID, old[0].Cost, start) // picked before the loss
+		c, err := tab.Pick(q, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tab.Started(c.Backend.ID, c.Cost, start)
+		for _, o := range old[1:] {
+			tab.Ended(o.Backend.ID, Result{Cost: o.Cost, Failed: true}, start)
+		}
+		s := tab.servers["e0000"]
+		if s.own != 1 || s.ownRev != 1 || s.health.failures != 0 {
+			t.Errorf("%s: %d own requests, %d reviews, %d failures; want 1, 1, 0", name, s.own, s.ownRev, s.health.failures)
+		}
+		tab.Ended(c.Backend.ID, Result{Cost: c.Cost}, start)
+		if s.own != 0 || s.ownRev != 0 {
+			t.Errorf("%s: %d own requests and %d reviews after the end", name, s.own, s.ownRev)
+		}
+	}
+}
+
 // Guards against replays that could have finished or moved, exports that do not
 // fit into the notice, and replays that start all at once, out of order or never.
 func TestReclaim(t *testing.T) {
@@ -391,7 +446,7 @@
 			for i := range n {
 				id := fmt.Sprintf("e%04d", i)
 				tab.Report(id, world.Load{Running: i % 8, At: start}, start)
-				tab.Started(id, Cost{Prefix: prompt(i%50, 400)}, start)
+				tab.Started(id, tab.cost(id, prompt(i%50, 400)), start)
 			}
 			q := Query{Service: "m", Version: "1", Class: world.Review, PromptTokens: 6400, MaxTokens: 300, Prefix: prompt(3, 500)}
 			b.ReportAllocs()
@@ -419,7 +474,7 @@
 		tab.Set(list, start)
 		for _, s := range list {
 			for range recentSteps {
-				tab.Started(s.ID, Cost{}, start)
+				tab.Started(s.ID, tab.cost(s.ID, nil), start)
 			}
 		}
 		bare := heap()
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -37,12 +37,16 @@
 	Exclude                 []string // ids not to pick, such as those that failed this request
 }
 
-// Cost is the work that one request puts on a backend server.
+// Cost is the work that one request puts on a backend server. Only the one in a
+// Choice can be passed to Started and Ended.
 type Cost struct {
 	Class          world.Class
 	Prefix         []uint64
 	UncachedTokens int // tokens to prefill
 	MaxTokens      int
+	// server is the number of the server's table entry. A server that restarted or
+	// was away has a new one, to which this request does not count.
+	server uint32
 }
 
 // Choice is the backend server that Pick selected.
@@ -229,11 +233,12 @@
 }
 
 // Started records that a request was sent. The prompt counts as cached from now on.
+// It has no effect if the server has restarted or left since Pick.
 func (t *Table) Started(id string, cost Cost, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
-	if s == nil {
+	if s == nil || s.num != cost.server {
 		return
 	}
 	s.own++
@@ -284,12 +289,13 @@
 	g.first = smooth(g.first, took.Seconds(), groupWeight)
 }
 
-// Ended records that a request ended.
+// Ended records that a request ended. It has no effect if the server has
+// restarted or left since Pick.
 func (t *Table) Ended(id string, res Result, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[id]
-	if s == nil || s.own == 0 {
+	if s == nil || s.own == 0 || s.num != res.Cost.server {
 		return
 	}
 	s.own--
