--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -75,8 +75,10 @@
 )
 
 // priceSeconds is the delay that a server of twice the mean price must save,
-// by class. Reviews are patient, so price decides more of them.
-var priceSeconds = [...]float64{world.Lookup: 0.005, world.Call: 0.005, world.Review: 0.25}
+// by class. Reviews are patient, so price decides more of them. An instance costs
+// the same when it idles, so price only breaks ties: with 0.25 s for reviews,
+// those on cheap servers queued while expensive ones idled.
+var priceSeconds = [...]float64{world.Lookup: 0.005, world.Call: 0.005, world.Review: 0.02}
 
 // candidate is a server with its score without prefill, with noise, in seconds.
 type candidate struct {
