route: Give long prompts their home by a block in their second half

It is now the last block at 32 times a power of two, which differs between documents and stays the same for most turns of a conversation.

TestHomes fails before: 60 documents with a common system prompt have 1 home of 20.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -56,8 +56,7 @@
 	// it also delays the prompts behind it. With 2 instead of 1 the queueing model
 	// of the tests recomputes about half as many tokens at equal latency.
 	prefillWeight = 2.0
-	// homeBlock is the block that gives a prompt its home. It lies behind short
-	// system prompts, which would otherwise send all prompts to the same server.
+	// homeBlock is the first block that may give a prompt its home; see homeOf.
 	homeBlock = 32
 	// homeShare is the part of the prefill time that a server may be slower and
 	// still be preferred as home of a prompt that no server is known to have.
@@ -314,13 +313,25 @@
 	if len(q.Prefix) <= homeBlock {
 		return 0
 	}
-	h := (q.Prefix[homeBlock] ^ s.hash) * 0x9E3779B97F4A7C15
+	h := (homeOf(q.Prefix) ^ s.hash) * 0x9E3779B97F4A7C15
 	h = (h ^ h>>32) * 0xD6E8FEB86659FD93
 	// The best of n servers is about 1/n from the top; the bonus is for it alone.
 	rank := float64(len(g.servers)) * (1 - float64(h>>11)/(1<<53))
 	return homeShare * float64(q.PromptTokens) * s.perToken().Seconds() / (1 + rank*rank)
 }
 
+// homeOf returns the block that gives a prompt its home: the last one at homeBlock
+// times a power of two. It lies in the second half of the prompt, behind a system
+// prompt that many long prompts share and that would send them all to one server,
+// and most turns of a conversation have the same one.
+func homeOf(prefix []uint64) uint64 {
+	at := homeBlock
+	for 2*at < len(prefix) {
+		at *= 2
+	}
+	return prefix[at]
+}
+
 // sidePenalty keeps reviews and lookups apart. The side of a server is a hash of
 // its id, so all instances fill the same servers with reviews without talking
 // to each other. Both sides stay usable by both classes.
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -383,6 +383,41 @@
 	}
 }
 
+// Guards against new prompts that go to one server because they share a system
+// prompt, and against nodes that send the same new prompt, or the next turn of a
+// conversation, to different servers.
+func TestHomes(t *testing.T) {
+	servers := fleet(20)
+	for i := range servers {
+		servers[i].Price, servers[i].DataCentre = 1, "0"
+	}
+	homes := map[string]int{}
+	for doc := range 60 {
+		picked := map[string]bool{}
+		for node := range uint64(5) {
+			tab := New(Config{Seed: node})
+			tab.noise = 0
+			tab.Set(servers, start)
+			blocks := 180 + int(node)
+			c, err := tab.Pick(Query{
+				Service: "m", Version: "1", Class: world.Review, DataCenter: "0", PromptTokens: 16 * blocks,
+				Prefix: append(prompt(0, 48), prompt(1+doc, blocks-48)...),
+			}, start)
+			if err != nil {
+				t.Fatal(err)
+			}
+			picked[c.Backend.ID] = true
+			homes[c.Backend.ID]++
+		}
+		if len(picked) != 1 {
+			t.Fatalf("document %d has the homes %v on nodes without reports, want one", doc, picked)
+		}
+	}
+	if len(homes) < 15 {
+		t.Fatalf("60 documents with a common system prompt have %d homes of 20: %v", len(homes), homes)
+	}
+}
+
 // Guards against replays that could have finished or moved, exports that do not
 // fit into the notice, and replays that start all at once, out of order or never.
 func TestReclaim(t *testing.T) {
