stream: Join the copies of all answers to one keeper

Each answer had a stream of its own to its keeper and sent one message for each batch, which is one token at the pace of an engine. Client now keeps one stream per keeper. One message is on its way at a time; what arrives meanwhile goes with the next one. Acknowledgements name the answer, its position and what was acknowledged, so that late and repeated ones change nothing, and a refusal concerns one answer. A keeper that does not acknowledge within AckTimeout is lost to all of its answers, which look for another one as before. What waits is bounded by one batch of 64 KiB per answer (1 MiB before).

Without the check of the position or of the kind of an acknowledgement, TestJoinedCopiesThroughFaults fails.

At the pace of an engine the cost is that of messages, not of tokens.

--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -6,8 +6,9 @@
 )
 
 // copyBatchBytes bounds one batch, so that a new keeper receives a long record
-// in several messages below the link's frame limit.
-const copyBatchBytes = 1 << 20
+// in parts between the tokens of other answers. It also bounds what an answer
+// holds besides its record, since it has one batch on its way.
+const copyBatchBytes = 64 << 10
 
 // ErrSuperseded ends the copying to a keeper that has been replaced.
 var ErrSuperseded = Error.New("another keeper was chosen")
--- a/internal/stream/copy_test.go
+++ b/internal/stream/copy_test.go
@@ -309,22 +309,30 @@
 
 // Guards against messages from outside that crash the keeper or contradict its record.
 func FuzzMessages(f *testing.F) {
-	seed, _ := proto.Marshal(&strmpb.Copy{Kind: &strmpb.Copy_Append{Append: &strmpb.Append{Pos: 1, Tokens: [][]byte{[]byte("x")}}}})
+	seed, _ := proto.Marshal(&strmpb.Copies{Items: []*strmpb.CopyItem{{Answer: 1, Tokens: [][]byte{[]byte("x")}}, {Answer: 2}, {Answer: 1, Close: true}}})
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r := NewRegistry(Config{TotalBytes: 1 << 16})
-		a, _ := r.Begin(Head{Request: Request{ID: "r"}}, "o", start)
-		var m strmpb.Copy
+		o := &ownerStream{r: r, owner: "o", open: map[uint32]heldCopy{}}
+		o.receive(&strmpb.Copies{Items: []*strmpb.CopyItem{{Answer: 1, Begin: &strmpb.Begin{Request: &strmpb.Request{Id: "r"}}}}}, start)
+		var m strmpb.Copies
 		if proto.Unmarshal(b, &m) == nil {
-			_, _ = a.receiveCopy(0, &m)
-			_ = requestFrom(m.GetBegin().GetRequest())
+			o.receive(&m, start)
 		}
+		o.end()
 		var c strmpb.Chunk
 		if proto.Unmarshal(b, &c) == nil {
 			_, _ = chunksFrom("r", 0, &c)
 		}
-		if r.Bytes() != a.bytes || r.Bytes() > 1<<16 {
-			t.Fatalf("charged %d bytes, record has %d", r.Bytes(), a.bytes)
+		sum := int64(0)
+		for id, e := range r.entries {
+			sum += e.a.bytes
+			if e.links != 0 {
+				t.Fatalf("copy %q has %d links after its stream ended", id, e.links)
+			}
+		}
+		if r.Bytes() != sum || sum > 1<<16 {
+			t.Fatalf("charged %d bytes, records have %d", r.Bytes(), sum)
 		}
 	})
 }
--- a/internal/stream/wire.go
+++ b/internal/stream/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -14,7 +15,7 @@
 
 // The names of the calls and streams between entry instances.
 const (
-	copyStream   = "copy"
+	copyStream   = "copies"
 	attachStream = "attach"
 	takeoverCall = "takeover"
 )
@@ -69,7 +70,7 @@
 // with each answer that this instance becomes the owner of and must not block.
 func Serve(h Handlers, r *Registry, run func(*Answer)) {
 	h.HandleStream(copyStream, func(_ context.Context, from link.Peer, s *link.Stream) error {
-		return r.serveCopy(from.Node, s)
+		return r.serveCopies(from.Node, s)
 	})
 	h.HandleStream(attachStream, func(ctx context.Context, _ link.Peer, s *link.Stream) error {
 		return r.serveAttach(ctx, s)
@@ -79,47 +80,6 @@
 	})
 }
 
-func (r *Registry) serveCopy(owner string, s *link.Stream) error {
-	var m strmpb.Copy
-	if err := s.Recv(&m); err != nil {
-		return Error.Wrap(err)
-	}
-	epoch := m.GetBegin().GetEpoch()
-	a, err := r.Begin(Head{Request: requestFrom(m.GetBegin().GetRequest()), Epoch: epoch}, owner, time.Now())
-	if err != nil {
-		return Error.Wrap(s.Send(&strmpb.CopyAck{Code: codeOf(err), Message: err.Error()}))
-	}
-	defer r.unlink(a)
-	for {
-		ack, err := a.receiveCopy(epoch, &m)
-		if err != nil {
-			ack = &strmpb.CopyAck{Code: codeOf(err), Message: err.Error()}
-		}
-		if err := s.Send(ack); err != nil {
-			return Error.Wrap(err)
-		}
-		if err := s.Recv(&m); err != nil {
-			return Error.Wrap(err)
-		}
-		r.heard(a, time.Now())
-	}
-}
-
-func (a *Answer) receiveCopy(epoch uint64, m *strmpb.Copy) (*strmpb.CopyAck, error) {
-	switch k := m.Kind.(type) {
-	case *strmpb.Copy_Begin:
-		return &strmpb.CopyAck{Next: a.Position()}, nil
-	case *strmpb.Copy_Append:
-		next, err := a.appendCopy(epoch, k.Append.GetPos(), stringsOf(k.Append.GetTokens()))
-		return &strmpb.CopyAck{Next: next}, err
-	case *strmpb.Copy_End:
-		e := End{Pos: k.End.GetPos(), Reason: k.End.GetReason(), Broken: k.End.GetBroken()}
-		return &strmpb.CopyAck{Next: e.Pos}, a.endCopy(epoch, e)
-	default:
-		return nil, ErrMismatch
-	}
-}
-
 func (r *Registry) serveAttach(ctx context.Context, s *link.Stream) error {
 	var m strmpb.Attach
 	if err := s.Recv(&m); err != nil {
@@ -206,73 +166,10 @@
 type Client struct {
 	Net        Dialer
 	AckTimeout time.Duration // DefaultAckTimeout if 0
-}
-
-// Copier returns the copier of one answer to the keeper at addr.
-func (c *Client) Copier(addr string) Copier {
-	k := &keeper{net: c.Net, addr: addr, timeout: c.AckTimeout}
-	if k.timeout == 0 {
-		k.timeout = DefaultAckTimeout
-	}
-	return k
-}
 
-// keeper is the owner's end of one copy stream.
-type keeper struct {
-	net     Dialer
-	addr    string
-	timeout time.Duration
-	s       *link.Stream
-}
-
-func (k *keeper) Begin(ctx context.Context, h Head) error {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
-	defer cancel()
-	s, err := k.net.Open(ctx, k.addr, copyStream)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	k.s = s
-	return k.send(ctx, &strmpb.Copy{Kind: &strmpb.Copy_Begin{Begin: &strmpb.Begin{Request: requestTo(h.Request), Epoch: h.Epoch}}}, 0)
-}
-
-func (k *keeper) Append(ctx context.Context, pos uint64, tokens []string) error {
-	m := &strmpb.Append{Pos: pos, Tokens: bytesOf(tokens)}
-	return k.send(ctx, &strmpb.Copy{Kind: &strmpb.Copy_Append{Append: m}}, pos+uint64(len(tokens)))
-}
-
-func (k *keeper) End(ctx context.Context, e End) error {
-	m := &strmpb.End{Pos: e.Pos, Reason: e.Reason, Broken: e.Broken}
-	return k.send(ctx, &strmpb.Copy{Kind: &strmpb.Copy_End{End: m}}, e.Pos)
-}
-
-func (k *keeper) send(ctx context.Context, m *strmpb.Copy, next uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
-	defer cancel()
-	s := k.s
-	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := s.Send(m); err != nil {
-		return Error.Wrap(err)
-	}
-	var ack strmpb.CopyAck
-	if err := s.Recv(&ack); err != nil {
-		return Error.Wrap(err)
-	}
-	if ack.Code != "" {
-		return errorOf(ack.Code, ack.Message)
-	}
-	if ack.Next < next {
-		return Error.New("keeper acknowledged %d of %d tokens", ack.Next, next)
-	}
-	return nil
-}
-
-func (k *keeper) Close() error {
-	if k.s == nil {
-		return nil
-	}
-	return Error.Wrap(k.s.Close())
+	mu    sync.Mutex
+	pairs map[string]*pair                                     // by the keeper's address
+	dial  func(ctx context.Context, addr string) (wire, error) // replaces Net in tests
 }
 
 // Attach reads an answer of the instance at addr from a position and calls each
