entry: Hand over or break off answers that reach no backend server

An accepted request whose instance lost its links to the backend servers and to the rest of its cell tried until its deadline, an hour by default, and its caller with it. A run that has reached no server for 3 s, or half the time left, now gives its answer to the keeper if others hear from servers or the instance is isolated. An isolated instance that does not reach the keeper ends the answer for its readers with cutOff and Retry-After (retry: in a stream) and sends the keeper no end, so that the keeper continues it for the caller that comes back. An answer is handed on at most four times. The links of internal/site now also carry the calls to backend servers, so that tests can cut them.

go test -race ./internal/site -run 'CutOffEntry(Breaks|Hands)' -count 4: passes, one run alone 8.9 and 11.9 s.

An instance that reaches its servers but not its cell is not affected.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -61,7 +61,8 @@
 	if l.local == nil {
 		return e.peers.Attach(ctx, l.peer.Address, id, pos, each)
 	}
-	return readLocal(ctx, l.local, pos, each)
+	reason, err := readLocal(ctx, l.local, pos, each)
+	return reason, endHere(err)
 }
 
 func readLocal(ctx context.Context, a *stream.Answer, pos uint64, each emit) (string, error) {
--- a/internal/entry/keep.go
+++ b/internal/entry/keep.go
@@ -151,12 +151,13 @@
 func (e *Entry) handOver(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, a := range e.ownedRunning() {
-		wg.Go(func() { e.handOverOne(ctx, a) })
+		wg.Go(func() { _ = e.handOverOne(ctx, a) })
 	}
 	wg.Wait()
 }
 
-func (e *Entry) handOverOne(ctx context.Context, a *stream.Answer) {
+// handOverOne makes the keeper of an answer its owner.
+func (e *Entry) handOverOne(ctx context.Context, a *stream.Answer) error {
 	id := a.Request().ID
 	addr, ok := e.holders.get(id)
 	if !ok {
@@ -164,15 +165,16 @@
 			addr, _ = e.holders.get(id)
 		}
 	}
-	ev := event.Of("answer.handedOver").WithRequest(id).With("to", addr)
-	if !ok {
-		e.event(ev.With("error", "no entry instance takes it"))
-		return
+	err := Error.New("no entry instance takes the answer")
+	if ok {
+		_, _, err = e.peers.Takeover(ctx, addr, id, true)
 	}
-	if _, _, err := e.peers.Takeover(ctx, addr, id, true); err != nil {
+	ev := event.Of("answer.handedOver").WithRequest(id).With("to", addr)
+	if err != nil {
 		ev = ev.With("error", err.Error())
 	}
 	e.event(ev)
+	return err
 }
 
 // ownedRunning returns the answers of this node that have not ended.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -92,6 +92,10 @@
 	current  *activeRun // the latest attempt
 	number   uint64     // of the latest attempt
 	deadline time.Time
+	// heard is when a backend server last answered, or the run began; unreached
+	// is set if none could be reached since.
+	heard     time.Time
+	unreached bool
 }
 
 func acceptedOf(a *stream.Answer) *entrpb.Accepted {
@@ -111,7 +115,7 @@
 		e: e, a: a, acc: acc, req: req,
 		print:    poison.Of(req.Service, req.Version, requestText(acc)),
 		prefix:   world.Blocks(acc.Prompt),
-		deadline: time.UnixMilli(acc.DeadlineMs),
+		deadline: time.UnixMilli(acc.DeadlineMs), heard: e.cfg.Now(),
 	}
 	e.running.Go(func() {
 		ctx, cancel := context.WithDeadline(e.runs, r.deadline)
@@ -140,6 +144,9 @@
 			return
 		}
 		now := r.e.cfg.Now()
+		if r.stranded(now) && r.leave(ctx, now) {
+			return
+		}
 		g, err := r.e.pass(ctx, r.print, now)
 		if errors.Is(err, errCondemned) {
 			r.finish("crashesServers")
@@ -153,6 +160,7 @@
 		choice, err := r.pick(now)
 		if err != nil {
 			r.e.leave(g)
+			r.unreached = r.unreached || !r.e.permitted(r.req.Service, now)
 			// The request is accepted, so it waits for a server until its deadline.
 			pause(ctx, wait)
 			wait = min(2*wait, retryPauseMax)
@@ -166,6 +174,7 @@
 		}
 		err = r.attempt(ctx, choice, &g)
 		r.e.leave(g)
+		r.reached(err, r.e.cfg.Now())
 		if r.over(ctx, choice.Backend, err) {
 			return
 		}
@@ -183,10 +192,14 @@
 
 // finish breaks the answer off with a reason that its readers receive.
 func (r *runner) finish(reason string) {
-	r.e.event(event.Of("answer.broken").WithRequest(r.req.ID).With("reason", reason))
+	r.note(reason)
 	r.a.Break(reason)
 }
 
+func (r *runner) note(reason string) {
+	r.e.event(event.Of("answer.broken").WithRequest(r.req.ID).With("reason", reason))
+}
+
 func (r *runner) pick(now time.Time) (route.Choice, error) {
 	r.using = r.version(now)
 	q := route.Query{
@@ -289,6 +302,7 @@
 		if err != nil {
 			return err
 		}
+		r.heard = now
 		quiet.Reset(min(e.quiet, pauseBetween))
 		if ev.Done {
 			res.Tokens = int(r.a.Position()) - len(req.ResumeTokens)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -246,6 +246,10 @@
 	switch {
 	case reason == "crashesServers":
 		return unprocessable(reason, "this request crashed two backend servers and is not run again")
+	case reason == reasonCutOff:
+		f := unavailable(reason, "this instance reaches no backend server; continue at another address with the same X-Request-Id")
+		f.outcome = unknown
+		return f.withRetryAfter(cutOffAfter)
 	case reason == "timeLimit", errors.Is(err, context.DeadlineExceeded):
 		return &failure{
 			status: fasthttp.StatusGatewayTimeout, kind: "server_error", code: "timeLimit",
@@ -343,6 +347,9 @@
 }
 
 func (s *eventWriter) fail(f *failure) {
+	if f.retryAfter > 0 {
+		_, _ = fmt.Fprintf(s.w, "retry: %d\n", f.retryAfter.Milliseconds())
+	}
 	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", f.body())
 	_ = s.w.Flush()
 }
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -130,6 +130,14 @@
 	return m.self
 }
 
+// Isolated reports whether most of the known peers do not answer this node, also
+// as the others know.
+func (m *Member) Isolated(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isolated(now)
+}
+
 // isolated reports whether most of the known peers do not answer this node.
 // Backend servers that announced themselves here would be invisible to the rest
 // of the cell, so they are sent elsewhere. mu is held.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/conf"
 	"cranberrypath.example/cranberrypath/internal/entry"
 	"cranberrypath.example/cranberrypath/internal/event"
@@ -231,7 +232,8 @@
 	set := s.settings[i]
 	cfg := node.Config{
 		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage,
-		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
+		Link:     func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
+		Backends: backnd.Config{Dial: s.Links.Dialer(set.Listen.Peers)},
 	}
 	if s.cfg.Router != nil {
 		cfg.Router = s.cfg.Router(cfg.Seed)
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -163,6 +163,13 @@
 	return nil
 }
 
+// Addr returns the address that the simulator serves.
+func (s *server) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
 // listen opens the listener and begins an incarnation.
 func (s *server) listen(addr string) error {
 	var ln net.Listener
--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -81,9 +81,13 @@
 // be called again with another keeper. A newer call replaces an older one.
 func (a *Answer) Copy(ctx context.Context, c Copier) (<-chan error, error) {
 	a.mu.Lock()
-	if a.copy.held {
+	switch {
+	case a.copy.held:
 		a.mu.Unlock()
 		return nil, ErrOwned
+	case a.taken:
+		a.mu.Unlock()
+		return nil, ErrTakenOver
 	}
 	a.copy.run++
 	run, head := a.copy.run, Head{Request: a.req, Epoch: a.epoch}
@@ -235,6 +239,16 @@
 	}
 }
 
+// Leave ends the record here without telling the keeper, which continues the
+// answer if it has taken it over or finds this instance gone.
+func (a *Answer) Leave(reason string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	defer a.settle(a.bytes, 0)
+	a.copy.run++
+	a.breakOff(reason, a.visible <= a.copy.acked)
+}
+
 // reveal makes tokens visible as far as the state of the copy allows. An answer
 // that another instance took over reveals nothing more. a.mu is held.
 func (a *Answer) reveal() {
