limit: Divide grants without sorting by strings or wants

Cause: with 200 organisations on 350 nodes a round of grants took 34 ms a second of the leader's 13 ms budget. A profile showed the sort of 70,000 demands by two strings, a map from node to wants and a sort of each organisation's nodes by want. Change: demands are ordered by the rank of their organisation and node, two counting passes; claims that all fit get what they want at once; the others are served in passes over those that want less than an equal part of the rest. A first try with ranks looked up in maps for each demand gained nothing (66 to 70 ms). Measured, go test -run '^$' -bench Allocate -benchtime 1s ./internal/limit, load average 17 to 27: 5 organisations 1.7 to 2.0 ms before, 0.6 to 0.9 ms after; 200 organisations 60 to 67 ms before, 20 to 21 ms after. The differential test against the naive division passes (go test -race ./internal/limit). Conclusion: a third of the time. Not measured on a quiet machine; 34 ms there would become about 11 ms.

--- a/internal/limit/alloc.go
+++ b/internal/limit/alloc.go
@@ -1,9 +1,7 @@
 package limit
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 )
 
 // Demand is what one entry instance reports about one organisation. Units are
@@ -41,21 +39,15 @@
 // of nothing receive no grant. The sum of the grants never exceeds the capacity.
 // Negative figures count as 0 and weights of 0 as 1.
 func Allocate(capacity float64, d []Demand) []Grant {
-	nodeWants := map[string]float64{}
-	all := d
-	d = make([]Demand, 0, len(all))
-	for _, x := range all {
-		nodeWants[x.Node] += max(x.Want, 0)
-		if x.Want > 0 || x.InUse > 0 {
-			d = append(d, x)
-		}
+	nodeOf, nodeNames := ranks(d, func(x *Demand) string { return x.Node })
+	nodeWants := make([]float64, len(nodeNames))
+	for i := range d {
+		nodeWants[nodeOf[i]] += max(d[i].Want, 0)
 	}
-	slices.SortFunc(d, func(a, b Demand) int {
-		if c := strings.Compare(a.Org, b.Org); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Node, b.Node)
-	})
+	d = ordered(d, nodeOf, len(nodeNames))
+	orgOf, orgNames := ranks(d, func(x *Demand) string { return x.Org })
+	d = ordered(d, orgOf, len(orgNames))
+	d = slices.DeleteFunc(d, func(x Demand) bool { return x.Want <= 0 && x.InUse <= 0 })
 	nodes := make([]claim, len(d))
 	var orgs []claim
 	var ends []int // index behind the nodes of each organisation
@@ -81,7 +73,55 @@
 		}
 		begin = ends[i]
 	}
-	out = append(out, spread(spare, nodeWants)...)
+	out = append(out, spread(spare, nodeNames, nodeWants)...)
+	return out
+}
+
+// ranks returns the sorted keys of the demands and the index of each one's key.
+// There are far fewer keys than demands, 350 nodes or 200 organisations for 70,000.
+func ranks(d []Demand, key func(*Demand) string) ([]int32, []string) {
+	index := map[string]int32{}
+	var names []string
+	of := make([]int32, len(d))
+	for i := range d {
+		k := key(&d[i])
+		if i > 0 && k == names[of[i-1]] { // demands often come in runs of one key
+			of[i] = of[i-1]
+			continue
+		}
+		n, ok := index[k]
+		if !ok {
+			n = int32(len(names))
+			index[k], names = n, append(names, k)
+		}
+		of[i] = n
+	}
+	sorted := slices.Sorted(slices.Values(names))
+	rank := make([]int32, len(names))
+	for r, k := range sorted {
+		rank[index[k]] = int32(r)
+	}
+	for i := range of {
+		of[i] = rank[of[i]]
+	}
+	return of, sorted
+}
+
+// ordered returns the demands in the order of their ranks, of which there are n,
+// and else as they were.
+func ordered(d []Demand, rank []int32, n int) []Demand {
+	next := make([]int, n+1)
+	for _, r := range rank {
+		next[r+1]++
+	}
+	for r := range n {
+		next[r+1] += next[r]
+	}
+	out := make([]Demand, len(d))
+	for i, x := range d {
+		out[next[rank[i]]] = x
+		next[rank[i]]++
+	}
 	return out
 }
 
@@ -91,15 +131,23 @@
 func divide(capacity float64, c []claim) float64 {
 	free := max(capacity, 0)
 	open := make([]*claim, 0, len(c))
+	sum := 0.0
 	for i := range c {
 		if c[i].weight <= 0 {
 			c[i].weight = 1
 		}
+		sum += c[i].want
 		open = append(open, &c[i])
 	}
-	slices.SortFunc(open, func(a, b *claim) int { return cmp.Compare(a.want/a.weight, b.want/b.weight) })
+	if sum <= free { // the usual case among the nodes of an organisation
+		for _, x := range open {
+			x.grant = x.want
+		}
+		return free - sum
+	}
+	rest := make([]*claim, len(open))
 	for {
-		fill(free, open)
+		fill(free, open, rest)
 		n := len(open)
 		kept := open[:0]
 		for _, x := range open {
@@ -120,33 +168,46 @@
 	return max(free, 0)
 }
 
-// fill is the weighted max-min division over claims sorted by want for weight.
-func fill(free float64, open []*claim) {
-	weight := 0.0
-	for _, x := range open {
-		weight += x.weight
-	}
-	for _, x := range open {
-		x.grant = min(x.want, free*x.weight/weight)
-		free -= x.grant
-		weight -= x.weight
+// fill is the weighted max-min division. It uses rest, as long as open, as scratch.
+// Each pass serves the claims that want less than an equal part of what is left;
+// a few passes do, where sorting by want took half of the time.
+func fill(free float64, open, rest []*claim) {
+	rest = rest[:copy(rest, open)]
+	for len(rest) > 0 {
+		weight := 0.0
+		for _, x := range rest {
+			weight += x.weight
+		}
+		level := max(free, 0) / weight
+		more := rest[:0]
+		for _, x := range rest {
+			x.grant = min(x.want, level*x.weight)
+			if x.want > x.grant {
+				more = append(more, x)
+				continue
+			}
+			free -= x.grant
+		}
+		if len(more) == len(rest) {
+			return
+		}
+		rest = more
 	}
 }
 
 // spread divides spare capacity: half evenly, half by what the nodes want.
-func spread(spare float64, want map[string]float64) []Grant {
+func spread(spare float64, nodes []string, want []float64) []Grant {
 	sum := 0.0
 	for _, w := range want {
 		sum += w
 	}
-	out := make([]Grant, 0, len(want))
-	for node, w := range want {
-		part := 1 / float64(len(want))
+	out := make([]Grant, 0, len(nodes))
+	for i, node := range nodes {
+		part := 1 / float64(len(nodes))
 		if sum > 0 {
-			part = (part + w/sum) / 2
+			part = (part + want[i]/sum) / 2
 		}
 		out = append(out, Grant{Node: node, Amount: spare * part})
 	}
-	slices.SortFunc(out, func(a, b Grant) int { return strings.Compare(a.Node, b.Node) })
 	return out
 }
