entry: Call the outcome of accepted requests unknown when they end early

Cause: a flood in TestFloodDoesNotStarve (, load average 28) got 400 badHeader with outcome not-run although it had sent no Last-Event-ID: the answer went on at another instance from fewer tokens than had been read. The end of an accepted request as crashesServers also said not-run, after two servers had run it. Change: brokenOff says unknown in every case; a reader whose answer is behind it is broken off with that reason, as other tokens may follow there. TestBrokenAnswersAreNeverNotRun without the change in serve.go: fails for crashesServers and the position; passes with it.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -18,6 +18,10 @@
 // emit receives the tokens of an answer in order. An error stops the reader.
 type emit func([]stream.Chunk) error
 
+// errBehind ends a reader whose answer goes on elsewhere from fewer tokens than it
+// has read. Others may be produced for them, so the rest does not fit.
+var errBehind = Error.New("another instance has continued the answer from an earlier token")
+
 // errReader marks an error of the caller's connection.
 type errReader struct{ err error }
 
@@ -49,6 +53,9 @@
 			}
 		}
 		reason, err := e.read(ctx, id, l, pos, count)
+		if errors.Is(err, stream.ErrPosition) && pos > from {
+			return "", errBehind
+		}
 		if err == nil || final(err) || ctx.Err() != nil {
 			return reason, err
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -240,7 +240,8 @@
 	return nil
 }
 
-// brokenOff turns the end of an unfinished answer into a response.
+// brokenOff turns the end of an unfinished answer into a response. The request was
+// accepted, so its outcome is unknown in every case.
 func (e *Entry) brokenOff(err error) *failure {
 	var broken *stream.BrokenError
 	reason := ""
@@ -249,7 +250,9 @@
 	}
 	switch {
 	case reason == "crashesServers":
-		return unprocessable(reason, crashesServers)
+		f := unprocessable(reason, crashesServers)
+		f.outcome = unknown
+		return f
 	case reason == reasonCutOff:
 		f := unavailable(reason, "this instance reaches no backend server; continue at another address with the same X-Request-Id")
 		f.outcome = unknown
@@ -260,7 +263,9 @@
 			message: "the request reached its time limit", outcome: unknown,
 		}
 	case errors.Is(err, stream.ErrPosition):
-		return badRequest("badHeader", "Last-Event-ID is beyond the answer")
+		f := badRequest("badHeader", "Last-Event-ID is beyond the answer")
+		f.outcome = unknown
+		return f
 	}
 	f := outcomeUnknown("the answer was broken off: " + err.Error())
 	if e.server.draining.Load() {
