--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -13,6 +13,8 @@
 	// instance that it read from was lost.
 	followTries = 20
 	followPause = 250 * time.Millisecond
+	// wholeTries bounds how often a whole answer is read from its beginning.
+	wholeTries = 3
 )
 
 // emit receives the tokens of an answer in order. An error stops the reader.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -205,24 +205,41 @@
 	}
 	ctx, cancel := e.requestContext()
 	defer cancel()
-	var text strings.Builder
-	n := 0
-	reason, err := e.follow(ctx, id, l, 0, func(chunks []stream.Chunk) error {
-		for _, ch := range chunks {
-			text.WriteString(ch.Text)
-		}
-		n += len(chunks)
-		return nil
-	})
+	text, n, reason, err := e.readWhole(ctx, id, l)
 	if err != nil {
 		return e.brokenOff(err)
 	}
 	mark := parseEndMark(reason)
 	u := usage{PromptTokens: mark.promptTokens, CompletionTokens: n, TotalTokens: mark.promptTokens + n}
-	writeJSON(c.http, s.whole(text.String(), mark.reason, u))
+	writeJSON(c.http, s.whole(text, mark.reason, u))
 	return nil
 }
 
+// readWhole reads an answer from its beginning. The caller has got nothing of it
+// yet, so it begins again if the answer goes on elsewhere from fewer tokens than
+// were read.
+func (e *Entry) readWhole(ctx context.Context, id string, l located) (text string, tokens int, reason string, err error) {
+	for range wholeTries {
+		var b strings.Builder
+		tokens = 0
+		reason, err = e.follow(ctx, id, l, 0, func(chunks []stream.Chunk) error {
+			for _, ch := range chunks {
+				b.WriteString(ch.Text)
+			}
+			tokens += len(chunks)
+			return nil
+		})
+		if !errors.Is(err, errBehind) {
+			return b.String(), tokens, reason, err
+		}
+		var ok bool
+		if l, ok = e.locate(ctx, id, e.cfg.Now()); !ok {
+			break
+		}
+	}
+	return "", 0, "", err
+}
+
 const crashesServers = "this request was running on two backend servers when they crashed and is not run again"
 
 // checkPoison refuses a request that is known or suspected to crash servers and
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -129,6 +129,7 @@
 		Group: number, ID: s.Node, Members: ids, FS: n.cfg.Disk,
 		Dir:     filepath.Join(s.DataFolder, "group"+strconv.Itoa(int(number))),
 		Machine: m, Transport: t, Clock: n.cfg.Now, Seed: n.cfg.Seed + uint64(number), Spread: spread,
+		Election: n.cfg.Election,
 		Failed: func(err error) {
 			n.event(event.Of("control.stopped").With("group", strconv.Itoa(int(number))).With("error", err.Error()))
 			n.log.WithError(err).WithField("group", number).Error("replicated log stopped")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,9 @@
 	Backends backnd.Config
 	// Disk holds the data folder of the control role; nil is the machine's own.
 	Disk disk.FS
+	// Election is the shortest election timeout of the replicated logs, the same at
+	// all members; zero means the default.
+	Election time.Duration
 	// Manage holds the intervals of the controllers; zero fields get the defaults.
 	Manage manage.Timing
 	// Router and ReplayOnly are passed to the entry role, for experiments.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -50,7 +50,11 @@
 	Folder string
 	// FakeDisks gives each node a disk in memory, on which a crash loses what was
 	// not synced. Other work on the machine cannot delay its syncs.
-	FakeDisks    bool
+	FakeDisks bool
+	// Election is the shortest election timeout of control members; zero means the
+	// default. Under the race detector and beside other tests a member may get no
+	// processor time for longer than that.
+	Election     time.Duration
 	Declaration  decl.Declaration
 	DrainSeconds int
 	CheckFencing bool
@@ -257,6 +261,7 @@
 	set := s.settings[i]
 	cfg := node.Config{
 		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage,
+		Election: s.cfg.Election,
 		Link:     func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
 		Backends: backnd.Config{Dial: s.Links.Dialer(set.Listen.Peers)},
 	}
