conf: Check the name of the cell

Cause: cells become a part of every digest and of the owners of claims, so a name with a slash or of any length would reach both unchecked. Change: 1 to 32 letters, digits, dots, hyphens or underscores; an empty name means main, so settings without a cell or with an empty one stay valid. Conclusion: a wrong name is reported with file, line and key.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -154,6 +154,9 @@
 	}
 	var found []error
 	problem := func(key, format string, args ...any) { found = append(found, doc.Problem(key, format, args...)) }
+	if s.Cell == "" {
+		s.Cell = Default().Cell
+	}
 	s.check(problem)
 	if len(found) > 0 {
 		return Settings{}, Error.Wrap(errors.Join(found...))
@@ -185,11 +188,27 @@
 	if s.DataCentre == "" {
 		problem("dataCentre", "is missing; want the name of the instance's data centre")
 	}
+	if !isCellName(s.Cell) {
+		problem("cell", "is %q; want 1 to %d letters, digits, dots, hyphens or underscores", s.Cell, maxCellName)
+	}
 	s.checkRoles(problem)
 	s.checkAddresses(problem)
 	s.checkRanges(problem)
 }
 
+// maxCellName bounds the name of a cell, which is a part of every digest.
+const maxCellName = 32
+
+func isCellName(name string) bool {
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && r != '.' && r != '-' && r != '_' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxCellName
+}
+
 func (s Settings) checkRoles(problem problemFunc) {
 	if len(s.Roles) == 0 {
 		problem("roles", "is missing; want a list of \"entry\" and \"control\"")
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// Guards against settings with an empty cell that were valid before cells were
+// checked.
+func TestEmptyCell(t *testing.T) {
+	s, err := Parse("s.json", []byte(strings.Replace(good, `"node"`, `"cell": "", "node"`, 1)))
+	if err != nil || s.Cell != "main" {
+		t.Fatalf("cell %q, %v", s.Cell, err)
+	}
+}
+
 // Guards against a mistake that is ignored or reported without its place and
 // the allowed range.
 func TestOneMistakeEach(t *testing.T) {
@@ -41,6 +50,7 @@
 		{"bad port", `"127.0.0.1:8101"`, `"127.0.0.1:81010"`, "listen.callers"},
 		{"missing", `"dataFolder": "data",`, ``, "dataFolder: is missing"},
 		{"out of range", `"dataFolder"`, `"backends": {"leaseMillis": 5000}, "dataFolder"`, "s.json:9: backends.leaseMillis: is 5000; want 200 to 3000"},
+		{"bad cell", `"dataFolder"`, `"cell": "north/1", "dataFolder"`, `s.json:9: cell: is "north/1"; want 1 to 32 letters, digits`},
 		{"half of tls", `"dataFolder"`, `"tls": {"key": "k.pem"}, "dataFolder"`, "s.json:9: tls: names only some of its files; want"},
 		{"syntax", `"roles": [`, `"roles": (`, "s.json:5"},
 		{"log level", `"dataFolder"`, `"logLevel": "all", "dataFolder"`, `logLevel: is "all"; want debug`},
