cells: Add digests of the free capacity of cells

Cause: cells know nothing of each other, so none can take work for another. The choice of a cell is a weighted rendezvous hash of the request's id, the own region first.

--- /dev/null
+++ b/internal/cells/choose.go
@@ -0,0 +1,91 @@
+package cells
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// candidate is a cell with room; the smallest score within a region is best.
+type candidate struct {
+	cell  int
+	far   bool // in another region
+	score float64
+}
+
+// Choose returns at most n other cells with room for a request, best first:
+// those of this instance's region, then the rest. Within a region a cell is
+// first with a probability in proportion to its free slots by price, so that
+// instances that act on the same digests do not all choose the same cell. The
+// order depends on the request's id alone while the digests stay, so that a
+// repeat goes to the same cell.
+func (t *Table) Choose(service, v, id string, n int, now time.Time) []Cell {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Cell
+	for _, c := range t.candidates(version{service, v}, id, now) {
+		if len(out) == n {
+			break
+		}
+		out = append(out, cellOf(t.cells[c.cell], id))
+	}
+	return out
+}
+
+// candidates returns the cells with room in the order of preference. mu is held.
+func (t *Table) candidates(v version, id string, now time.Time) []candidate {
+	col, ok := t.columns[v]
+	if !ok || len(t.cells) == 0 {
+		return nil
+	}
+	dearest := max(slices.Max(col.price), 1.0/milli)
+	var out []candidate
+	for i, c := range t.cells {
+		free := col.free[i] - col.used[i]
+		if free <= 0 || c.Name == t.cell || len(c.Callers) == 0 || !now.Before(t.until[i]) {
+			continue
+		}
+		price := col.price[i]
+		if price == 0 { // not announced
+			price = dearest
+		}
+		out = append(out, candidate{i, c.Region != t.region, exponential(c.Name+"\x00"+id) * price / float64(free)})
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		switch {
+		case a.far != b.far && b.far:
+			return -1
+		case a.far != b.far:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.cell, b.cell))
+	})
+	return out
+}
+
+// exponential draws from the exponential distribution by hash. The smallest of
+// several draws, each divided by its weight, falls on each with a probability
+// in proportion to the weight.
+func exponential(key string) float64 {
+	u := (float64(xxhash.Sum64String(key)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u)
+}
+
+// Sent counts a request that this instance has sent to a cell against the free
+// slots of the cell's present digest.
+func (t *Table) Sent(cell, service, v string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	col, ok := t.columns[version{service, v}]
+	if !ok {
+		return
+	}
+	for i, c := range t.cells {
+		if c.Name == cell {
+			col.used[i]++
+		}
+	}
+}
