entry, manage: Exchange digests of cells with the reports

Cause: the digests of package cells were not sent. Change: a third section of the report to control carries the free slots of the servers that announce themselves to the instance; the leader answers with the digests of all cells. Conclusion: each entry instance holds the digests; nothing uses them yet.

--- /dev/null
+++ b/internal/entry/cells.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/cells"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+// ReportCells is the section of the reports to control that describes a part of
+// this cell; the answer holds the digests of all cells.
+const ReportCells = "cells"
+
+// FillCells describes the free capacity of the backend servers that announce
+// themselves to this instance.
+func (e *Entry) FillCells(now time.Time) []byte {
+	s, self := e.cfg.Settings, e.member.Self()
+	r := cells.Report{Cell: s.Cell, Region: s.Region}
+	if self.Serving && !self.Draining {
+		r.Callers = self.Callers
+	}
+	for _, p := range e.member.Announced(now) {
+		if p.State != world.Ready || !p.LeaveBy.IsZero() {
+			continue
+		}
+		free := p.Slots - p.Load.Running - p.Load.Waiting
+		for _, v := range p.Versions {
+			r.Offers = append(r.Offers, cells.Offer{Service: p.Service, Version: v, Free: max(free, 0), Price: p.Price})
+		}
+	}
+	b, err := e.cells.Fill(r)
+	if err != nil {
+		return nil // control refuses the section; without digests nothing is forwarded
+	}
+	return b
+}
+
+// TakeCells applies the answer of control with the digests of all cells.
+func (e *Entry) TakeCells(answer []byte, sent, _ time.Time) {
+	// After an answer that does not fit, the next one brings the directory.
+	_ = e.cells.Take(answer, sent)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/cells"
 	"cranberrypath.example/cranberrypath/internal/conf"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/judge"
@@ -87,6 +88,7 @@
 	results *judge.Recorder
 	server  *server
 	bodies  bodies
+	cells   *cells.Table
 	engines engines
 	quiet   time.Duration // how long an engine may be silent
 	restart time.Duration // how long a restart of a backend server may stay unknown
@@ -138,6 +140,7 @@
 		ledger:  poison.New(),
 		resync:  map[string]bool{},
 		results: judge.NewRecorder(s.Node, cfg.Incarnation),
+		cells:   cells.NewTable(s.Cell, s.Region, cfg.Now()),
 		engines: engineClient{cfg.Backends}, quiet: silence, restart: restartKnown,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -18,10 +18,12 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/cells"
 	"cranberrypath.example/cranberrypath/internal/cloud"
 	"cranberrypath.example/cranberrypath/internal/contrl"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/fleet"
+	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/store"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
@@ -95,9 +97,10 @@
 	meters  *meters
 	demand  *collector
 	results *inbox
+	cells   *cells.Collector
 }
 
-// New returns a manager. Register Demand and Results as sections of the reports
+// New returns a manager. Register Demand, Results and Cells as sections of the reports
 // and run Loops on the leader.
 func New(cfg Config) (*Manager, error) {
 	if cfg.Clock == nil {
@@ -117,7 +120,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Manager{cfg: cfg, meters: mt, demand: newCollector(cfg.Timing.Window), results: &inbox{}}, nil
+	return &Manager{cfg: cfg, meters: mt, demand: newCollector(cfg.Timing.Window), results: &inbox{}, cells: cells.NewCollector()}, nil
+}
+
+// Cells answers the section of a report that describes a part of a cell with the
+// digests of all cells.
+func (m *Manager) Cells(_ context.Context, from link.Peer, body []byte, now time.Time) ([]byte, error) {
+	b, err := m.cells.Add(from.Node, body, now)
+	return b, Error.Wrap(err)
 }
 
 // Loops returns the controllers.
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -25,5 +25,6 @@
 	}
 	c.watch.Handle(entry.ReportDemand, m.Demand)
 	c.watch.Handle(entry.ReportResults, m.Results)
+	c.watch.Handle(entry.ReportCells, m.Cells)
 	return m.Loops(), nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,7 @@
 	}
 	n.watcher.Add(watch.Part{Name: entry.ReportDemand, Fill: n.entry.FillDemand, Take: n.entry.TakeGrants})
 	n.watcher.Add(watch.Part{Name: entry.ReportResults, Fill: n.entry.FillResults})
+	n.watcher.Add(watch.Part{Name: entry.ReportCells, Fill: n.entry.FillCells, Take: n.entry.TakeCells})
 	return Error.Wrap(n.entry.Observe(n.meters))
 }
 
