entry: Forward requests to another cell when this one has no capacity

Cause: a cell without a permitted server of the service, or whose limits refuse a request, refused it while other cells had room. Change: such a request goes over HTTP, before it is admitted here, to an instance of a cell chosen by its digest, with its id and its key, and marked so that it is not forwarded again. Which cell computes an answer is recorded at the instance and at a keeper before the request is sent, so that callers continue at any instance of the first cell. A streamed answer goes on at another instance of the other cell if the first is lost. Owners of claims name their cell, because only that cell knows whether a pending one is gone. Requests that are suspected to crash servers are not forwarded. No cost was measured. Accepted requests still wait for a server of their own cell.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,6 +89,7 @@
 	server  *server
 	bodies  bodies
 	cells   *cells.Table
+	sent    forwardedIDs
 	engines engines
 	quiet   time.Duration // how long an engine may be silent
 	restart time.Duration // how long a restart of a backend server may stay unknown
@@ -150,6 +151,7 @@
 	cfg.Net.Handle(crashCall, e.handleCrash)
 	cfg.Net.Handle(permitCall, e.handlePermit)
 	cfg.Net.Handle(idleCall, e.handleIdle)
+	cfg.Net.Handle(forwardedCall, e.handleForwarded)
 	var err error
 	if e.server, err = e.listen(); err != nil {
 		return nil, err
@@ -158,6 +160,7 @@
 		e.answers.Sweep(now)
 		e.reserved.sweep(now)
 		e.entrances.sweep(now)
+		e.sent.sweep(e.keepForwarded(), now)
 		e.adoptOrphans(now)
 		e.learnCaches(now)
 		e.noteServing(now)
--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -74,7 +74,8 @@
 type located struct {
 	local *stream.Answer // nil if it is at a peer
 	peer  member.Peer
-	found *entrpb.Found
+	found *entrpb.Found // nil if another cell computes the answer
+	cell  string        // that cell
 }
 
 // locate looks for an answer here and at all nodes of the cell. The copy of an
@@ -84,7 +85,7 @@
 		return l, true
 	}
 	l, _ := e.search(ctx, &entrpb.Find{Id: id}, now)
-	return l, l.found != nil
+	return l, l.found != nil || l.cell != ""
 }
 
 // locateHere returns the answer of this node if no other one can know better.
@@ -112,6 +113,8 @@
 		switch {
 		case l.found != nil:
 			return l, true, sameBody(l.found, hash)
+		case l.cell != "":
+			return l, true, nil
 		case other == nil:
 			return located{}, false, nil
 		}
@@ -171,12 +174,12 @@
 			return plain
 		})
 		l, reserved = e.judgeReplies(nodes, replies)
-		if l.found != nil || reserved != nil || req.Reserve == "" || replies[try] != nil {
+		if l.found != nil || l.cell != "" || reserved != nil || req.Reserve == "" || replies[try] != nil {
 			break
 		}
 	}
 	if l.found == nil {
-		return located{}, reserved
+		return l, reserved
 	}
 	return e.revive(ctx, req.Id, l, now), nil
 }
@@ -188,6 +191,8 @@
 		case r == nil:
 		case r.Known && (l.found == nil || better(r, l.found)):
 			l = located{peer: nodes[i], found: r}
+		case r.Cell != "" && l.found == nil:
+			l.cell = r.Cell
 		case r.ReservedBy != "" && r.ReservedBy != e.reserver():
 			reserved = r
 		}
@@ -285,6 +290,9 @@
 	if f := e.known(req.Id); f != nil {
 		return f
 	}
+	if cell := e.sent.cell(req.Id); cell != "" && !req.Release {
+		return &entrpb.Found{Cell: cell}
+	}
 	switch {
 	case req.Release:
 		e.reserved.release(req.Id, req.Reserve)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -43,7 +43,7 @@
 				return "", Error.Wrap(ctx.Err())
 			}
 			var ok bool
-			if l, ok = e.locate(ctx, id, e.cfg.Now()); !ok {
+			if l, ok = e.locate(ctx, id, e.cfg.Now()); !ok || l.found == nil {
 				last = stream.ErrUnknown
 				continue
 			}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -35,6 +35,8 @@
 	id   string // of the request
 	// named is set if the caller chose the id and may send it again.
 	named bool
+	// hop is set if another cell has forwarded the request.
+	hop bool
 }
 
 // handle serves every request on the callers' listener.
@@ -94,6 +96,7 @@
 		return nil, badRequest("badHeader", "X-Request-Id must have 1 to 128 visible ASCII characters")
 	}
 	c.id, c.named = id, id != ""
+	c.hop = len(ctx.Request.Header.Peek(headerForwarded)) > 0
 	if id == "" {
 		c.id = newRequestID()
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -72,7 +72,7 @@
 	case claim.OtherBody:
 		return unprocessable("keyReused", "the key was used with another method, path or body")
 	case claim.Pending:
-		return e.pending(ctx, key, state)
+		return e.pending(ctx, p, key, state)
 	}
 	return outcomeUnknown("the call may have run; its result is not known and it is never run again")
 }
@@ -140,12 +140,22 @@
 }
 
 // pending answers a repeat of a call that another instance runs. If that instance
-// is gone, nobody will learn the result any more.
-func (e *Entry) pending(ctx context.Context, key claim.Key, s claim.State) *failure {
+// is gone, nobody will learn the result any more. Only the owner's cell knows
+// whether it is gone.
+func (e *Entry) pending(ctx context.Context, p *plainCall, key claim.Key, s claim.State) *failure {
 	busy := conflict("inProgress", "the call with this key is running", unknown).withRetryAfter(time.Second)
 	if e.ownerLives(s.Owner) {
 		return busy
 	}
+	if cell := cellOfOwner(s.Owner); cell != "" && cell != e.cfg.Settings.Cell {
+		w := wanted{service: p.service.Name, version: p.version, print: p.print, limit: p.service.Timeout()}
+		if done, f := e.again(p.call, cell, w); done {
+			return f
+		}
+		if e.cells.Present(cell, e.cfg.Now()) {
+			return busy
+		}
+	}
 	if err := e.cfg.Claims.Lost(ctx, key, s.Attempt, e.cfg.Now()); err != nil {
 		return busy
 	}
@@ -245,9 +255,15 @@
 }
 
 // owner names one claim of this process. It is unique, so that the claim can be
-// told from a later one of the same process.
+// told from a later one of the same process, and ends with the cell, so that
+// other cells know whom to ask.
 func (e *Entry) owner() string {
-	return fmt.Sprintf("%s%d", e.ownerPrefix(), e.claims.Add(1))
+	return fmt.Sprintf("%s%d@%s", e.ownerPrefix(), e.claims.Add(1), e.cfg.Settings.Cell)
+}
+
+func cellOfOwner(owner string) string {
+	_, cell, _ := strings.Cut(owner[strings.LastIndexByte(owner, '/')+1:], "@")
+	return cell
 }
 
 func (e *Entry) ownerPrefix() string {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -63,6 +63,33 @@
 		header:  forwarded(c),
 	}
 	p.print = poison.Of(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
+	w := wanted{service: service.Name, version: p.version, print: p.print, limit: service.Timeout()}
+	// Without a server here another cell is asked before the call is claimed. If
+	// none takes the call, its claim may still hold an answer.
+	vacant := e.vacant(p)
+	if f := e.forward(c, w, vacant); f != vacant {
+		return f
+	}
+	f := e.serveHere(p, path)
+	if vacant != nil {
+		return f
+	}
+	return e.forward(c, w, f)
+}
+
+// vacant returns the refusal of a call for which this cell has no server.
+func (e *Entry) vacant(p *plainCall) *failure {
+	e.refresh(p.now)
+	_, err := e.table.Pick(route.Query{Service: p.service.Name, Version: p.version, Class: world.Call, DataCenter: e.cfg.Settings.DataCentre}, p.now)
+	if err == nil {
+		return nil
+	}
+	return unavailable("noCapacity", "no backend server may take the call: "+err.Error())
+}
+
+// serveHere answers a call by a server of this cell.
+func (e *Entry) serveHere(p *plainCall, path string) *failure {
+	c, service := p.call, p.service
 	if f := e.checkPoison(p.print, c.now); f != nil {
 		return f
 	}
@@ -74,7 +101,7 @@
 	defer func() { limits.Done(c.org.Name, limit.Cost{Class: world.Call}, e.cfg.Now()) }()
 	e.tally.accepted.Add(1)
 	ctx, cancel := context.WithTimeout(e.ctx, service.Timeout())
-	if !service.Idempotent(method, path) {
+	if !service.Idempotent(string(c.http.Method()), path) {
 		defer cancel()
 		return e.serveOnce(ctx, p)
 	}
@@ -93,7 +120,7 @@
 	var out []backnd.Header
 	for k, v := range c.http.Request.Header.All() {
 		switch name := string(k); {
-		case strings.EqualFold(name, fasthttp.HeaderAuthorization), strings.EqualFold(name, headerOrganisation):
+		case strings.EqualFold(name, fasthttp.HeaderAuthorization), strings.EqualFold(name, headerOrganisation), strings.EqualFold(name, headerForwarded):
 		default:
 			out = append(out, backnd.Header{Name: name, Value: string(v)})
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -26,6 +26,9 @@
 	"cranberrypath.example/cranberrypath/pkg/decl"
 )
 
+// eventStream is the content type of streamed answers.
+const eventStream = "text/event-stream"
+
 // endMark is the reason of a finished answer as the record keeps it.
 type endMark struct {
 	reason       string
@@ -63,17 +66,26 @@
 	}
 	hash := bodyHash(c)
 	id := answerID(c.org.Name, c.id)
+	version := chooseVersion(c.view.Shares[m.Service], id, c.view.Serving[m.Service])
+	acc := e.accepted(c, m, hash)
+	w := e.wantedModel(m, version, acc)
 	if c.named {
 		l, known, f := e.reserve(e.ctx, id, hash)
 		if f != nil {
 			return f
 		}
-		if known {
+		if known && l.found != nil {
 			return e.respond(c, id, l, m, from, l.found.Created)
 		}
+		if known {
+			if done, f := e.again(c, l.cell, w); done {
+				return f
+			}
+		}
 	}
-	a, f := e.accept(c, m, service, hash)
+	a, f := e.accept(c, m, w, acc)
 	if f != nil {
+		f = e.forward(c, w, f)
 		if c.named {
 			e.unreserve(id)
 		}
@@ -112,6 +124,9 @@
 	if !known {
 		return notFound("unknownRequest", "the answer is not known or no longer kept")
 	}
+	if l.found == nil {
+		return e.continueAt(c, l.cell)
+	}
 	model := l.found.Service
 	if l.found.Adapter != "" {
 		model += ":" + l.found.Adapter
@@ -122,10 +137,9 @@
 
 // accept decides whether a new request is taken. Once it returns an answer, the
 // request is accepted and will be finished.
-func (e *Entry) accept(c *call, m modelRequest, service decl.Service, hash uint64) (*stream.Answer, *failure) {
-	version := chooseVersion(c.view.Shares[m.Service], answerID(c.org.Name, c.id), c.view.Serving[m.Service])
-	acc := e.accepted(c, m, hash)
-	if f := e.checkPoison(poison.Of(m.Service, version, requestText(acc)), c.now); f != nil {
+func (e *Entry) accept(c *call, m modelRequest, w wanted, acc *entrpb.Accepted) (*stream.Answer, *failure) {
+	version := w.version
+	if f := e.checkPoison(w.print, c.now); f != nil {
 		return nil, f
 	}
 	e.refresh(c.now)
@@ -148,7 +162,7 @@
 	if errors.Is(err, stream.ErrExists) {
 		release() // the same request was accepted here a moment ago
 		if a, ok := e.answers.Get(answerID(c.org.Name, c.id)); ok {
-			return a, sameBody(foundOf(a), hash)
+			return a, sameBody(foundOf(a), acc.BodyHash)
 		}
 	}
 	if err != nil {
@@ -265,7 +279,7 @@
 // respondStream sends server-sent events until the answer ends.
 func (e *Entry) respondStream(c *call, id string, l located, m modelRequest, s shape, from uint64) {
 	h := &c.http.Response.Header
-	h.SetContentType("text/event-stream")
+	h.SetContentType(eventStream)
 	h.Set("Cache-Control", "no-store")
 	h.Set(headerOutcome, string(answered))
 	c.http.Response.ImmediateHeaderFlush = true
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -11,6 +11,7 @@
 // tally counts what this instance did, for metrics and experiments.
 type tally struct {
 	accepted, refused, unknown atomic.Int64
+	forwarded                  atomic.Int64 // requests that another cell took
 	recomputed                 atomic.Int64 // tokens
 	moved, replayed            atomic.Int64 // streams
 }
@@ -18,6 +19,7 @@
 // Counts are totals since the start of the process.
 type Counts struct {
 	Accepted, Refused, Unknown int64
+	Forwarded                  int64 // requests that another cell took
 	RecomputedTokens           int64
 	StreamsExported            int64
 	StreamsReplayed            int64
@@ -29,6 +31,7 @@
 	t := &e.tally
 	return Counts{
 		Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
+		Forwarded:        t.forwarded.Load(),
 		RecomputedTokens: t.recomputed.Load(), StreamsExported: t.moved.Load(), StreamsReplayed: t.replayed.Load(),
 		Running: int64(e.active.count()),
 	}
@@ -59,7 +62,7 @@
 	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		c := e.Counts()
-		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown} {
+		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown, "forwarded": c.Forwarded} {
 			o.ObserveInt64(requests, n, metric.WithAttributes(attribute.String("outcome", name)))
 		}
 		o.ObserveInt64(tokens, c.RecomputedTokens)
--- /dev/null
+++ b/internal/site/cells_test.go
@@ -0,0 +1,334 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/stand"
+)
+
+// twoCells starts cells a and b of three nodes each, a with the control nodes.
+// All nodes have seeds in both cells.
+func twoCells(t *testing.T) (*Site, uint64) {
+	t.Helper()
+	seed := rand.Uint64() >> 32
+	t.Logf("seed %d", seed)
+	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+	defer cancel()
+	n := 0
+	s, err := Start(ctx, Config{
+		Seed: seed, DataCentres: dataCentres, EntriesPer: 2, Controls: 3, Declaration: small(t), DrainSeconds: 5,
+		Settings: func(set *conf.Settings) {
+			set.Cell = []string{"a", "b"}[n/3]
+			n++
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, seed
+}
+
+// inCell returns the callers' addresses of cell a (0) or b (1).
+func inCell(s *Site, cell int) []string {
+	var out []string
+	for i := range 3 {
+		out = append(out, s.Settings(3*cell+i).Listen.Callers)
+	}
+	return out
+}
+
+func engineIn(t *testing.T, s *Site, cell, i, slots int, seed uint64, speed float64) *stand.Engine {
+	t.Helper()
+	e, err := s.AddEngine(stand.EngineConfig{
+		Spec: stand.Spec{
+			ID: fmt.Sprintf("engine-%d-%d", cell, i), Service: "drafts", Versions: []string{"v1"}, DataCentre: dataCentres[i%3],
+			Zone: dataCentres[i%3] + "-a", MachineClass: "m", Reclaimable: true, Price: 1, Slots: slots,
+			AnnounceEvery: 100 * time.Millisecond, Seed: seed + uint64(10*cell+i), Entries: inCell(s, cell),
+		},
+		CacheBlocks: 1000, Speed: speed, Sampling: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func deskIn(t *testing.T, s *Site, cell int, book *stand.Book) *stand.Desk {
+	t.Helper()
+	d, err := s.AddDesk(stand.DeskConfig{Spec: stand.Spec{
+		ID: fmt.Sprintf("desk-%d", cell), Service: "orders", Versions: []string{"v1"}, DataCentre: "dc1", Zone: "dc1-a",
+		MachineClass: "m", Slots: 64, AnnounceEvery: 100 * time.Millisecond, Entries: inCell(s, cell),
+	}, Path: "/orders", Book: book, Work: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// waitCell waits until each running node of a cell may send to n servers.
+func waitCell(t *testing.T, s *Site, cell, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		ready := true
+		for i := range 3 {
+			if node := s.Node(3*cell + i); node != nil && node.Backends() != n {
+				ready = false
+			}
+		}
+		if ready {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("cell %d does not have %d backend servers", cell, n)
+		}
+	}
+}
+
+// untilForwarded sends requests to a node whose cell has no server until the
+// digest of the other cell has arrived there.
+func untilForwarded(t *testing.T, addr string) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		status, h, text := post(t, addr, "/v1/completions", `{"model": "drafts", "prompt": "first", "max_tokens": 2}`)
+		if status == http.StatusOK {
+			return
+		}
+		if h.Get("X-Outcome") != "not-run" || time.Now().After(deadline) {
+			t.Fatalf("status %d: %s", status, text)
+		}
+	}
+}
+
+func forwardedBy(s *Site, i int) int64 { return s.Node(i).Entry().Counts().Forwarded }
+
+// Guards against requests that fail while the cell that they come to has lost
+// its servers, against answers that cannot be continued at that cell, also after
+// the instances that forwarded or computed them are lost, and against cells that
+// take each other's servers.
+func TestCellWithoutServersForwards(t *testing.T) {
+	t.Parallel()
+	s, seed := twoCells(t)
+	lost := engineIn(t, s, 0, 0, 32, seed, 4)
+	for i := range 3 {
+		engineIn(t, s, 1, i, 32, seed, 4)
+	}
+	waitCell(t, s, 0, 1)
+	waitCell(t, s, 1, 3)
+	lost.Reclaim(time.Now().Add(300 * time.Millisecond))
+	waitCell(t, s, 0, 0)
+	untilForwarded(t, inCell(s, 0)[2])
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	var mu sync.Mutex
+	refused, answered := map[string]int{}, 0
+	for w := range 6 { // unstreamed requests
+		load.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				body := fmt.Sprintf(`{"model": "drafts", "prompt": "load %d-%d", "max_tokens": 8}`, w, k)
+				status, h, text := tryPost(inCell(s, 0)[w%3], "/v1/completions", body)
+				mu.Lock()
+				switch {
+				case status == http.StatusOK:
+					answered++
+				case h.Get("X-Outcome") == "not-run":
+					refused[text]++
+				default:
+					t.Errorf("status %d: %s", status, text)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 25*time.Second)
+	defer cancel()
+	var callers []*caller
+	var streams sync.WaitGroup
+	for i := range 6 {
+		c := &caller{
+			id: fmt.Sprintf("%d-%d", seed, i), key: "acme-key", prompt: "stream " + strconv.Itoa(i), seed: uint64(i), tokens: 200,
+			addrs: append(inCell(s, 0)[i%3:], inCell(s, 0)...),
+		}
+		callers = append(callers, c)
+		streams.Go(func() { c.run(ctx) })
+	}
+	for _, c := range callers {
+		for c.position() < 5 && ctx.Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	close(stop)
+	load.Wait()
+	// The node that has forwarded a third of the streams, and one that computes some.
+	stopNode(t, s, 1, 0)
+	stopNode(t, s, 3+rand.IntN(3), 0)
+	streams.Wait()
+	for _, c := range callers {
+		c.check(t)
+		computedOnce(t, s, "acme", c.id)
+	}
+	if n := forwardedBy(s, 0) + forwardedBy(s, 2); n == 0 || answered == 0 {
+		t.Errorf("%d requests forwarded, %d answered", n, answered)
+	}
+	t.Logf("%d answered, refused %v, forwarded by two nodes %d", answered, refused, forwardedBy(s, 0)+forwardedBy(s, 2))
+	for _, ev := range s.Timeline(event.Filter{Kind: "request.forwarded"}) {
+		if ev.Detail["cell"] != "b" {
+			t.Errorf("forwarded to %v", ev)
+		}
+	}
+}
+
+// Guards against requests that two full cells pass to each other, and against a
+// refusal that is not "not run".
+func TestFullCellsDoNotLoop(t *testing.T) {
+	t.Parallel()
+	s, seed := twoCells(t)
+	engineIn(t, s, 0, 0, 2, seed, 1)
+	engineIn(t, s, 1, 0, 2, seed, 1)
+	waitCell(t, s, 0, 1)
+	waitCell(t, s, 1, 1)
+	var mu sync.Mutex
+	refused, accepted := 0, map[string]int{}
+	wave := func(name string, n, nodes int) { // to the first nodes
+		var wg sync.WaitGroup
+		for i := range n {
+			wg.Go(func() {
+				id := fmt.Sprintf("%s-%d", name, i)
+				body := fmt.Sprintf(`{"model": "drafts", "prompt": "%s", "max_tokens": 30}`, id)
+				status, h, text := tryPost(s.Settings(i%nodes).Listen.Callers, "/v1/completions", body, "X-Request-Id", id)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case status == http.StatusOK:
+					accepted["acme/"+id]++
+				case h.Get("X-Outcome") == "not-run" && h.Get("Retry-After") != "":
+					refused++
+				default:
+					t.Errorf("status %d: %s", status, text)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	hops := map[string]int{}
+	// A wave to the nodes of cell a overflows into b; one to all fills both.
+	for k, deadline := 0, time.Now().Add(25*time.Second); len(hops) == 0 && time.Now().Before(deadline); k++ {
+		var wg sync.WaitGroup
+		wg.Go(func() { wave(fmt.Sprint("first", k), 12, 3) })
+		wg.Go(func() {
+			time.Sleep(100 * time.Millisecond)
+			wave(fmt.Sprint("second", k), 36, 6)
+		})
+		wg.Wait()
+		for _, ev := range s.Timeline(event.Filter{Kind: "request.forwarded"}) {
+			hops[ev.Request]++
+		}
+	}
+	if refused == 0 || len(hops) == 0 {
+		t.Errorf("%d refused, %d forwarded: the cells were not full", refused, len(hops))
+	}
+	for id, n := range hops {
+		if n > 1 {
+			t.Errorf("%s was forwarded %d times", id, n)
+		}
+	}
+	ran := map[string]int{}
+	for _, ev := range s.Timeline(event.Filter{Kind: "request.accepted"}) {
+		if ran[ev.Request]++; ran[ev.Request] > 1 || accepted[ev.Request] == 0 {
+			t.Errorf("%s was accepted %d times and answered %d times", ev.Request, ran[ev.Request], accepted[ev.Request])
+		}
+	}
+	t.Logf("%d answered, %d refused, %d forwarded", len(accepted), refused, len(hops))
+	// A mark of another cell keeps a request here.
+	req, _ := http.NewRequest(http.MethodPost, "http://"+inCell(s, 0)[0]+"/orders", strings.NewReader("{}"))
+	req.Header.Set("Authorization", "Bearer acme-key")
+	req.Header.Set("X-Forwarded-Cell", "b")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if b, _ := io.ReadAll(resp.Body); resp.Header.Get("X-Outcome") != "not-run" {
+		t.Errorf("status %d: %s", resp.StatusCode, b)
+	}
+}
+
+// Guards against a forwarded order that runs twice or gets another key at the
+// claim groups, whatever fails around it, and against an order that one cell
+// takes for lost while the other runs it.
+func TestForwardedOrdersRunOnce(t *testing.T) {
+	t.Parallel()
+	s, seed := twoCells(t)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	book := stand.NewBook()
+	desk := deskIn(t, s, 1, book)
+	waitCell(t, s, 0, 0)
+	waitCell(t, s, 1, 1)
+	fresh := func(name string) *order {
+		return &order{key: name + "-" + strconv.FormatUint(rng.Uint64(), 36), book: book}
+	}
+	first := fresh("first")
+	for deadline := time.Now().Add(20 * time.Second); first.answered == 0 && time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		first.send(t, inCell(s, 0)[0], true)
+	}
+	for _, f := range []struct {
+		name   string
+		faults stand.DeskFaults
+	}{
+		{"none", stand.DeskFaults{}},
+		{"dropAfter", stand.DeskFaults{DropAfter: 1}},
+		{"cutAnswer", stand.DeskFaults{CutAnswer: 1}},
+	} {
+		desk.SetFaults(f.faults)
+		o := fresh(f.name)
+		var wg sync.WaitGroup
+		for i := range 4 { // in both cells at once
+			wg.Go(func() { o.send(t, inCell(s, i%2)[i/2], false) })
+		}
+		wg.Wait()
+		desk.SetFaults(stand.DeskFaults{})
+		for i := range 6 {
+			o.send(t, s.Settings(i).Listen.Callers, true)
+		}
+		o.check(t)
+		if f.name == "none" && (o.answered != 1 || o.replayed < 6) {
+			t.Errorf("%d answers, %d replayed; last %s", o.answered, o.replayed, o.last)
+		}
+	}
+	// The instance of the other cell that runs the order is lost.
+	for i := range 3 {
+		o := fresh("crash")
+		var wg sync.WaitGroup
+		wg.Go(func() { o.send(t, inCell(s, 0)[i], false) })
+		time.Sleep(time.Duration(rng.IntN(120)) * time.Millisecond)
+		stopNode(t, s, 3+i, 0)
+		wg.Wait()
+		for k := range 3 {
+			o.send(t, inCell(s, 0)[k], true)
+		}
+		restore(t, s)
+		waitCell(t, s, 1, 1)
+		o.send(t, inCell(s, 0)[i], true)
+		o.check(t)
+	}
+	if first.answered != 1 {
+		t.Errorf("the first order: %s", first.last)
+	}
+	first.check(t)
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -329,9 +329,12 @@
 	return oprcli.New(addrs, "")
 }
 
-// AddEngine starts a model engine that announces itself to the site.
+// AddEngine starts a model engine that announces itself to the site, or to the
+// entry nodes in cfg if there are any.
 func (s *Site) AddEngine(cfg stand.EngineConfig) (*stand.Engine, error) {
-	cfg.Entries = s.Callers()
+	if len(cfg.Entries) == 0 {
+		cfg.Entries = s.Callers()
+	}
 	e, err := stand.NewEngine(cfg)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -342,9 +345,12 @@
 	return e, nil
 }
 
-// AddDesk starts an order desk that announces itself to the site.
+// AddDesk starts an order desk that announces itself to the site, or to the
+// entry nodes in cfg if there are any.
 func (s *Site) AddDesk(cfg stand.DeskConfig) (*stand.Desk, error) {
-	cfg.Entries = s.Callers()
+	if len(cfg.Entries) == 0 {
+		cfg.Entries = s.Callers()
+	}
 	d, err := stand.NewDesk(cfg)
 	if err != nil {
 		return nil, Error.Wrap(err)
