entry: Let another cell compute the rest of an accepted answer

Cause: an accepted request whose cell lost all servers waited for one of its own cell until its deadline; the caller of a whole answer saw a timeout in one of three runs of TestCellWithoutServersForwards. Change: after 1 s without a server the owner sends the request and the tokens so far to an instance of a cell with room and copies that cell's tokens into its own record, so that callers, keepers and takeovers see one answer. The digests' directory carries peer addresses. Lent and forwarded requests are not lent again. Conclusion: the loss of all servers of a cell no longer holds accepted requests.

--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -46,11 +46,15 @@
 	Cell, Region string
 	// Callers is the instance's callers' address; empty while it takes no requests.
 	Callers string
+	Peer    string  // address of its peer listener
 	Offers  []Offer // of the backend servers that announce themselves to it
 }
 
 // Cell is a cell that has room for a request.
 type Cell struct {
-	Name    string
-	Callers []string // addresses of its entry instances, in the order to try
+	Name      string
+	Instances []Instance // in the order to try
 }
+
+// Instance is an entry instance that takes requests, by its addresses.
+type Instance struct{ Callers, Peer string }
--- a/internal/cells/leader.go
+++ b/internal/cells/leader.go
@@ -57,7 +57,7 @@
 }
 
 func check(r *cellpb.Report) error {
-	names := []string{r.Cell, r.Region, r.Callers}
+	names := []string{r.Cell, r.Region, r.Callers, r.Peer}
 	for _, o := range r.Offers {
 		names = append(names, o.Service, o.Version)
 	}
@@ -91,7 +91,7 @@
 		for _, r := range cells[name] {
 			oldest = max(oldest, now.Sub(r.at))
 			if r.Callers != "" {
-				cell.Callers = append(cell.Callers, r.Callers)
+				cell.Callers, cell.Peers = append(cell.Callers, r.Callers), append(cell.Peers, r.Peer)
 			}
 			for _, o := range r.Offers {
 				add(columns, o, i, len(cells))
@@ -151,7 +151,7 @@
 func directoryHash(cells []*cellpb.Cell) uint64 {
 	d := xxhash.New()
 	for _, c := range cells {
-		for _, s := range append([]string{c.Name, c.Region}, c.Callers...) {
+		for _, s := range slices.Concat([]string{c.Name, c.Region}, c.Callers, c.Peers) {
 			_, _ = d.WriteString(s)
 			_, _ = d.WriteString("\x00")
 		}
--- a/internal/cells/table.go
+++ b/internal/cells/table.go
@@ -43,7 +43,7 @@
 // Fill encodes a report of this instance.
 func (t *Table) Fill(r Report) ([]byte, error) {
 	t.mu.Lock()
-	msg := &cellpb.Report{Cell: r.Cell, Region: r.Region, Callers: r.Callers, Directory: t.hash}
+	msg := &cellpb.Report{Cell: r.Cell, Region: r.Region, Callers: r.Callers, Peer: r.Peer, Directory: t.hash}
 	t.mu.Unlock()
 	for _, o := range r.Offers {
 		msg.Offers = append(msg.Offers, &cellpb.Offer{
@@ -67,7 +67,7 @@
 	if sent.Before(t.sent) {
 		return nil // an answer that was overtaken
 	}
-	if len(msg.Cells) > 0 {
+	if len(msg.Cells) > 0 && !slices.ContainsFunc(msg.Cells, func(c *cellpb.Cell) bool { return len(c.Callers) != len(c.Peers) }) {
 		t.hash, t.cells = msg.Directory, msg.Cells
 	}
 	if msg.Directory != t.hash || !fits(&msg, len(t.cells)) {
@@ -101,8 +101,8 @@
 	return out
 }
 
-// Known returns the cell of that name, with the addresses of its instances in
-// the order to try for a request id. It may be older than a digest.
+// Known returns the cell of that name, with its instances in the
+// order to try for a request id. It may be older than a digest.
 func (t *Table) Known(name, id string) (Cell, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,6 +114,19 @@
 	return Cell{}, false
 }
 
+// Current returns the number of other cells with a digest that counts.
+func (t *Table) Current(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for i, until := range t.until {
+		if now.Before(until) && t.cells[i].Name != t.cell {
+			n++
+		}
+	}
+	return n
+}
+
 // Present reports whether a cell reported to control a short while ago. Until
 // this instance has run for that long every cell counts as present.
 func (t *Table) Present(name string, now time.Time) bool {
@@ -126,13 +139,16 @@
 	return now.Sub(last) < remembered
 }
 
-// cellOf orders the addresses by rendezvous hash, so that a repeat of a request
+// cellOf orders the instances by rendezvous hash, so that a repeat of a request
 // finds the instance that has it.
 func cellOf(c *cellpb.Cell, id string) Cell {
-	out := Cell{Name: c.Name, Callers: slices.Clone(c.Callers)}
-	score := func(addr string) uint64 { return xxhash.Sum64String(addr + "\x00" + id) }
-	slices.SortFunc(out.Callers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b))
+	out := Cell{Name: c.Name}
+	for i, addr := range c.Callers {
+		out.Instances = append(out.Instances, Instance{addr, c.Peers[i]})
+	}
+	score := func(i Instance) uint64 { return xxhash.Sum64String(i.Callers + "\x00" + id) }
+	slices.SortFunc(out.Instances, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Callers, b.Callers))
 	})
 	return out
 }
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -17,7 +17,7 @@
 	s, self := e.cfg.Settings, e.member.Self()
 	r := cells.Report{Cell: s.Cell, Region: s.Region}
 	if self.Serving && !self.Draining {
-		r.Callers = self.Callers
+		r.Callers, r.Peer = self.Callers, self.Address
 	}
 	for _, p := range e.member.Announced(now) {
 		if p.State != world.Ready || !p.LeaveBy.IsZero() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,6 +152,7 @@
 	cfg.Net.Handle(permitCall, e.handlePermit)
 	cfg.Net.Handle(idleCall, e.handleIdle)
 	cfg.Net.Handle(forwardedCall, e.handleForwarded)
+	cfg.Net.Handle(lendCall, e.handleLend)
 	var err error
 	if e.server, err = e.listen(); err != nil {
 		return nil, err
--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -78,6 +78,14 @@
 	cell  string        // that cell
 }
 
+// peerOr returns the instance that has the answer; self is this one.
+func (l located) peerOr(self member.Peer) member.Peer {
+	if l.local != nil {
+		return self
+	}
+	return l.peer
+}
+
 // locate looks for an answer here and at all nodes of the cell. The copy of an
 // answer whose owner is gone is taken over, because a caller asks for it.
 func (e *Entry) locate(ctx context.Context, id string, now time.Time) (located, bool) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -103,8 +103,8 @@
 // reached, or all refused for lack of capacity.
 func (e *Entry) send(c *call, cell cells.Cell, w wanted) (taken bool, f *failure) {
 	var maybe error // of an attempt that may have run
-	for _, addr := range cell.Callers[:min(len(cell.Callers), forwardTries)] {
-		r, err := e.open(addr, e.outgoing(c), w)
+	for _, to := range cell.Instances[:min(len(cell.Instances), forwardTries)] {
+		r, err := e.open(to.Callers, e.outgoing(c), w)
 		if err == nil && r.refusal != "" {
 			if r.refusal == "notConfirmed" {
 				continue
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -177,12 +177,12 @@
 		if !pause(e.ctx, followPause) {
 			return nil
 		}
-		addrs := cell.Callers
+		all := cell.Instances
 		if c, ok := e.cells.Known(cell.Name, next.RequestID); ok {
-			addrs = c.Callers
+			all = c.Instances
 		}
 		w := wanted{limit: seconds(e.cfg.Settings.Limits.RequestSeconds), stream: true}
-		r, err := e.open(addrs[try%len(addrs)], next, w)
+		r, err := e.open(all[try%len(all)].Callers, next, w)
 		if err != nil {
 			continue
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -131,6 +131,7 @@
 // run makes attempts until the answer has ended.
 func (r *runner) run(ctx context.Context) {
 	wait := retryPause
+	var lacking time.Time // since when no server is found; zero if one was
 	for {
 		if _, ended := r.a.Ended(); ended {
 			return
@@ -152,7 +153,14 @@
 		r.pass = g
 		choice, err := r.pick(now)
 		if err != nil {
+			if lacking.IsZero() {
+				lacking = now
+			}
+			ended := now.Sub(lacking) >= lendAfter && r.lend(ctx, now)
 			r.e.leave(g)
+			if ended {
+				return
+			}
 			// The request is accepted, so it waits for a server until its deadline.
 			pause(ctx, wait)
 			wait = min(2*wait, retryPauseMax)
@@ -164,6 +172,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
+		lacking = time.Time{}
 		err = r.attempt(ctx, choice, &g)
 		r.e.leave(g)
 		if r.over(ctx, choice.Backend, err) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -184,7 +184,7 @@
 	limit := seconds(e.cfg.Settings.Limits.RequestSeconds)
 	return &entrpb.Accepted{
 		Service: m.Service, Adapter: m.Adapter, Prompt: m.Prompt, MaxTokens: uint32(m.MaxTokens), Seed: m.Seed,
-		Chat: m.Chat, Created: c.now.Unix(), BodyHash: hash, Options: options, DeadlineMs: c.now.Add(limit).UnixMilli(),
+		Chat: m.Chat, Created: c.now.Unix(), BodyHash: hash, Options: options, DeadlineMs: c.now.Add(limit).UnixMilli(), Hop: c.hop,
 	}
 }
 
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -24,6 +24,7 @@
 	StreamsExported            int64
 	StreamsReplayed            int64
 	Running                    int64
+	Cells                      int64 // other cells with a digest that counts, now
 }
 
 // Counts returns the totals.
@@ -33,7 +34,7 @@
 		Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
 		Forwarded:        t.forwarded.Load(),
 		RecomputedTokens: t.recomputed.Load(), StreamsExported: t.moved.Load(), StreamsReplayed: t.replayed.Load(),
-		Running: int64(e.active.count()),
+		Running: int64(e.active.count()), Cells: int64(e.cells.Current(e.cfg.Now())),
 	}
 }
 
@@ -60,6 +61,10 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	known, err := m.Int64ObservableGauge("cells_known", metric.WithDescription("other cells with a current digest"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		c := e.Counts()
 		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown, "forwarded": c.Forwarded} {
@@ -67,7 +72,8 @@
 		}
 		o.ObserveInt64(tokens, c.RecomputedTokens)
 		o.ObserveInt64(running, c.Running)
+		o.ObserveInt64(known, c.Cells)
 		return nil
-	}, requests, tokens, running)
+	}, requests, tokens, running, known)
 	return Error.Wrap(err)
 }
