member: Test that cells with common seeds stay apart

Cause: only one cell was ever run, and no test covered the refusal of pulls from another cell. Change: a test with two cells whose nodes all have the same seeds. Conclusion: members pull from and permit only their own cell, as before.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -31,6 +32,8 @@
 	now   time.Time
 	seqs  map[string]uint64
 	last  map[string]Reply
+	// split puts every second node into another cell.
+	split bool
 	// patience bounds a round; it ends earlier once all pulls are answered.
 	patience time.Duration
 	// bytes and writes count what passes the dialed connections, in both
@@ -69,7 +72,14 @@
 }
 
 func newCell(t testing.TB, n int) *cell {
-	c := &cell{t: t, links: faults.New(), now: time.Unix(1e9, 0), seqs: map[string]uint64{}, last: map[string]Reply{}, patience: 10 * time.Second}
+	return startCell(t, n, false)
+}
+
+func startCell(t testing.TB, n int, split bool) *cell {
+	c := &cell{
+		t: t, links: faults.New(), now: time.Unix(1e9, 0), seqs: map[string]uint64{}, last: map[string]Reply{},
+		patience: 10 * time.Second, split: split,
+	}
 	for i := range n {
 		c.start(i, "127.0.0.1:0", 1)
 	}
@@ -104,7 +114,7 @@
 		seeds = append(seeds, o.Addr())
 	}
 	m, err := New(Config{
-		Node: name, DataCentre: dc, Cell: "main", Address: n.Addr(), Callers: "callers-" + name, Seeds: seeds,
+		Node: name, DataCentre: dc, Cell: c.cellOf(i), Address: n.Addr(), Callers: "callers-" + name, Seeds: seeds,
 		Incarnation: incarnation, Lease: lease, Clock: c.clock, Manual: true,
 	}, n)
 	if err != nil {
@@ -117,6 +127,14 @@
 	c.nodes, c.nets = append(c.nodes, m), append(c.nets, n)
 }
 
+// cellOf returns the cell of a node; all are in one unless a test says otherwise.
+func (c *cell) cellOf(i int) string {
+	if c.split {
+		return []string{"a", "b"}[i%2]
+	}
+	return "main"
+}
+
 func (c *cell) stop(i int) {
 	_ = c.nets[i].Close() // first, so that no pull is blocked in a session
 	c.nodes[i].Close()
@@ -182,6 +200,30 @@
 	}
 }
 
+// Guards against cells with common seeds that pull from each other or send to
+// each other's backend servers.
+func TestCellsStayApart(t *testing.T) {
+	c := startCell(t, 6, true)
+	c.announce(2, "s", world.Ready)
+	c.round()
+	for i, m := range c.nodes {
+		var got []string
+		for _, p := range m.Peers(c.clock()) {
+			got = append(got, p.Node)
+		}
+		var want []string
+		for k := range c.nodes {
+			if k != i && k%2 == i%2 {
+				want = append(want, fmt.Sprintf("e%02d", k))
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("node %d sees %v, want %v", i, got, want)
+		}
+		c.want(i, "s", i%2 == 0, "it announced itself to node 2")
+	}
+}
+
 // Guards against nodes that a seed knows but others never learn, and against
 // permissions that do not reach the whole cell.
 func TestCellFindsItselfAndSharesPermissions(t *testing.T) {
