node: Collect the time line from all cells

Cause: a control node asked its seeds, the control members and the members of its own cell, so events of other cells were missing. Change: it also asks the instances that the digests' directory names. Figures: go test -race ./internal/site -run TestCellWithout passes; it checks that both cells are covered.

--- a/internal/cells/table.go
+++ b/internal/cells/table.go
@@ -127,6 +127,19 @@
 	return n
 }
 
+// Peers returns the peer addresses of the instances of other cells.
+func (t *Table) Peers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, c := range t.cells {
+		if c.Name != t.cell {
+			out = append(out, c.Peers...)
+		}
+	}
+	return out
+}
+
 // Present reports whether a cell reported to control a short while ago. Until
 // this instance has run for that long every cell counts as present.
 func (t *Table) Present(name string, now time.Time) bool {
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -40,3 +40,6 @@
 	// After an answer that does not fit, the next one brings the directory.
 	_ = e.cells.Take(answer, sent)
 }
+
+// OtherCells returns the peer addresses of the entry instances of other cells.
+func (e *Entry) OtherCells() []string { return e.cells.Peers() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,6 +274,9 @@
 			out = append(out, p.Address)
 		}
 	}
+	if n.entry != nil {
+		out = append(out, n.entry.OtherCells()...)
+	}
 	return out
 }
 
--- a/internal/site/cells_test.go
+++ b/internal/site/cells_test.go
@@ -215,6 +215,15 @@
 			t.Errorf("forwarded to %v", ev)
 		}
 	}
+	// The time line that a control node collects covers both cells.
+	var nodes []string
+	all, err := s.Node(0).Events(context.Background(), event.Filter{Kind: "node.started"})
+	for _, ev := range all {
+		nodes = append(nodes, ev.Node)
+	}
+	if err != nil || len(nodes) != 4 {
+		t.Errorf("the time line covers %v, want the 4 nodes that run: %v", nodes, err)
+	}
 }
 
 // Guards against requests that two full cells pass to each other, and against a
