entry: Keep the newest records of forwarded requests when there are many

Cause: records are kept for the longest run of a request, an hour, so at 37 forwarded requests/s the bound of 65,536 was reached after half an hour and the newest answers could not be continued at this cell. Change: two generations; the older one is dropped when the newer is full. Conclusion: at least the newest 65,536 are known, at most twice as many held.

--- a/internal/entry/sent.go
+++ b/internal/entry/sent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -13,8 +14,8 @@
 
 const (
 	forwardedCall = "entry.forwarded"
-	// maxForwarded bounds the records of forwarded requests, about 10 MB. A
-	// request beyond it is forwarded but cannot be continued at this cell.
+	// maxForwarded bounds one of two generations of records of forwarded
+	// requests, together about 20 MB.
 	maxForwarded = 1 << 16
 	// recordTries is how many peers are asked to keep the record of a forwarded request.
 	recordTries = 2
@@ -23,8 +24,9 @@
 // forwardedIDs are the answers that other cells compute for callers of this
 // one, so that a caller can continue its answer at any instance of this cell.
 type forwardedIDs struct {
-	mu   sync.Mutex
-	byID map[string]forwardedID
+	mu    sync.Mutex
+	byID  map[string]forwardedID
+	older map[string]forwardedID
 }
 
 type forwardedID struct {
@@ -35,7 +37,10 @@
 func (f *forwardedIDs) cell(id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.byID[id].cell
+	if r, ok := f.byID[id]; ok {
+		return r.cell
+	}
+	return f.older[id].cell
 }
 
 // set records the cell of an answer; an empty cell removes the record.
@@ -44,25 +49,22 @@
 	defer f.mu.Unlock()
 	if cell == "" {
 		delete(f.byID, id)
+		delete(f.older, id)
 		return
 	}
-	if f.byID == nil {
-		f.byID = map[string]forwardedID{}
-	}
-	if len(f.byID) < maxForwarded {
-		f.byID[id] = forwardedID{cell, now}
+	if f.byID == nil || len(f.byID) >= maxForwarded {
+		f.byID, f.older = map[string]forwardedID{}, f.byID
 	}
+	f.byID[id] = forwardedID{cell, now}
 }
 
 // sweep drops the records that are older than keep.
 func (f *forwardedIDs) sweep(keep time.Duration, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, r := range f.byID {
-		if now.Sub(r.at) >= keep {
-			delete(f.byID, id)
-		}
-	}
+	old := func(_ string, r forwardedID) bool { return now.Sub(r.at) >= keep }
+	maps.DeleteFunc(f.byID, old)
+	maps.DeleteFunc(f.older, old)
 }
 
 // keepForwarded is how long the record of a forwarded request may be needed.
