entry: Name instances of other cells last in the directory

Cause: callers of a cell whose entry instances are all lost had no address left. Change: /v1/addresses ends with one instance of each of two other cells with a current digest, those of the same region first. Conclusion: the loss of a whole cell leaves its callers a way in.

--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -131,6 +131,13 @@
 			t.Errorf("%s was chosen for %.3f of the requests, want %.3f", name, share, want)
 		}
 	}
+	others := table.Others("caller", 9, start)
+	if len(others) != 6 || others[0] == others[1] || !slices.Equal(others[:2], table.Others("caller", 2, start)) {
+		t.Errorf("instances of other cells: %v", others)
+	}
+	if late := table.Others("caller", 9, start.Add(MaxAge)); len(late) != 0 {
+		t.Errorf("instances of cells that may be lost: %v", late)
+	}
 	for range 10 {
 		table.Sent("c00", "s", "v")
 	}
--- a/internal/cells/choose.go
+++ b/internal/cells/choose.go
@@ -16,6 +16,16 @@
 	score float64
 }
 
+func (c candidate) compare(o candidate) int {
+	switch {
+	case c.far != o.far && o.far:
+		return -1
+	case c.far != o.far:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(c.score, o.score), cmp.Compare(c.cell, o.cell))
+}
+
 // Choose returns at most n other cells with room for a request, best first:
 // those of this instance's region, then the rest. Within a region a cell is
 // first with a probability in proportion to its free slots by price, so that
@@ -54,15 +64,27 @@
 		}
 		out = append(out, candidate{i, c.Region != t.region, exponential(c.Name+"\x00"+id) * price / float64(free)})
 	}
-	slices.SortFunc(out, func(a, b candidate) int {
-		switch {
-		case a.far != b.far && b.far:
-			return -1
-		case a.far != b.far:
-			return 1
+	slices.SortFunc(out, candidate.compare)
+	return out
+}
+
+// Others returns one instance of each of at most n other cells, for callers
+// whose own cell is lost as a whole: cells of this instance's region first, in
+// an order that depends on the caller's key.
+func (t *Table) Others(key string, n int, now time.Time) []Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []candidate
+	for i, c := range t.cells {
+		if c.Name != t.cell && len(c.Callers) > 0 && i < len(t.until) && now.Before(t.until[i]) {
+			all = append(all, candidate{i, c.Region != t.region, exponential(c.Name + "\x00" + key)})
 		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.cell, b.cell))
-	})
+	}
+	slices.SortFunc(all, candidate.compare)
+	var out []Instance
+	for _, c := range all[:min(n, len(all))] {
+		out = append(out, cellOf(t.cells[c.cell], key).Instances[0])
+	}
 	return out
 }
 
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -20,6 +20,9 @@
 	maxRequestIDBytes = 128
 	// ownPaths is the prefix that no plain service can have.
 	ownPaths = "/v1/"
+	// otherCells is how many instances of other cells the directory names last,
+	// so that callers find the system when their whole cell is lost.
+	otherCells = 2
 )
 
 // isError is errors.As with the target's type left to the caller.
@@ -168,10 +171,15 @@
 	if f := wantMethod(ctx, fasthttp.MethodGet); f != nil {
 		return f
 	}
-	writeJSON(ctx, e.addresses(member.Caller{
+	c := member.Caller{
 		Key:        string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)) + ctx.RemoteIP().String(),
 		DataCentre: string(ctx.QueryArgs().Peek("dataCentre")),
-	}))
+	}
+	b := e.addresses(c)
+	for _, i := range e.cells.Others(c.Key, otherCells, e.cfg.Now()) {
+		b.Addresses = append(b.Addresses, addressBody{Address: i.Callers})
+	}
+	writeJSON(ctx, b)
 	return nil
 }
 
--- a/internal/site/cells_test.go
+++ b/internal/site/cells_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -290,6 +291,12 @@
 	}
 	t.Logf("%d answered, %d refused, %d forwarded", len(accepted), refused, len(hops))
 	staysWithMark(t, s)
+	// A caller whose whole cell is lost needs an address of the other one.
+	waitDigests(t, s)
+	addrs := directory(s, inCell(s, 1)[:1])
+	if len(addrs) != 4 || slices.Contains(inCell(s, 1), addrs[3]) {
+		t.Errorf("directory %v, want the own cell %v and one of the other", addrs, inCell(s, 1))
+	}
 }
 
 // staysWithMark checks that a request that another cell has forwarded is not
