cells: Give a slot back when a forwarded request has ended

Cause: each request counted against the free slots of a digest until the next digest, so an instance forwarded at most as many requests a second as the other cell had free slots, however short they were. Change: the count ends with the request. A benchmark compares forwarded and direct requests and fails if one is refused. Conclusion: short requests are forwarded at the rate at which slots come free.

--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -138,12 +138,18 @@
 	if late := table.Others("caller", 9, start.Add(MaxAge)); len(late) != 0 {
 		t.Errorf("instances of cells that may be lost: %v", late)
 	}
+	var done func()
 	for range 10 {
-		table.Sent("c00", "s", "v")
+		done = table.Sent("c00", "s", "v")
 	}
 	if got := table.Choose("s", "v", "x", 9, start); len(got) != 5 {
 		t.Errorf("%v after all slots of c00 were used", got)
 	}
+	done()
+	done()
+	if got := table.Choose("s", "v", "x", 9, start); len(got) != 6 || table.columns[version{"s", "v"}].used[0] != 9 {
+		t.Errorf("%v after one of 10 requests has ended", got)
+	}
 }
 
 // Guards against capacity that is taken from a digest that is too old or that
--- a/internal/cells/choose.go
+++ b/internal/cells/choose.go
@@ -4,9 +4,12 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cranberrypath.example/cranberrypath/internal/cells/cellpb"
 )
 
 // candidate is a cell with room; the smallest score within a region is best.
@@ -96,18 +99,20 @@
 	return -math.Log(u)
 }
 
-// Sent counts a request that this instance has sent to a cell against the free
-// slots of the cell's present digest.
-func (t *Table) Sent(cell, service, v string) {
+// Sent counts a request of this instance against the free slots of a cell until
+// done is called, or until the next digest, which has counted it.
+func (t *Table) Sent(cell, service, v string) (done func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	i := slices.IndexFunc(t.cells, func(c *cellpb.Cell) bool { return c.Name == cell })
 	col, ok := t.columns[version{service, v}]
-	if !ok {
-		return
-	}
-	for i, c := range t.cells {
-		if c.Name == cell {
-			col.used[i]++
-		}
+	if !ok || i < 0 {
+		return func() {}
 	}
+	col.used[i]++
+	return sync.OnceFunc(func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		col.used[i]-- // of a digest that may have been replaced
+	})
 }
--- a/internal/cells/table.go
+++ b/internal/cells/table.go
@@ -32,7 +32,7 @@
 type column struct {
 	free  []int
 	price []float64
-	used  []int // requests that this instance has sent since the digest
+	used  []int // requests that this instance has sent since the digest and that run
 }
 
 // NewTable returns a table without digests for an instance of the named cell.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -31,6 +31,9 @@
 	service, version string
 	print            poison.Fingerprint
 	limit            time.Duration // of the whole request
+	// done is called when the other cell no longer works on the request; it may
+	// be nil.
+	done func()
 	// model requests may be computed twice; of a plain call it is not known.
 	model  bool
 	stream bool
@@ -61,7 +64,7 @@
 	}
 	id := answerID(c.org.Name, c.id)
 	for _, cell := range e.cells.Choose(w.service, w.version, id, forwardCells, e.cfg.Now()) {
-		e.cells.Sent(cell.Name, w.service, w.version)
+		w.done = e.cells.Sent(cell.Name, w.service, w.version)
 		if w.model {
 			e.recordForwarded(e.ctx, id, cell.Name, e.cfg.Now())
 		}
--- a/internal/entry/lend.go
+++ b/internal/entry/lend.go
@@ -37,8 +37,10 @@
 		return false
 	}
 	for _, cell := range r.e.cells.Choose(r.req.Service, r.using, r.req.ID, forwardCells, now) {
-		r.e.cells.Sent(cell.Name, r.req.Service, r.using)
-		if taken, ended := r.lendTo(ctx, cell); taken {
+		done := r.e.cells.Sent(cell.Name, r.req.Service, r.using)
+		taken, ended := r.lendTo(ctx, cell)
+		done()
+		if taken {
 			return ended
 		}
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -44,7 +44,13 @@
 
 // open sends a request to an instance and reads the header of its response.
 func (e *Entry) open(addr string, call backnd.Call, w wanted) (*remote, error) {
-	ctx, cancel := context.WithTimeout(e.ctx, w.limit)
+	ctx, stop := context.WithTimeout(e.ctx, w.limit)
+	cancel := func() {
+		stop()
+		if w.done != nil {
+			w.done()
+		}
+	}
 	if w.stream {
 		late := time.AfterFunc(headerWait, cancel)
 		defer late.Stop()
--- a/internal/site/cells_test.go
+++ b/internal/site/cells_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 
 // twoCells starts cells a and b of three nodes each, a with the control nodes.
 // All nodes have seeds in both cells.
-func twoCells(t *testing.T) (*Site, uint64) {
+func twoCells(t testing.TB) (*Site, uint64) {
 	t.Helper()
 	seed := rand.Uint64() >> 32
 	t.Logf("seed %d", seed)
@@ -49,7 +50,7 @@
 	return out
 }
 
-func engineIn(t *testing.T, s *Site, cell, i, slots int, seed uint64, speed float64) *stand.Engine {
+func engineIn(t testing.TB, s *Site, cell, i, slots int, seed uint64, speed float64) *stand.Engine {
 	t.Helper()
 	e, err := s.AddEngine(stand.EngineConfig{
 		Spec: stand.Spec{
@@ -65,7 +66,7 @@
 	return e
 }
 
-func deskIn(t *testing.T, s *Site, cell int, book *stand.Book) *stand.Desk {
+func deskIn(t testing.TB, s *Site, cell int, book *stand.Book) *stand.Desk {
 	t.Helper()
 	d, err := s.AddDesk(stand.DeskConfig{Spec: stand.Spec{
 		ID: fmt.Sprintf("desk-%d", cell), Service: "orders", Versions: []string{"v1"}, DataCentre: "dc1", Zone: "dc1-a",
@@ -78,7 +79,7 @@
 }
 
 // waitCell waits until each running node of a cell may send to n servers.
-func waitCell(t *testing.T, s *Site, cell, n int) {
+func waitCell(t testing.TB, s *Site, cell, n int) {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		ready := true
@@ -97,7 +98,7 @@
 }
 
 // waitDigests waits until each running node has a digest of the other cell.
-func waitDigests(t *testing.T, s *Site) {
+func waitDigests(t testing.TB, s *Site) {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		missing := false
@@ -405,3 +406,44 @@
 	}
 	first.check(t)
 }
+
+// BenchmarkForward measures a model request of 20 tokens, sent to the cell that
+// has the servers and to the other one. The processor time is that of the
+// caller, both cells, the engine and the control nodes together; the difference
+// is the cost of forwarding. A request that is refused fails it.
+func BenchmarkForward(b *testing.B) {
+	s, seed := twoCells(b)
+	engineIn(b, s, 1, 0, 64, seed, 100)
+	waitCell(b, s, 1, 1)
+	waitDigests(b, s)
+	for cell, name := range []string{"forwarded", "direct"} {
+		b.Run(name, func(b *testing.B) {
+			addr, n := inCell(s, cell)[0], 0
+			one := func() bool {
+				n++
+				body := fmt.Sprintf(`{"model": "drafts", "prompt": "%s %d", "max_tokens": 20}`, b.Name(), n)
+				status, _, _ := post(b, addr, "/v1/completions", body)
+				return status == http.StatusOK
+			}
+			for deadline := time.Now().Add(20 * time.Second); !one() && time.Now().Before(deadline); {
+				time.Sleep(50 * time.Millisecond) // until the digest has the engine
+			}
+			failed, before := 0, processorTime()
+			for b.Loop() {
+				if !one() {
+					failed++
+				}
+			}
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpuMicros/op")
+			if failed > 0 {
+				b.Errorf("%d of %d requests failed", failed, b.N)
+			}
+		})
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -15,7 +15,7 @@
 )
 
 // small declares one model, one order desk and two organisations.
-func small(t *testing.T) decl.Declaration {
+func small(t testing.TB) decl.Declaration {
 	t.Helper()
 	d, err := decl.Parse("small", []byte(`{
 		"dataCentres": [{"name": "dc1"}, {"name": "dc2"}, {"name": "dc3"}],
@@ -66,7 +66,7 @@
 	return s
 }
 
-func post(t *testing.T, addr, path, body string, headers ...string) (int, http.Header, string) {
+func post(t testing.TB, addr, path, body string, headers ...string) (int, http.Header, string) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+path, bytes.NewReader([]byte(body)))
 	if err != nil {
