entry: Follow the caller's position in a relayed stream

Cause: found by reading. A stream that another cell began anew, because it no longer knew the answer, kept the caller's old position; if the instance was lost then, the tokens between the two positions were skipped. Each relayed stream also cost a connection, because its end was not read. Change: the position is that of the last event; the end of the body is read. The event of a borrowed answer names the caller's request. Conclusion: a relayed stream continues where the caller stands.

--- a/internal/entry/lend.go
+++ b/internal/entry/lend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -163,7 +164,8 @@
 		a.Break("noMemory")
 		return Error.Wrap(err)
 	}
-	e.event(event.Of("answer.borrowed").WithRequest(req.ID))
+	lent, _, _ := strings.Cut(req.ID, " ") // the request of the caller
+	e.event(event.Of("answer.borrowed").WithRequest(lent).With("id", req.ID))
 	e.running.Go(func() {
 		e.copyToKeeper(a)
 		e.start(a, release)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,6 +23,8 @@
 	// relayQuiet is how long a streamed answer may be silent before another
 	// instance of the cell is asked for it. It is longer than an engine may be.
 	relayQuiet = silence + 2*pauseBetween
+	// lastWait bounds the wait for the end of a body whose last event has come.
+	lastWait = 20 * time.Millisecond
 	// maxRelayed bounds one event.
 	maxRelayed = 4 << 20
 )
@@ -200,13 +202,24 @@
 	return nil
 }
 
-// copyEvents relays whole events and returns nil after the final one. pos is
-// the position of the last event with tokens.
+// copyEvents relays the events of this response. pos is the caller's position.
 func (r *remote) copyEvents(w *bufio.Writer, pos *uint64) error {
 	defer r.close()
 	quiet := time.AfterFunc(relayQuiet, r.cancel)
 	defer quiet.Stop()
 	in := bufio.NewReader(r.ans)
+	if err := relayEvents(in, w, pos, func() { quiet.Reset(relayQuiet) }); err != nil {
+		return err
+	}
+	// The end of the body follows; after it the connection can be used again.
+	quiet.Reset(lastWait)
+	_, _ = io.Copy(io.Discard, in)
+	return nil
+}
+
+// relayEvents relays whole events and returns nil after the final one. It calls
+// each after every event.
+func relayEvents(in *bufio.Reader, w *bufio.Writer, pos *uint64, each func()) error {
 	var ev relayed
 	for {
 		line, err := in.ReadSlice('\n')
@@ -219,7 +232,7 @@
 		if whole := ev.add(line, err == nil); !whole {
 			continue
 		}
-		quiet.Reset(relayQuiet)
+		each()
 		if ev.moved() {
 			return errMoved
 		}
@@ -229,7 +242,7 @@
 		if err := w.Flush(); err != nil {
 			return &errReader{err}
 		}
-		*pos = max(*pos, ev.position())
+		*pos = ev.position(*pos)
 		if ev.final() {
 			return nil
 		}
@@ -267,10 +280,12 @@
 
 func (v *relayed) final() bool { return v.field("event") == "error" || v.field("data") == "[DONE]" }
 
-func (v *relayed) position() uint64 {
+// position returns the caller's position after the event. It may be lower than
+// the one before: an answer that was no longer known begins anew.
+func (v *relayed) position(before uint64) uint64 {
 	n, err := strconv.ParseUint(v.field("id"), 10, 40)
 	if err != nil {
-		return 0
+		return before
 	}
 	return n
 }
