--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/cells"
 	"cranberrypath.example/cranberrypath/internal/conf"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/judge"
@@ -87,6 +88,8 @@
 	results *judge.Recorder
 	server  *server
 	bodies  bodies
+	cells   *cells.Table
+	sent    forwardedIDs
 	engines engines
 	quiet   time.Duration // how long an engine may be silent
 	restart time.Duration // how long a restart of a backend server may stay unknown
@@ -138,6 +141,7 @@
 		ledger:  poison.New(),
 		resync:  map[string]bool{},
 		results: judge.NewRecorder(s.Node, cfg.Incarnation),
+		cells:   cells.NewTable(s.Cell, s.Region, cfg.Now()),
 		engines: engineClient{cfg.Backends}, quiet: silence, restart: restartKnown,
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -147,6 +151,8 @@
 	cfg.Net.Handle(crashCall, e.handleCrash)
 	cfg.Net.Handle(permitCall, e.handlePermit)
 	cfg.Net.Handle(idleCall, e.handleIdle)
+	cfg.Net.Handle(forwardedCall, e.handleForwarded)
+	cfg.Net.Handle(lendCall, e.handleLend)
 	var err error
 	if e.server, err = e.listen(); err != nil {
 		return nil, err
@@ -155,6 +161,7 @@
 		e.answers.Sweep(now)
 		e.reserved.sweep(now)
 		e.entrances.sweep(now)
+		e.sent.sweep(e.keepForwarded(), now)
 		e.adoptOrphans(now)
 		e.learnCaches(now)
 		e.noteServing(now)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -135,6 +135,7 @@
 // run makes attempts until the answer has ended.
 func (r *runner) run(ctx context.Context) {
 	wait := retryPause
+	var lacking time.Time // since when no server is found; zero if one was
 	for {
 		if _, ended := r.a.Ended(); ended {
 			return
@@ -159,7 +160,14 @@
 		r.pass = g
 		choice, err := r.pick(now)
 		if err != nil {
+			if lacking.IsZero() {
+				lacking = now
+			}
+			ended := now.Sub(lacking) >= lendAfter && r.lend(ctx, now)
 			r.e.leave(g)
+			if ended {
+				return
+			}
 			r.unreached = r.unreached || !r.e.permitted(r.req.Service, now)
 			// The request is accepted, so it waits for a server until its deadline.
 			pause(ctx, wait)
@@ -172,6 +180,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
+		lacking = time.Time{}
 		err = r.attempt(ctx, choice, &g)
 		r.e.leave(g)
 		r.reached(err, r.e.cfg.Now())
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -11,6 +11,7 @@
 // tally counts what this instance did, for metrics and experiments.
 type tally struct {
 	accepted, refused, unknown atomic.Int64
+	forwarded                  atomic.Int64 // requests that another cell took
 	recomputed                 atomic.Int64 // tokens
 	moved, replayed            atomic.Int64 // streams
 }
@@ -18,10 +19,12 @@
 // Counts are totals since the start of the process.
 type Counts struct {
 	Accepted, Refused, Unknown int64
+	Forwarded                  int64 // requests that another cell took
 	RecomputedTokens           int64
 	StreamsExported            int64
 	StreamsReplayed            int64
 	Running                    int64
+	Cells                      int64 // other cells with a digest that counts, now
 }
 
 // Counts returns the totals.
@@ -29,8 +32,9 @@
 	t := &e.tally
 	return Counts{
 		Accepted: t.accepted.Load(), Refused: t.refused.Load(), Unknown: t.unknown.Load(),
+		Forwarded:        t.forwarded.Load(),
 		RecomputedTokens: t.recomputed.Load(), StreamsExported: t.moved.Load(), StreamsReplayed: t.replayed.Load(),
-		Running: int64(e.active.count()),
+		Running: int64(e.active.count()), Cells: int64(e.cells.Current(e.cfg.Now())),
 	}
 }
 
@@ -57,14 +61,19 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	known, err := m.Int64ObservableGauge("cells_known", metric.WithDescription("other cells with a current digest"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		c := e.Counts()
-		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown} {
+		for name, n := range map[string]int64{"accepted": c.Accepted, "notRun": c.Refused, "unknown": c.Unknown, "forwarded": c.Forwarded} {
 			o.ObserveInt64(requests, n, metric.WithAttributes(attribute.String("outcome", name)))
 		}
 		o.ObserveInt64(tokens, c.RecomputedTokens)
 		o.ObserveInt64(running, c.Running)
+		o.ObserveInt64(known, c.Cells)
 		return nil
-	}, requests, tokens, running)
+	}, requests, tokens, running, known)
 	return Error.Wrap(err)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,6 +198,7 @@
 	}
 	n.watcher.Add(watch.Part{Name: entry.ReportDemand, Fill: n.entry.FillDemand, Take: n.entry.TakeGrants})
 	n.watcher.Add(watch.Part{Name: entry.ReportResults, Fill: n.entry.FillResults})
+	n.watcher.Add(watch.Part{Name: entry.ReportCells, Fill: n.entry.FillCells, Take: n.entry.TakeCells})
 	return Error.Wrap(n.entry.Observe(n.meters))
 }
 
@@ -282,6 +283,9 @@
 			out = append(out, p.Address)
 		}
 	}
+	if n.entry != nil {
+		out = append(out, n.entry.OtherCells()...)
+	}
 	return out
 }
 
