claim: Compact one chunk at a time

Cause: copying all chunks held up the commands of a group for 54 ms with 100,000 claims, and longer with more. Change: each change of a claim compacts one chunk while more than an eighth of the bytes is replaced. An entry instance no longer repeats the release of a claim that a full group refused. make capacity runs ClaimBytes.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # Prints the inputs of docs/CAPACITY.md. One package at a time, so that the
 # benchmarks do not disturb each other.
 capacity:
-	$(GO) test -p 1 -run '^$$' -bench '^Benchmark(Call|Pull|Wire|Confirm|Apply|Claim|Record|Idle|Copy|AppendRead|Report|Verdict|Allocate|Decide|Next|Pick|Memory|DecodeAnnouncement|DecodeAnnouncement100Blocks|EncodeReply|StreamEvent|Sync)$$' \
+	$(GO) test -p 1 -run '^$$' -bench '^Benchmark(Call|Pull|Wire|Confirm|Apply|Claim|ClaimBytes|Record|Idle|Copy|AppendRead|Report|Verdict|Allocate|Decide|Next|Pick|Memory|DecodeAnnouncement|DecodeAnnouncement100Blocks|EncodeReply|StreamEvent|Sync)$$' \
 		-benchtime 300ms ./internal/link ./internal/member ./internal/watch ./internal/store ./internal/claim \
 		./internal/stream ./internal/judge ./internal/limit ./internal/fleet ./internal/moves ./internal/route \
 		./internal/backnd ./internal/disk
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -67,15 +67,18 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		m := NewMachine(0)
+		m, slowest := NewMachine(0), time.Duration(0)
 		for i := range claims {
+			began := time.Now()
 			key := fmt.Sprintf("orders/key/5e2c9a51-78d4-4c1e-9b77-%012d", i)
 			m.run(&clmpb.Command{Id: id(2 * i), Op: clmpb.Op_OP_TAKE, Org: "org", Key: key, Owner: "tay-1/1700000000000000000/1", BodyHash: 1 << 63, NowMs: 1})
 			m.run(&clmpb.Command{
 				Id: id(2*i + 1), Op: clmpb.Op_OP_FINISH, Org: "org", Key: key, Attempt: 1, NowMs: 1,
 				Answer: &clmpb.Answer{Status: 200, Body: make([]byte, size)},
 			})
+			slowest = max(slowest, time.Since(began))
 		}
+		b.ReportMetric(float64(slowest.Microseconds())/1000, "slowest-ms")
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/claims, "heap-bytes/claim")
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -12,7 +12,7 @@
 	// pendingFlag marks the length of an entry that is pending.
 	pendingFlag = 1 << 31
 	chunkBytes  = 64 << 10
-	// spareBytes of replaced entries are kept before the chunks are copied.
+	// spareBytes of replaced entries are kept before chunks are compacted.
 	spareBytes = 4 * chunkBytes
 )
 
@@ -48,6 +48,7 @@
 	head   uint32   // offset of the first entry in chunks[0] that may be in force
 	live   int      // bytes of the entries in force
 	dead   int      // bytes of entries behind head that are replaced or dropped
+	next   uint32   // number of the chunk to compact next
 }
 
 func newEntries(n int) *entries { return &entries{index: make(map[digest]place, n)} }
@@ -75,7 +76,7 @@
 func (s *entries) put(e entry) {
 	s.remove(e.digest)
 	s.append(e)
-	if s.dead > s.live/4+spareBytes {
+	if s.dead > s.live/8+spareBytes {
 		s.compact()
 	}
 }
@@ -151,9 +152,35 @@
 	}
 }
 
-// compact drops what is not in force.
+// compact copies the next chunk but the last without what is not in force. One
+// chunk at a time, because copying all of them holds up the commands: 54 ms for
+// 100,000 claims.
 func (s *entries) compact() {
-	next := newEntries(len(s.index))
-	s.each(next.append)
-	*s = *next
+	if len(s.chunks) < 2 {
+		return
+	}
+	if s.next < s.first || s.next >= s.first+uint32(len(s.chunks)-1) {
+		s.next = s.first
+	}
+	i, from := s.next-s.first, uint32(0)
+	if i == 0 {
+		from = s.head
+	}
+	old := s.chunks[i][from:]
+	kept := make([]byte, 0, len(old))
+	for at := uint32(0); int(at) < len(old); {
+		e := s.read(place{s.next, from + at})
+		size := uint32(headerBytes + len(e.content))
+		if s.holds(e.digest, place{s.next, from + at}) {
+			s.index[e.digest] = place{s.next, uint32(len(kept))}
+			kept = append(kept, old[at:at+size]...)
+		}
+		at += size
+	}
+	s.dead -= len(old) - len(kept)
+	s.chunks[i] = append(make([]byte, 0, len(kept)), kept...)
+	if i == 0 {
+		s.head = 0
+	}
+	s.next++
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -224,6 +224,10 @@
 func (e *Entry) unclaim(ctx context.Context, key claim.Key, hash uint64, owner string) error {
 	now := e.cfg.Now()
 	s, err := e.cfg.Claims.Take(ctx, key, hash, owner, now)
+	var full *claim.Full
+	if errors.As(err, &full) {
+		return nil // nothing is held
+	}
 	held := s.Status == claim.Granted || (s.Status == claim.Pending && s.Owner == owner)
 	if err != nil || !held {
 		return err
