entry: Charge attempts of model requests after faults to the retry budget

Further attempts of plain calls drew on the retry budget, those of model requests did not, so that a third of failing engines raised the load by a third. An attempt after a loss now spends from the budget of the service.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -87,6 +87,7 @@
 	using    string // version of the latest choice
 	exclude  []string
 	losses   int
+	spent    int        // losses for which an attempt drew on the retry budget
 	kv       string     // import that the next attempt continues from
 	kvAt     string     // id of the backend server that holds it
 	current  *activeRun // the latest attempt
@@ -178,6 +179,7 @@
 		if r.over(ctx, choice.Backend, err) {
 			return
 		}
+		r.spend(ctx)
 		wait = retryPause
 	}
 }
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"cranberrypath.example/cranberrypath/internal/entry/entrpb"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/judge"
+	"cranberrypath.example/cranberrypath/internal/limit"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/member"
 	"cranberrypath.example/cranberrypath/internal/poison"
@@ -282,3 +284,78 @@
 		cancel()
 	}
 }
+
+// thirdFails are engines of which every third fails each request.
+type thirdFails struct {
+	badEngines
+	begun, ended, failed atomic.Int64
+}
+
+func (f *thirdFails) Generate(_ context.Context, b world.Backend, r backnd.GenerateRequest) (tokenStream, error) {
+	f.begun.Add(1)
+	defer f.ended.Add(1)
+	time.Sleep(20 * time.Millisecond)
+	if n, _ := strconv.Atoi(strings.TrimPrefix(b.ID, "engine-")); n%3 == 0 {
+		f.failed.Add(1)
+		return nil, &backnd.CallError{Outcome: backnd.Answered, Code: "internal", Err: errors.New("fails")}
+	}
+	return &badStream{ctx: context.Background(), events: []backnd.Event{{Tokens: []string{"x"}}, {Pos: 1, Done: true, Reason: "length"}}}, nil
+}
+
+// Guards against further attempts beyond the retry budget, which multiply the
+// load while a third of the engines fail every request, and against accepted
+// requests that fail because the budget is used up. Its time stands still at
+// first, so that no budget returns and no wait ends, and then goes on.
+func TestRetriesDoNotMultiplyLoad(t *testing.T) {
+	const requests, budget = 300, 30
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	engines := &thirdFails{badEngines: badEngines{cancelled: map[string][]uint64{}}}
+	e := bare(t, engines, seed)
+	var runs atomic.Bool
+	var done atomic.Int64
+	fixed := time.Now()
+	e.cfg.Now = func() time.Time {
+		if runs.Load() {
+			return time.Now().Add(10 * time.Second)
+		}
+		return fixed
+	}
+	first := e.member.Permits(fixed)[0].Backend
+	for i := 3; i < 9; i++ {
+		b := first
+		b.ID = "engine-" + strconv.Itoa(i)
+		e.member.Announce(member.Announcement{Backend: b, Seq: 1}, fixed)
+	}
+	view, _ := e.cfg.Configuration.Current(fixed)
+	var wg sync.WaitGroup
+	for i := range requests {
+		class := []world.Class{world.Lookup, world.Review}[i%2]
+		e.limitsOf("drafts", view, fixed).Admit("acme", class, limit.Cost{}, fixed)
+		body, _ := proto.Marshal(&entrpb.Accepted{Service: "drafts", Prompt: strconv.Itoa(i), MaxTokens: 1, DeadlineMs: fixed.Add(time.Minute).UnixMilli()})
+		a, err := e.answers.Accept(stream.Request{ID: strconv.Itoa(i), Org: "acme", Service: "drafts", Version: "v1", Class: class, Body: body}, fixed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.start(a, func() { done.Add(1) })
+		wg.Go(func() {
+			if _, err := readLocal(e.ctx, a, 0, func([]stream.Chunk) error { return nil }); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for done.Load() < requests && engines.begun.Load() < requests+budget || engines.ended.Load() < engines.begun.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(10 * retryPause) // further attempts would come now
+	begun, failed := engines.begun.Load(), engines.failed.Load()
+	t.Logf("%.3f attempts per request, %d failed", float64(begun)/requests, failed)
+	if begun > requests+budget {
+		t.Errorf("%d further attempts, want at most %d", begun-requests, budget)
+	}
+	if failed <= budget {
+		t.Errorf("only %d attempts failed, which the budget covers", failed)
+	}
+	runs.Store(true)
+	wg.Wait()
+}
