entry: Run the answers of the frozen engine test side by side

TestRunLeavesFrozenEngine ran 50 answers one after another. Since attempts after losses wait for the retry budget, of which this test has 3 in 10 s, it took 100 s. The answers now run at the same time; each still must end within 10 s, and the test fails if silence is not noticed.

--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -269,6 +269,7 @@
 	t.Logf("seed %d", seed)
 	e := bare(t, &mute{badEngines{rng: rand.New(rand.NewPCG(seed, 0)), cancelled: map[string][]uint64{}}}, seed)
 	e.quiet = 50 * time.Millisecond
+	var wg sync.WaitGroup
 	for i := range 50 {
 		body, _ := proto.Marshal(&entrpb.Accepted{Service: "drafts", Prompt: "p" + strconv.Itoa(i), MaxTokens: 4, DeadlineMs: time.Now().Add(time.Minute).UnixMilli()})
 		a, err := e.answers.Accept(stream.Request{ID: "acme/" + strconv.Itoa(i), Service: "drafts", Version: "v1", Body: body}, time.Now())
@@ -276,13 +277,16 @@
 			t.Fatal(err)
 		}
 		e.start(a, nil)
-		ctx, cancel := context.WithTimeout(e.ctx, 10*time.Second)
-		_, err = readLocal(ctx, a, 0, func([]stream.Chunk) error { return nil })
-		if ctx.Err() != nil {
-			t.Fatalf("answer %d hangs: %v", i, err)
-		}
-		cancel()
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(e.ctx, 10*time.Second)
+			defer cancel()
+			_, err := readLocal(ctx, a, 0, func([]stream.Chunk) error { return nil })
+			if ctx.Err() != nil {
+				t.Errorf("answer %d hangs: %v", i, err)
+			}
+		})
 	}
+	wg.Wait()
 }
 
 // thirdFails are engines of which every third fails each request.
