stand: Let a version crash its server

Version faults could fail or slow a request, but not take the server down, so moves to a version that crashes servers could only be simulated without servers.

go test -race ./internal/stand: ok.

--- a/internal/stand/desk.go
+++ b/internal/stand/desk.go
@@ -157,10 +157,10 @@
 	if len(d.versions) > 0 {
 		f.version = d.versions[0]
 	}
-	var slow float64
-	f.fails, slow = d.faults.hit(f.version, nil, path, d.running, time.Now(), d.rng)
-	if slow > 1 {
-		f.work = time.Duration(float64(max(f.work, time.Millisecond)) * slow)
+	hit := d.faults.hit(f.version, nil, path, d.running, time.Now(), d.rng)
+	f.fails = hit.fails
+	if hit.slow > 1 {
+		f.work = time.Duration(float64(max(f.work, time.Millisecond)) * hit.slow)
 	}
 	return f
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -323,7 +323,12 @@
 		e.crash()
 		return
 	}
-	r.fails, r.slow = e.faults.hit(r.req.Version, []string{className(r.req.Priority), r.req.Adapter}, "", len(e.active), now, e.rng)
+	hit := e.faults.hit(r.req.Version, []string{className(r.req.Priority), r.req.Adapter}, "", len(e.active), now, e.rng)
+	if hit.crashes {
+		e.crash()
+		return
+	}
+	r.fails, r.slow = hit.fails, hit.slow
 	all := r.record.Prompt + r.record.Resumed
 	cached := min(e.cache.hits(r.blocks)*world.BlockBytes/bytesPerToken, r.record.Prompt)
 	if kv, ok := e.imports[r.req.KV]; ok && kv.matches(r) {
--- a/internal/stand/fault.go
+++ b/internal/stand/fault.go
@@ -18,6 +18,7 @@
 	AboveRunning int           // only with more than this many running requests
 	Share        float64       // share of requests hit; 0 means all
 	Fail         bool          // the request fails
+	Crash        bool          // the server crashes; engines only
 	Slow         float64       // factor by which the request is slower; 0 means not slower
 }
 
@@ -45,9 +46,15 @@
 	return out
 }
 
+// effect is what faults do to one request.
+type effect struct {
+	fails, crashes bool
+	slow           float64 // factor, at least 1
+}
+
 // hit returns the worst effect of the faults on a request.
-func (l faultList) hit(version string, routes []string, path string, running int, now time.Time, rng *rand.Rand) (fails bool, slow float64) {
-	slow = 1
+func (l faultList) hit(version string, routes []string, path string, running int, now time.Time, rng *rand.Rand) effect {
+	e := effect{slow: 1}
 	for _, f := range l {
 		switch {
 		case f.Version != version,
@@ -57,10 +64,10 @@
 			f.Share > 0 && rng.Float64() >= f.Share:
 			continue
 		}
-		fails = fails || f.Fail
-		slow = max(slow, f.Slow)
+		e.fails, e.crashes = e.fails || f.Fail, e.crashes || f.Crash
+		e.slow = max(e.slow, f.Slow)
 	}
-	return fails, slow
+	return e
 }
 
 // Ledger knows how far each request has been computed on any engine, so that the
--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -314,6 +314,19 @@
 	}
 }
 
+// Guards against a version that crashes servers but lives, or crashes them when
+// another version runs.
+func TestVersionCrash(t *testing.T) {
+	e := newEngine(t, EngineConfig{Speed: 100})
+	e.SetVersionFaults(VersionFault{Version: "v2", Crash: true})
+	for n, v := range []string{"v1", "v2"} {
+		_, last, _ := generate(e, generateRequest{RequestID: v, Version: v, MaxTokens: 3})
+		if crashed := v == "v2"; last.Done == crashed || e.Alive() == crashed || (e.Runs()[n].Reason == "crashed") != crashed {
+			t.Fatalf("%s ended with %+v, alive %v", v, last, e.Alive())
+		}
+	}
+}
+
 func BenchmarkEncodeAnnouncement(b *testing.B) {
 	e := newEngine(b, EngineConfig{CacheBlocks: 1000})
 	b.ReportAllocs()
