manage: Take the planner of version moves from the configuration

Experiments compare the planner with others that raise the share without judging. Nothing changes without one.

go test -race -p 1 ./internal/manage ./internal/node: ok, 46.7 s.

--- a/internal/manage/fleet.go
+++ b/internal/manage/fleet.go
@@ -9,7 +9,6 @@
 	"cranberrypath.example/cranberrypath/internal/contrl"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/fleet"
-	"cranberrypath.example/cranberrypath/internal/moves"
 	"cranberrypath.example/cranberrypath/internal/store"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
@@ -144,7 +143,7 @@
 		Work: map[string]int{}, Demand: k.recent(now), Offers: k.offers, Queue: k.cfg.Queue,
 		Fence: fleet.Fence{Term: k.l.Term, Index: k.l.Index}, Fixed: k.cfg.Cloud == nil,
 	}
-	plan := moves.New(v.Declaration.Moves)
+	plan := k.cfg.Planner(v.Declaration.Moves)
 	for _, m := range out.Moves {
 		out.Provision[m.ID] = plan.Provision(m)
 	}
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -22,8 +22,10 @@
 	"cranberrypath.example/cranberrypath/internal/contrl"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/fleet"
+	"cranberrypath.example/cranberrypath/internal/moves"
 	"cranberrypath.example/cranberrypath/internal/store"
 	"cranberrypath.example/cranberrypath/internal/world"
+	"cranberrypath.example/cranberrypath/pkg/decl"
 )
 
 // Error is the class of this package's errors.
@@ -47,6 +49,15 @@
 	Order(ctx context.Context, b world.Backend, o backnd.Order) (repeated bool, err error)
 }
 
+// Planner decides the steps of version moves. moves.Plan is one; experiments
+// compare it with others.
+type Planner interface {
+	Next(now time.Time, v moves.View) []moves.Step
+	// Provision returns the share of the traffic that the servers of a move's
+	// new version shall be able to carry.
+	Provision(m world.Move) float64
+}
+
 // Timing holds the intervals of the controllers; zero fields get the defaults.
 type Timing struct {
 	Tick   time.Duration // between two decisions; 1 s
@@ -87,6 +98,8 @@
 	// CallsAtOnce bounds the calls to the cloud and to backend servers; 16 if zero.
 	CallsAtOnce int
 	Queue       fleet.WeightQueue // sharing of the weight store
+	// Planner returns the planner of version moves; moves.New if nil.
+	Planner func(decl.MovePolicy) Planner
 }
 
 // Manager takes the reports of entry instances and runs the controllers.
@@ -112,6 +125,9 @@
 	if cfg.Queue.AtOnce == 0 {
 		cfg.Queue.AtOnce = loadsAtOnce
 	}
+	if cfg.Planner == nil {
+		cfg.Planner = func(p decl.MovePolicy) Planner { return moves.New(p) }
+	}
 	cfg.Timing = cfg.Timing.withDefaults()
 	mt, err := newMeters(cfg.Meter)
 	if err != nil {
--- a/internal/manage/moves.go
+++ b/internal/manage/moves.go
@@ -97,7 +97,7 @@
 	if now.Sub(s.began) < s.cfg.Timing.Window {
 		return nil // servers that have not been reported yet would look lost
 	}
-	for _, st := range moves.New(v.Declaration.Moves).Next(now, s.view(v, now)) {
+	for _, st := range s.cfg.Planner(v.Declaration.Moves).Next(now, s.view(v, now)) {
 		if err := s.record(ctx, st, now); err != nil {
 			return err
 		}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -13,7 +13,7 @@
 func (n *Node) loops(c *control) ([]contrl.Loop, error) {
 	c.orders = backnd.New(n.cfg.Backends)
 	cfg := manage.Config{
-		Store: c.store, Clock: n.cfg.Now, Event: n.event, Meter: n.meters, Orders: c.orders, Timing: n.cfg.Manage,
+		Store: c.store, Clock: n.cfg.Now, Event: n.event, Meter: n.meters, Orders: c.orders, Timing: n.cfg.Manage, Planner: n.cfg.Planner,
 	}
 	if p := n.cfg.Settings.Platform; p.Cloud != "" {
 		c.platform = cloud.New(cloud.Config{Cloud: p.Cloud, WeightStore: p.WeightStore, Token: p.Token})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"cranberrypath.example/cranberrypath/internal/member"
 	"cranberrypath.example/cranberrypath/internal/meter"
 	"cranberrypath.example/cranberrypath/internal/watch"
+	"cranberrypath.example/cranberrypath/pkg/decl"
 )
 
 // Error is the class of this package's errors.
@@ -48,6 +49,8 @@
 	Backends backnd.Config
 	// Manage holds the intervals of the controllers; zero fields get the defaults.
 	Manage manage.Timing
+	// Planner replaces the planner of version moves; see manage.Config.
+	Planner func(decl.MovePolicy) manage.Planner
 	// Router and ReplayOnly are passed to the entry role, for experiments.
 	Router     entry.Router
 	ReplayOnly bool
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -54,6 +54,8 @@
 	// Router returns a new router for a node; nil for the usual one.
 	Router     func(seed uint64) entry.Router
 	ReplayOnly bool // see entry.Config
+	// Planner replaces the planner of version moves; see manage.Config.
+	Planner func(decl.MovePolicy) manage.Planner
 }
 
 // Site is a running deployment.
@@ -230,7 +232,7 @@
 func (s *Site) StartNode(i int) error {
 	set := s.settings[i]
 	cfg := node.Config{
-		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage,
+		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage, Planner: s.cfg.Planner,
 		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
 	}
 	if s.cfg.Router != nil {
