fleet, manage: Make request ids of purchases unique in a cloud account

Two deployments that shared an account both sent "buy-1", "buy-2" and so on, so the cloud gave the second one the instances of the first, and lists of instances mixed them. The leader now records a random name of the deployment before the first purchase, and the ids are "buy-NAME-N".

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,8 +78,11 @@
 
 	Instances []world.Instance // recorded; those that are gone may be left out
 	Bought    uint64           // purchases ever recorded; request ids derive from it
-	Refusals  []Refusal        // recorded
-	Loads     []Load           // recorded: orders for weights that have not finished
+	// Deployment tells the request ids of deployments apart that share an account
+	// of the cloud.
+	Deployment string
+	Refusals   []Refusal // recorded
+	Loads      []Load    // recorded: orders for weights that have not finished
 
 	Backends []world.Backend   // as announced; ID is the instance's
 	Work     map[string]int    // by instance id: requests running and waiting
@@ -155,17 +158,21 @@
 // IsNext reports whether a purchase is the next one after bought recorded ones.
 // The store records no other, so that of two controllers that decide on the same
 // state only one purchase is recorded, and both send the same request id.
-func IsNext(a Action, bought uint64) bool { return a.Kind == Buy && a.ID == buyID(bought+1) }
+func IsNext(a Action, deployment string, bought uint64) bool {
+	return a.Kind == Buy && a.ID == buyID(deployment, bought+1)
+}
 
 // Purchase returns the number of the purchase that a request id names. ok is
-// false for ids that are not this package's.
-func Purchase(request string) (n uint64, ok bool) {
-	digits, ok := strings.CutPrefix(request, "buy-")
+// false for ids that are not of this deployment.
+func Purchase(request, deployment string) (n uint64, ok bool) {
+	digits, ok := strings.CutPrefix(request, buyPrefix(deployment))
 	n, err := strconv.ParseUint(digits, 10, 64)
-	return n, ok && err == nil && buyID(n) == request
+	return n, ok && err == nil && buyID(deployment, n) == request
 }
 
-func buyID(n uint64) string { return fmt.Sprintf("buy-%d", n) }
+func buyPrefix(deployment string) string { return "buy-" + deployment + "-" }
+
+func buyID(deployment string, n uint64) string { return fmt.Sprintf("%s%d", buyPrefix(deployment), n) }
 
 // place is where and how an instance is bought.
 type place struct {
@@ -404,7 +411,7 @@
 
 func (d *decision) buy(g *group, p place) {
 	d.bought++
-	id := buyID(d.bought)
+	id := buyID(d.v.Deployment, d.bought)
 	d.out = append(d.out, Action{
 		Kind: Buy, ID: id, Request: id, Fence: d.v.Fence, Service: g.service.Name, Version: g.version,
 		DataCentre: p.dc, Zone: p.zone, Class: p.class, Reclaimable: p.reclaimable, Reason: "capacity is missing",
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -71,7 +71,7 @@
 	n := s.index(a.Request)
 	switch {
 	case a.Kind == Buy && n < 0:
-		if !IsNext(a, s.v.Bought) {
+		if !IsNext(a, s.v.Deployment, s.v.Bought) {
 			return true // decided on an older state
 		}
 		i, _ := Record(world.Instance{}, a, s.now)
@@ -218,7 +218,7 @@
 		}
 	}
 	for n := range max(need-alive, 0) {
-		id := buyID(v.Bought + 1 + uint64(n))
+		id := buyID(v.Deployment, v.Bought+1+uint64(n))
 		out = append(out, Action{Kind: Buy, ID: id, Request: id, Service: "s", Version: "v1", DataCentre: best.DataCentre, Zone: best.Zone, Class: best.Class, Reclaimable: best.Reclaimable})
 	}
 	return out
--- a/internal/manage/action.go
+++ b/internal/manage/action.go
@@ -132,8 +132,8 @@
 
 // buy records a purchase if it is still the next one.
 func (k *keeper) buy(ctx context.Context, w *work, v *store.View, now time.Time) (bool, error) {
-	n, _ := fleet.Purchase(w.Request)
-	if !fleet.IsNext(w.Action, v.Bought) {
+	n, _ := fleet.Purchase(w.Request, k.deployment)
+	if !fleet.IsNext(w.Action, k.deployment, v.Bought) {
 		return false, nil // decided on an older state
 	}
 	i, _ := fleet.Record(world.Instance{}, w.Action, now)
--- a/internal/manage/fleet.go
+++ b/internal/manage/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
+	"strings"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/cloud"
@@ -40,6 +42,10 @@
 	// Recent is the highest demand by service, so that a new leader does not
 	// take servers away because it has seen little demand itself.
 	Recent map[string]peak `json:"recent,omitempty"`
+	// Deployment is part of the request ids of purchases. Without it two
+	// deployments that share an account of the cloud would use the same ids, and
+	// the cloud would give both the same instances.
+	Deployment string `json:"deployment,omitempty"`
 }
 
 // load is a load of weights that was ordered and what ends it.
@@ -57,6 +63,10 @@
 
 const fleetNotesName = "fleet"
 
+// deploymentLength is the number of random characters of a deployment's name, 5
+// bits each.
+const deploymentLength = 13
+
 // keeper is the state of the fleet loop under one leadership. Everything that
 // must survive it is in the store.
 type keeper struct {
@@ -74,6 +84,8 @@
 	lacks   map[string]bool    // services and versions without headroom
 	overdue map[string]bool    // by request id
 	failed  map[string]bool    // orders whose last try failed
+
+	deployment string // as recorded
 }
 
 // attempt paces the repeats of a start that the cloud does not answer.
@@ -139,7 +151,7 @@
 func (k *keeper) view(v *store.View, n fleetNotes, servers []server, now time.Time) fleet.View {
 	out := fleet.View{
 		Declaration: v.Declaration, Preset: v.Preset, Previous: v.Previous, PresetAt: v.PresetAt, Versions: v.Serving,
-		Moves: running(v), Provision: map[string]float64{}, Instances: v.Instances, Bought: v.Bought, Refusals: n.Refusals,
+		Moves: running(v), Provision: map[string]float64{}, Instances: v.Instances, Bought: v.Bought, Deployment: n.Deployment, Refusals: n.Refusals,
 		Work: map[string]int{}, Demand: k.recent(now), Offers: k.offers, Queue: k.cfg.Queue,
 		Fence: fleet.Fence{Term: k.l.Term, Index: k.l.Index}, Fixed: k.cfg.Cloud == nil,
 	}
@@ -175,6 +187,9 @@
 		}
 	}
 	changed := k.remember(&n, wanted, now)
+	if n.Deployment == "" && k.cfg.Cloud != nil {
+		n.Deployment, changed = strings.ToLower(rand.Text()[:deploymentLength]), true
+	}
 	at := map[string]server{}
 	for _, s := range servers {
 		at[s.ID] = s
@@ -189,10 +204,13 @@
 		left = append(left, l)
 	}
 	n.Loads = left
-	if !changed {
-		return n, nil
+	if changed {
+		if err := k.setNotes(ctx, k.l, fleetNotesName, n, now); err != nil {
+			return n, err
+		}
 	}
-	return n, k.setNotes(ctx, k.l, fleetNotesName, n, now)
+	k.deployment = n.Deployment
+	return n, nil
 }
 
 func recorded(v *store.View, id string) bool {
@@ -328,7 +346,7 @@
 	}
 	for _, c := range listed {
 		// A start that was given up can still have taken effect.
-		n, ours := fleet.Purchase(c.RequestID)
+		n, ours := fleet.Purchase(c.RequestID, k.deployment)
 		if !ours || n > v.Bought || c.State != cloud.Starting && c.State != cloud.Running {
 			continue
 		}
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -340,6 +340,31 @@
 	t.Logf("seeds 0 to 9: %d leaders crashed", crashes)
 }
 
+// Guards against deployments that share an account of the cloud and take each
+// other's instances for their own, because their request ids are the same.
+func TestDeploymentsShareAnAccount(t *testing.T) {
+	first := deploy(t, 1, true)
+	for range 20 {
+		first.advance(time.Second)
+	}
+	d := deploy(t, 2, true)
+	for _, m := range first.up() {
+		m.ready = start.Add(24 * time.Hour) // it announces itself to its own deployment
+		d.machines = append(d.machines, m)
+	}
+	for range 20 {
+		d.advance(time.Second)
+	}
+	if len(first.machines) != 3 || len(d.machines) != 6 {
+		t.Fatalf("seeds 1 and 2: %d and %d instances started, want 3 of each", len(first.machines), len(d.machines)-3)
+	}
+	for _, i := range d.store.View().Instances {
+		if slices.ContainsFunc(first.machines, func(m *machine) bool { return m.ID == i.ID }) {
+			t.Errorf("%s of the other deployment is recorded", i.ID)
+		}
+	}
+}
+
 // Guards against moves with no or two statements, and against a wrong one, when
 // the leader dies at any record or call of a move.
 func TestMovesSurviveCrashes(t *testing.T) {
--- a/internal/manage/site_test.go
+++ b/internal/manage/site_test.go
@@ -252,8 +252,11 @@
 	if m.Outcome != string(world.Done) || m.Ended.After(m.Deadline) || len(r.Timeline(event.Filter{Move: id, Kind: "move.ended"})) != 1 {
 		t.Errorf("%+v", m)
 	}
-	for n, requests := 1, r.requests(); n <= len(requests); n++ {
-		if requests[fmt.Sprint("buy-", n)] != 1 {
+	requests := r.requests()
+	request := r.cloud.Instances()[0].RequestID
+	prefix := request[:strings.LastIndex(request, "-")+1]
+	for n := 1; n <= len(requests); n++ {
+		if requests[fmt.Sprint(prefix, n)] != 1 {
 			t.Errorf("purchases %v, want consecutive numbers, each of them once", requests)
 		}
 	}
