bench: Add scenarios of version moves

No scenario had versions, so moves, judge and fleet were measured apart only. badVersionFails, badVersionSlows and goodVersion run the real controllers on a site whose engines are instances of the simulated cloud, one service for each move, and compare the planner with allAtOnce and fixedSteps, which do not judge. Answers are checked against both versions; an answer that a version on trial began may go on with the old one.

--- /dev/null
+++ b/internal/bench/moves_test.go
@@ -0,0 +1,117 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/moves"
+	"cranberrypath.example/cranberrypath/internal/stand"
+	"cranberrypath.example/cranberrypath/internal/world"
+	"cranberrypath.example/cranberrypath/pkg/decl"
+)
+
+// Guards against naive planners that judge, that wait for more than servers, or
+// that leave a move without an end.
+func TestNaivePlans(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		policy string
+		want   string
+	}{
+		{allAtOnce, "100%@0s done@50s"},
+		{fixedSteps, "10%@0s 25%@20s 50%@40s 100%@60s done@80s"},
+	} {
+		for _, ready := range []bool{true, false} {
+			m := world.Move{ID: "m", Service: "s", From: version, To: nextVersion, Started: start, Deadline: start.Add(100 * time.Second)}
+			var got []string
+			for s := range 200 {
+				now := start.Add(time.Duration(s) * time.Second)
+				v := moves.View{Moves: []world.Move{m}, New: map[string]moves.Capacity{}, Demand: map[string]float64{"s": 6}}
+				if ready {
+					v.New["m"] = moves.Capacity{Ready: 1, Slots: 8}
+				}
+				for _, st := range planner(tt.policy)(decl.MovePolicy{}).Next(now, v) {
+					m = moves.Apply(m, st, now)
+					what := fmt.Sprintf("%g%%", 100*m.Share)
+					if m.Outcome != "" {
+						what = string(m.Outcome)
+					}
+					got = append(got, fmt.Sprintf("%s@%gs", what, now.Sub(start).Seconds()))
+				}
+			}
+			want := tt.want
+			if !ready {
+				want = "takenBack@100s"
+			}
+			if text := strings.Join(got, " "); text != want {
+				t.Errorf("%s, servers ready %v: %s, want %s", tt.policy, ready, text, want)
+			}
+		}
+	}
+}
+
+// Guards against a report that counts a good version taken back, a bad one that
+// stayed or a move without its statement as right.
+func TestMoveRows(t *testing.T) {
+	back, done := string(world.TakenBack), string(world.Done)
+	rep := Report{Results: []*Result{{Policy: ours, Moves: []MoveResult{
+		{Service: "a", Outcome: done, InTime: true, Statements: 1},
+		{Service: "b", Outcome: done, Statements: 1}, // late
+		{Service: "c", Outcome: back, InTime: true, Statements: 1},
+		{Service: "d", Bad: true, Outcome: back, InTime: true, Judged: true, ZeroSeconds: 4, Received: 0.1, Statements: 2},
+		{Service: "e", Bad: true, Outcome: back, InTime: true, ZeroSeconds: 9, Received: 0.2, Statements: 1},
+		{Service: "f", Bad: true, Outcome: done, InTime: true, Received: 0.6, Statements: 1},
+		{Service: "g", Bad: true, Received: 0.7},
+	}}}}
+	var b bytes.Buffer
+	if err := rep.WriteTable(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		"good moves done in time  1 of 3", "bad moves taken back  2 of 4", "before the deadline  1 of 4",
+		"median/longest s  9.0/9.0", "after their faults  40.0%", "one statement  5 of 7", "g  not ended",
+	} {
+		if !strings.Contains(strings.Join(strings.Fields(b.String()), " "), strings.Join(strings.Fields(want), " ")) {
+			t.Errorf("%q is missing in\n%s", want, b.String())
+		}
+	}
+}
+
+// Guards against a check of answers that takes any mixture of versions, and
+// against one that refuses an answer which the old version continued.
+func TestCheckVersions(t *testing.T) {
+	r := request{Service: "s", Prompt: "a deck", Seed: 3, MaxTokens: 5}
+	of := func(v string) []string {
+		return stand.Text{Model: "s", Version: v, Prompt: r.Prompt, Seed: 3, Salt: "0a0b0c0d"}.Tokens(5)
+	}
+	before, next := of(version), of(nextVersion)
+	for _, tt := range []struct {
+		name      string
+		tokens    []string
+		ok, mixed bool
+	}{
+		{"old", before, true, false},
+		{"new", next, true, false},
+		{"continued on the old", append(next[:3:3], before[3:]...), true, true},
+		{"continued on the new", append(before[:3:3], next[3:]...), false, false},
+		{"to and fro", append(append(next[:2:2], before[2:4]...), next[4]), false, false},
+		{"damaged", append(next[:3:3], "x ", before[4]), false, false},
+	} {
+		c := newAnswerCheck(r)
+		var err error
+		for i, token := range tt.tokens {
+			if err == nil {
+				err = c.event(i+1, token)
+			}
+		}
+		if err == nil {
+			err = c.finish("length")
+		}
+		if (err == nil) != tt.ok || tt.ok && c.mixed != tt.mixed {
+			t.Errorf("%s: %v, mixed %v", tt.name, err, c.mixed)
+		}
+	}
+}
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -20,6 +20,15 @@
 // Policies returns the names of all policies.
 func Policies() []string { return []string{ours, roundRobin, leastOutstanding} }
 
+// Names of the policies of version moves. All of them route alike.
+const (
+	allAtOnce  = "allAtOnce"
+	fixedSteps = "fixedSteps"
+)
+
+// MovePolicies returns the names of the policies of version moves.
+func MovePolicies() []string { return []string{ours, allAtOnce, fixedSteps} }
+
 // routerOf returns the constructor of a policy's router, nil for the system's own.
 func routerOf(policy string) func(seed uint64) entry.Router {
 	switch policy {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -81,6 +81,7 @@
 	for _, c := range keysOf(r.Results, func(r *Result) map[string]int { return r.Codes }) {
 		rows = append(rows, row{"error " + c, count(func(r *Result) int { return r.Codes[c] })})
 	}
+	rows = append(rows, r.moveRows()...)
 	rows = append(rows, row{"promises broken", count((*Result).BrokenTotal)})
 	for _, p := range Promises() {
 		if slices.ContainsFunc(r.Results, func(res *Result) bool { return res.Broken[p] > 0 }) {
