bench, faults: Delay links between data centres

Nodes of all data centres shared one loopback without delay, so whatever costs a round trip between data centres looked free. Rule.Delay holds up what follows and so limits the rate of a session; SetLatency lets bytes travel at the same time. bench has -linkDelay, 1.5 ms one way unless given.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -26,6 +26,9 @@
 	// DefaultRate is the number of arrivals per second. It uses about half of the
 	// slots, so that a lost data centre can be borne.
 	DefaultRate = 26
+	// DefaultLinkDelay is the one-way delay between the data centres of the design
+	// page's first user.
+	DefaultLinkDelay = 1500 * time.Microsecond
 )
 
 // Config of a run of one scenario.
@@ -35,6 +38,8 @@
 	Policies []string // the scenario's if empty
 	Seconds  float64  // of load for each policy; the scenario's if zero
 	Rate     float64  // arrivals per second; the scenario's if zero
+	// LinkDelay is the one-way delay between nodes in different data centres.
+	LinkDelay time.Duration
 }
 
 func (c Config) withDefaults(s scene) Config {
@@ -52,12 +57,14 @@
 
 // Report is the outcome of one scenario.
 type Report struct {
-	Scenario string    `json:"scenario"`
-	Summary  string    `json:"summary"`
-	Seed     uint64    `json:"seed"`
-	Seconds  float64   `json:"seconds"`
-	Rate     float64   `json:"rate"`
-	Results  []*Result `json:"results"`
+	Scenario string  `json:"scenario"`
+	Summary  string  `json:"summary"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	Rate     float64 `json:"rate"`
+	// LinkDelayMillis is the one-way delay between data centres.
+	LinkDelayMillis float64   `json:"linkDelayMillis"`
+	Results         []*Result `json:"results"`
 }
 
 // Broken returns the number of broken promises of all policies.
@@ -83,7 +90,7 @@
 			return Report{}, Error.New("unknown policy %q of scenario %s; want some of %s", p, s.name, strings.Join(s.policies(), ", "))
 		}
 	}
-	rep := Report{Scenario: s.name, Summary: s.summary, Seed: cfg.Seed, Seconds: cfg.Seconds, Rate: cfg.Rate}
+	rep := Report{Scenario: s.name, Summary: s.summary, Seed: cfg.Seed, Seconds: cfg.Seconds, Rate: cfg.Rate, LinkDelayMillis: float64(cfg.LinkDelay.Microseconds()) / 1000}
 	in := newInputs(s, cfg)
 	if len(s.moves) > 0 {
 		var err error
--- a/internal/bench/player.go
+++ b/internal/bench/player.go
@@ -138,7 +138,7 @@
 
 // startSite starts the nodes and connects the callers.
 func (p *player) startSite(ctx context.Context, cfg site.Config) error {
-	cfg.Seed, cfg.Controls = p.in.cfg.Seed, controls
+	cfg.Seed, cfg.Controls, cfg.LinkDelay = p.in.cfg.Seed, controls, p.in.cfg.LinkDelay
 	var err error
 	for range startTries {
 		if p.site, err = site.Start(ctx, cfg); err == nil || ctx.Err() != nil {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -24,7 +24,7 @@
 
 // WriteTable writes the report for people, one column for each policy.
 func (r Report) WriteTable(w io.Writer) error {
-	fmt.Fprintf(w, "scenario %s, seed %d: %s (%.3g s of load, %.3g arrivals per second)\n", r.Scenario, r.Seed, r.Summary, r.Seconds, r.Rate)
+	fmt.Fprintf(w, "scenario %s, seed %d: %s (%.3g s of load, %.3g arrivals per second, links %.3g ms)\n", r.Scenario, r.Seed, r.Summary, r.Seconds, r.Rate, r.LinkDelayMillis)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	line := func(name string, value func(r *Result) string) {
 		cells := []string{name}
--- a/internal/comand/bench.go
+++ b/internal/comand/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"cranberrypath.example/cranberrypath/internal/bench"
 )
@@ -18,6 +19,7 @@
 	policies := fs.String("policy", "", "policies to compare, separated by commas; the scenario's if empty")
 	secs := fs.Float64("seconds", 0, "length of the load for each policy, in seconds; the scenario's if 0")
 	rate := fs.Float64("rate", 0, "arrivals per second; the scenario's if 0")
+	delay := fs.Duration("linkDelay", bench.DefaultLinkDelay, "one-way delay between nodes in different data centres")
 	asJSON := fs.Bool("json", false, "print JSON, one document for each scenario")
 	plot := fs.String("plot", "", "write the distribution of the first token to this file, .svg or .png")
 	if err := parse(fs, args, 0); err != nil {
@@ -32,6 +34,9 @@
 	if *secs != 0 && (*secs < 1 || *secs > 600) || *rate != 0 && (*rate < 0.1 || *rate > 1000) {
 		return usageError("bench: want -seconds from 1 to 600 and -rate from 0.1 to 1000")
 	}
+	if *delay < 0 || *delay > time.Second {
+		return usageError("bench: want -linkDelay from 0 to 1s")
+	}
 	if ext := filepath.Ext(*plot); *plot != "" && ext != ".svg" && ext != ".png" {
 		return usageError("bench: -plot %q; want a name that ends in .svg or .png", *plot)
 	}
@@ -45,7 +50,7 @@
 			break
 		}
 		rep, err := bench.Run(ctx, bench.Config{
-			Scenario: n, Seed: *seed, Policies: splitList(*policies), Seconds: *secs, Rate: *rate,
+			Scenario: n, Seed: *seed, Policies: splitList(*policies), Seconds: *secs, Rate: *rate, LinkDelay: *delay,
 		})
 		broken += rep.Broken()
 		// What was measured before an error is still printed.
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -24,6 +24,8 @@
 	rules map[way]Rule
 	wake  chan struct{}
 	conns map[*conn]struct{}
+	// latency is the one-way delay of new connections; nil for none.
+	latency func(from, to string) time.Duration
 }
 
 // New returns links without faults.
@@ -83,7 +85,7 @@
 		l.mu.Lock()
 		l.conns[c] = struct{}{}
 		l.mu.Unlock()
-		return c, nil
+		return l.withLatency(c, name, addr), nil
 	}
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -54,6 +54,8 @@
 	// Router returns a new router for a node; nil for the usual one.
 	Router     func(seed uint64) entry.Router
 	ReplayOnly bool // see entry.Config
+	// LinkDelay is the one-way delay of links between data centres.
+	LinkDelay time.Duration
 	// Planner replaces the planner of version moves; see manage.Config.
 	Planner func(decl.MovePolicy) manage.Planner
 }
@@ -87,6 +89,9 @@
 		s.Close()
 		return nil, err
 	}
+	if cfg.LinkDelay > 0 {
+		s.Links.SetLatency(s.delay)
+	}
 	for i := range s.settings {
 		if err := s.StartNode(i); err != nil {
 			s.Close()
