bench: Run the scenario wave through the cloud and the planner

Its engines were crashed by the harness and never replaced, so refused starts met neither the cloud nor the fleet controller. Now the servers are instances of the simulated cloud, 60% of them are reclaimed, and three of four data centres refuse starts.

--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -99,7 +99,7 @@
 				restart(e.ID(), e.Restart)
 			}
 		}
-		for _, d := range p.desks {
+		for _, d := range p.plain() {
 			if !isAway(d.ID()) && !d.Alive() && p.crashes.wanted(d.ID()) {
 				restart(d.ID(), d.Restart)
 			}
@@ -124,6 +124,8 @@
 	case reclaimDesk:
 		d := p.desks[f.Target]
 		p.reclaim(ctx, f, d.ID(), d.Reclaim, d.Restart)
+	case reclaimWave:
+		p.rented.wave(f)
 	case crashEngine:
 		e := p.engines[f.Target]
 		p.crashes.plan(e.ID(), true)
@@ -185,7 +187,7 @@
 // failDesks makes orders fail at every step of their execution.
 func (p *player) failDesks(ctx context.Context, f fault) {
 	set := func(df stand.DeskFaults) {
-		for _, d := range p.desks {
+		for _, d := range p.plain() {
 			d.SetFaults(df)
 		}
 	}
--- a/internal/bench/inputs.go
+++ b/internal/bench/inputs.go
@@ -224,8 +224,12 @@
 
 // declaration is in force in every scenario.
 func declaration() (decl.Declaration, error) {
-	return parseDeclaration([]string{
+	return parseDeclaration(usualServices(), []string{fmt.Sprintf(`{"service": %q, "min": 1, "max": %d}`, service, engineCount)}, "")
+}
+
+func usualServices() []string {
+	return []string{
 		fmt.Sprintf(`{"name": %q, "kind": "model", "versions": [%q], "version": %q, "machineClass": "m", "slots": %d}`, service, version, version, engineSlots),
 		fmt.Sprintf(`{"name": "orders", "kind": "plain", "versions": ["v1"], "version": "v1", "machineClass": "s", "path": %q, "timeoutSeconds": 5}`, orderPath),
-	}, []string{fmt.Sprintf(`{"service": %q, "min": 1, "max": %d}`, service, engineCount)}, "")
+	}
 }
--- a/internal/bench/player.go
+++ b/internal/bench/player.go
@@ -117,8 +117,11 @@
 func (p *player) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if len(p.in.scene.moves) > 0 {
-		return p.rentServers(ctx)
+	switch {
+	case len(p.in.scene.moves) > 0:
+		return p.rentForMoves(ctx)
+	case p.in.scene.rented:
+		return p.rentAll(ctx)
 	}
 	d, err := declaration()
 	if err != nil {
@@ -181,7 +184,7 @@
 		p.engines = append(p.engines, e)
 	}
 	for i := range deskCount {
-		spec := p.spec("desk", i, 16)
+		spec := p.spec("desk", i, deskSlots)
 		spec.Service, spec.Versions, spec.MachineClass, spec.Price = "orders", []string{"v1"}, "s", deskPrice[spec.DataCentre]
 		d, err := p.site.AddDesk(stand.DeskConfig{Spec: spec, Path: orderPath + "/", Work: orderWork, Book: p.book})
 		if err != nil {
--- a/internal/bench/rented.go
+++ b/internal/bench/rented.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cranberrypath.example/cranberrypath/internal/conf"
+	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/manage"
 	"cranberrypath.example/cranberrypath/internal/oprcli"
 	"cranberrypath.example/cranberrypath/internal/site"
@@ -20,6 +21,18 @@
 // cost the machine less, take long enough to meet faults under load.
 const rentedSpeed = 0.5
 
+const (
+	// startDelay is the time from a purchase to the start of its server.
+	startDelay = 300 * time.Millisecond
+	deskSlots  = 16
+)
+
+// tenant is the server of an instance.
+type tenant interface {
+	Reclaim(leaveBy time.Time)
+	Close() error
+}
+
 // rented is a simulated cloud whose instances run the engines. The system's own
 // fleet controller starts and stops them.
 type rented struct {
@@ -31,7 +44,8 @@
 
 	mu      sync.Mutex
 	engines []*stand.Engine // also those that were stopped
-	byID    map[string]*stand.Engine
+	desks   []*stand.Desk   // as engines
+	byID    map[string]tenant
 	service map[string]string             // by instance id
 	bad     map[string]stand.VersionFault // by service: the fault that is set
 	ids     map[int]string                // of the moves, by number of the case
@@ -64,6 +78,16 @@
 	return slices.Clone(p.rented.engines)
 }
 
+// plain returns the order desks, for a rented fleet also those that were stopped.
+func (p *player) plain() []*stand.Desk {
+	if p.rented == nil {
+		return p.desks
+	}
+	p.rented.mu.Lock()
+	defer p.rented.mu.Unlock()
+	return slices.Clone(p.rented.desks)
+}
+
 // onTrial returns the requests that a version on trial has run.
 func (p *player) onTrial() map[string]bool {
 	out := map[string]bool{}
@@ -77,41 +101,61 @@
 	return out
 }
 
-// rentServers starts a deployment with a cloud and waits for its first fleet.
-func (p *player) rentServers(ctx context.Context) error {
-	rt := &rented{
-		p: p, ledger: stand.NewLedger(), open: make(chan struct{}), byID: map[string]*stand.Engine{}, service: map[string]string{},
-		bad: map[string]stand.VersionFault{}, ids: map[int]string{},
-	}
+// rentForMoves starts a deployment of services that are moved.
+func (p *player) rentForMoves(ctx context.Context) error {
 	d, err := moveDeclaration(p.in.scene.moves)
 	if err != nil {
 		return err
 	}
+	// The fleet of each service bears the loss of a data centre.
+	return p.rent(ctx, site.Config{EntriesPer: 1, Declaration: d, Planner: planner(p.policy)}, 3*len(p.in.scene.moves))
+}
+
+// rentAll starts a deployment of the usual size. One data centre's part of its
+// servers is the headroom for the loss of a data centre.
+func (p *player) rentAll(ctx context.Context) error {
+	d, err := parseDeclaration(usualServices(), []string{
+		fmt.Sprintf(`{"service": %q, "min": %d, "max": %d}`, service, engineCount*3/4, 2*engineCount),
+		fmt.Sprintf(`{"service": "orders", "min": %d, "max": %d}`, deskCount*3/4, 2*deskCount),
+	}, "")
+	if err != nil {
+		return err
+	}
+	return p.rent(ctx, site.Config{
+		EntriesPer: entriesPer, Declaration: d, Router: routerOf(p.policy), ReplayOnly: p.policy != ours,
+	}, engineCount+deskCount)
+}
+
+// rent starts a deployment with a cloud and waits for its first fleet.
+func (p *player) rent(ctx context.Context, cfg site.Config, servers int) error {
+	rt := &rented{
+		p: p, ledger: stand.NewLedger(), open: make(chan struct{}), byID: map[string]tenant{}, service: map[string]string{},
+		bad: map[string]stand.VersionFault{}, ids: map[int]string{},
+	}
 	var offers []stand.Offer
 	for _, dc := range dataCentres {
-		price := enginePrice[dc]
-		offers = append(offers, stand.Offer{
-			DataCentre: dc, Zone: dc + "-a", MachineClass: "m", Reclaimable: 100, OnDemand: 100, ReclaimablePrice: price, OnDemandPrice: price * onDemandFactor,
-		})
+		for class, price := range map[string]float64{"m": enginePrice[dc], "s": deskPrice[dc]} {
+			offers = append(offers, stand.Offer{
+				DataCentre: dc, Zone: dc + "-a", MachineClass: class, Reclaimable: 100, OnDemand: 100, ReclaimablePrice: price, OnDemandPrice: price * onDemandFactor,
+			})
+		}
 	}
+	var err error
 	rt.cloud, err = stand.NewCloud(stand.CloudConfig{
-		Offers: offers, Seed: p.in.cfg.Seed, PriceEvery: time.Hour, Start: rt.start, Stop: rt.stop, Notice: rt.notice,
+		Offers: offers, Seed: p.in.cfg.Seed, PriceEvery: time.Hour, StartDelay: startDelay, Start: rt.start, Stop: rt.stop, Notice: rt.notice,
 	})
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	p.rented = rt
-	err = p.startSite(ctx, site.Config{
-		DataCentres: dataCentres, EntriesPer: 1, Declaration: d, Planner: planner(p.policy),
-		Platform: conf.Platform{Cloud: rt.cloud.URL()}, Manage: manage.Timing{List: time.Second, Prices: 2 * time.Second},
-	})
-	if err != nil {
+	cfg.DataCentres, cfg.Platform = dataCentres, conf.Platform{Cloud: rt.cloud.URL()}
+	cfg.Manage = manage.Timing{List: time.Second, Prices: 2 * time.Second}
+	if err := p.startSite(ctx, cfg); err != nil {
 		return err
 	}
 	rt.op = p.site.Operator()
 	close(rt.open)
-	// The fleet of each service bears the loss of a data centre.
-	return Error.Wrap(p.site.WaitBackends(ctx, 3*len(p.in.scene.moves)))
+	return Error.Wrap(p.site.WaitBackends(ctx, servers))
 }
 
 func (rt *rented) close() {
@@ -128,12 +172,28 @@
 	case <-time.After(startTimeout):
 		return Error.New("the nodes have not started")
 	}
+	spec := stand.Spec{
+		ID: i.ID, Service: i.Service, Versions: []string{i.Version}, DataCentre: i.DataCentre, Zone: i.Zone, MachineClass: i.MachineClass,
+		Reclaimable: i.Reclaimable, Price: i.Price, Slots: engineSlots, AnnounceEvery: announceEvery, Seed: rt.p.in.cfg.Seed,
+	}
+	if i.Service == "orders" {
+		spec.Slots = deskSlots
+		d, err := rt.p.site.AddDesk(stand.DeskConfig{Spec: spec, Path: orderPath + "/", Work: orderWork, Book: rt.p.book})
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		rt.desks = append(rt.desks, d)
+		rt.byID[i.ID] = d
+		return nil
+	}
+	speed := 1.0
+	if len(rt.p.in.scene.moves) > 0 {
+		speed = rentedSpeed
+	}
 	e, err := rt.p.site.AddEngine(stand.EngineConfig{
-		Spec: stand.Spec{
-			ID: i.ID, Service: i.Service, Versions: []string{i.Version}, DataCentre: i.DataCentre, Zone: i.Zone, MachineClass: i.MachineClass,
-			Reclaimable: i.Reclaimable, Price: i.Price, Slots: engineSlots, AnnounceEvery: announceEvery, Seed: rt.p.in.cfg.Seed,
-		},
-		CacheBlocks: cacheBlocks, Speed: rentedSpeed, Sampling: true, Ledger: rt.ledger, LoadLag: loadLag, CacheLag: cacheLag, KVBytesPerToken: 2 << 10,
+		Spec: spec, CacheBlocks: cacheBlocks, Speed: speed, Sampling: true, Ledger: rt.ledger, LoadLag: loadLag, CacheLag: cacheLag, KVBytesPerToken: 2 << 10,
 	})
 	if err != nil {
 		return Error.Wrap(err)
@@ -148,7 +208,7 @@
 	return nil
 }
 
-func (rt *rented) engine(id string) *stand.Engine {
+func (rt *rented) tenant(id string) tenant {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	return rt.byID[id]
@@ -156,18 +216,39 @@
 
 func (rt *rented) stop(i stand.Instance, _ bool) {
 	rt.p.crashes.plan(i.ID, true)
-	if e := rt.engine(i.ID); e != nil {
-		_ = e.Close()
+	if t := rt.tenant(i.ID); t != nil {
+		_ = t.Close()
 	}
 }
 
 func (rt *rented) notice(i stand.Instance) {
+	rt.p.crashes.plan(i.ID, true)
 	rt.p.marks.add(i.ID, time.Now())
-	if e := rt.engine(i.ID); e != nil {
-		e.Reclaim(*i.LeaveBy)
+	if t := rt.tenant(i.ID); t != nil {
+		t.Reclaim(*i.LeaveBy)
 	}
 }
 
+// wave reclaims servers in all data centres while only one of them starts new ones.
+func (rt *rented) wave(f fault) {
+	for n, dc := range dataCentres {
+		rt.cloud.Refuse(dc, "", n != f.Target)
+	}
+	for _, dc := range dataCentres {
+		rt.cloud.Reclaim(dc, "", 0.6, f.For)
+	}
+}
+
+// readFleet counts what the fleet controller asked the cloud for.
+func (rt *rented) readFleet(r *Result) {
+	for _, i := range rt.cloud.Instances() {
+		if i.Started.After(rt.p.began) {
+			r.Bought++
+		}
+	}
+	r.Refused = len(rt.p.site.Timeline(event.Filter{Kind: "fleet.refused", From: rt.p.began}))
+}
+
 func (rt *rented) serves(instance, service string) bool {
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
@@ -176,6 +257,9 @@
 
 // play starts the moves and makes their versions bad at the time of their faults.
 func (rt *rented) play(ctx context.Context) {
+	if len(rt.p.in.scene.moves) == 0 {
+		return
+	}
 	for _, c := range rt.p.in.scene.moves {
 		if c.fault != nil && !c.late {
 			rt.spoil(c)
@@ -226,8 +310,8 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.bad[c.name] = *c.fault
-	for id, e := range rt.byID {
-		if rt.service[id] == c.name {
+	for _, e := range rt.engines {
+		if rt.service[e.ID()] == c.name {
 			e.SetVersionFaults(*c.fault)
 		}
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -131,6 +131,10 @@
 	Broken          map[string]int `json:"brokenPromises"`
 	Details         []string       `json:"brokenDetails,omitempty"`
 
+	// Bought counts the instances that the fleet controller started during the
+	// load, and Refused the starts that the cloud refused.
+	Bought  int `json:"instancesBought,omitempty"`
+	Refused int `json:"startsRefused,omitempty"`
 	// Mixed counts answers that a version on trial began and, after its server was
 	// lost, the old version continued.
 	Mixed int `json:"continuedOnOldVersion,omitempty"`
@@ -180,6 +184,7 @@
 	p.checkOrders(r)
 	p.checkLeaving(r)
 	if p.rented != nil {
+		p.rented.readFleet(r)
 		p.rented.readMoves(r)
 	}
 	if limit := 2 * p.in.scene.mix.poison; limit > 0 && p.crashes.total() > limit {
@@ -291,7 +296,7 @@
 	for _, e := range p.servers() {
 		check(e.ID(), e.RefusedLeaving())
 	}
-	for _, d := range p.desks {
+	for _, d := range p.plain() {
 		check(d.ID(), d.RefusedLeaving())
 	}
 }
--- a/internal/bench/scene.go
+++ b/internal/bench/scene.go
@@ -48,8 +48,11 @@
 	desksFail     faultKind = "desksFail"   // desks crash and drop connections for For
 	stopNode      faultKind = "stopNode"    // planned, within For; back after Back
 	crashNode     faultKind = "crashNode"   // back after Back
-	cutNode       faultKind = "cutNode"     // links to all nodes are silent for For
-	cutFromLog    faultKind = "cutFromLog"  // links to the control nodes are silent for For
+	// reclaimWave reclaims 60% of the rented servers with notice For; only the data
+	// centre Target starts new ones.
+	reclaimWave faultKind = "reclaimWave"
+	cutNode     faultKind = "cutNode"    // links to all nodes are silent for For
+	cutFromLog  faultKind = "cutFromLog" // links to the control nodes are silent for For
 )
 
 // fault is one event of a scenario. Times are relative to the start of the load.
@@ -67,6 +70,8 @@
 	mix           mix
 	// faults returns the faults of a load of the given length.
 	faults func(rng *rand.Rand, load time.Duration) []fault
+	// rented lets the system's fleet controller buy the servers at a simulated cloud.
+	rented bool
 	// moves are the version moves of the scenario, each of a service of its own.
 	moves []moveCase
 	rate  float64 // arrivals per second; DefaultRate if zero
@@ -91,15 +96,15 @@
 		{name: "flood", summary: "one large organisation sends six times its load", mix: flood, faults: noFaults},
 		{name: "reclaim", summary: "one engine after the other is reclaimed with notice and replaced", mix: usual, faults: reclaimFaults},
 		{name: "dataCentre", summary: "all of one data centre is reclaimed at once", mix: usual, faults: dataCentreFaults},
-		{name: "wave", summary: "60% of the engines are reclaimed, replacements are refused", mix: usual, faults: waveFaults},
+		{name: "wave", summary: "60% of the servers are reclaimed, three of four data centres refuse starts", mix: usual, faults: waveFaults, rented: true},
 		{name: "cutControl", summary: "one control instance is silently cut off for long", mix: usual, faults: cutControlFaults},
 		{name: "cutEntry", summary: "an entry instance is cut off from the control instances", mix: usual, faults: cutEntryFaults},
 		{name: "poison", summary: "requests that crash engines are sent again and again", mix: poison, faults: noFaults},
 		{name: "rolling", summary: "planned restart of all entry and control instances", mix: usual, faults: rollingFaults},
 		{name: "crash", summary: "engines, desks and an entry instance crash without notice", mix: usual, faults: crashFaults},
-		{name: "badVersionFails", summary: "version moves to versions that fail or crash", moves: failingMoves(), rate: failRate, faults: noFaults},
-		{name: "badVersionSlows", summary: "version moves to versions that slow down", moves: slowMoves(), rate: slowRate, faults: noFaults},
-		{name: "goodVersion", summary: "version moves to good versions", moves: goodMoves(), rate: goodRate, faults: noFaults},
+		{name: "badVersionFails", summary: "version moves to versions that fail or crash", rented: true, moves: failingMoves(), rate: failRate, faults: noFaults},
+		{name: "badVersionSlows", summary: "version moves to versions that slow down", rented: true, moves: slowMoves(), rate: slowRate, faults: noFaults},
+		{name: "goodVersion", summary: "version moves to good versions", rented: true, moves: goodMoves(), rate: goodRate, faults: noFaults},
 	}
 }
 
@@ -165,12 +170,7 @@
 }
 
 func waveFaults(rng *rand.Rand, load time.Duration) []fault {
-	var out []fault
-	for i, e := range rng.Perm(engineCount)[:engineCount*6/10] {
-		at := part(load, 0.3) + time.Duration(i)*150*time.Millisecond
-		out = append(out, fault{At: at, Kind: reclaimEngine, Target: e, For: 4 * time.Second})
-	}
-	return out
+	return []fault{{At: part(load, 0.3), Kind: reclaimWave, Target: rng.IntN(len(dataCentres)), For: 4 * time.Second}}
 }
 
 func cutControlFaults(rng *rand.Rand, load time.Duration) []fault {
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -81,6 +81,9 @@
 	for _, c := range keysOf(r.Results, func(r *Result) map[string]int { return r.Codes }) {
 		rows = append(rows, row{"error " + c, count(func(r *Result) int { return r.Codes[c] })})
 	}
+	if slices.ContainsFunc(r.Results, func(res *Result) bool { return res.Bought+res.Refused > 0 }) {
+		rows = append(rows, row{"instances bought/starts refused", func(r *Result) string { return fmt.Sprintf("%d/%d", r.Bought, r.Refused) }})
+	}
 	rows = append(rows, r.moveRows()...)
 	rows = append(rows, row{"promises broken", count((*Result).BrokenTotal)})
 	for _, p := range Promises() {
