--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -24,7 +24,7 @@
 
 // WriteTable writes the report for people, one column for each policy.
 func (r Report) WriteTable(w io.Writer) error {
-	fmt.Fprintf(w, "scenario %s, seed %d: %s (%.3g s of load, %.3g arrivals per second)\n", r.Scenario, r.Seed, r.Summary, r.Seconds, r.Rate)
+	fmt.Fprintf(w, "scenario %s, seed %d: %s (%.3g s of load, %.3g arrivals per second, links %.3g ms)\n", r.Scenario, r.Seed, r.Summary, r.Seconds, r.Rate, r.LinkDelayMillis)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	line := func(name string, value func(r *Result) string) {
 		cells := []string{name}
@@ -82,6 +82,10 @@
 	for _, c := range keysOf(r.Results, func(r *Result) map[string]int { return r.Codes }) {
 		rows = append(rows, row{"error " + c, count(func(r *Result) int { return r.Codes[c] })})
 	}
+	if slices.ContainsFunc(r.Results, func(res *Result) bool { return res.Bought+res.Refused > 0 }) {
+		rows = append(rows, row{"instances bought/starts refused", func(r *Result) string { return fmt.Sprintf("%d/%d", r.Bought, r.Refused) }})
+	}
+	rows = append(rows, r.moveRows()...)
 	rows = append(rows, row{"promises broken", count((*Result).BrokenTotal)})
 	for _, p := range Promises() {
 		if slices.ContainsFunc(r.Results, func(res *Result) bool { return res.Broken[p] > 0 }) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -65,6 +65,10 @@
 	// Router returns a new router for a node; nil for the usual one.
 	Router     func(seed uint64) entry.Router
 	ReplayOnly bool // see entry.Config
+	// LinkDelay is the one-way delay of links between data centres.
+	LinkDelay time.Duration
+	// Planner replaces the planner of version moves; see manage.Config.
+	Planner func(decl.MovePolicy) manage.Planner
 }
 
 // Site is a running deployment.
@@ -110,6 +114,9 @@
 		s.Close()
 		return nil, err
 	}
+	if cfg.LinkDelay > 0 {
+		s.Links.SetLatency(s.delay)
+	}
 	for i := range s.settings {
 		if err := s.StartNode(i); err != nil {
 			s.Close()
@@ -261,7 +268,7 @@
 	set := s.settings[i]
 	cfg := node.Config{
 		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage,
-		Election: s.cfg.Election,
+		Planner: s.cfg.Planner, Election: s.cfg.Election,
 		Link:     func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
 		Backends: backnd.Config{Dial: s.Links.Dialer(set.Listen.Peers)},
 	}
