--- a/internal/bench/moves.go
+++ b/internal/bench/moves.go
@@ -199,7 +199,7 @@
 			Statements: len(rt.p.site.Timeline(event.Filter{Move: m.ID, Kind: "move.ended"})), Steps: rt.steps(m),
 		}
 		if m.Outcome != "" {
-			out.Seconds = round(m.Ended.Sub(m.Started).Seconds())
+			out.Seconds = round(m.Ended.Sub(m.Started).Seconds(), 100)
 			out.Judged = m.Ended.Before(m.Deadline)
 			out.InTime = !m.Ended.After(m.Deadline.Add(endSlack))
 		}
@@ -207,7 +207,7 @@
 			since := rt.faultSince(c)
 			out.Received = rt.received(c.name, since)
 			if m.Outcome == string(world.TakenBack) && !since.IsZero() {
-				out.ZeroSeconds = round(m.Ended.Sub(since).Seconds())
+				out.ZeroSeconds = round(m.Ended.Sub(since).Seconds(), 100)
 			}
 		}
 		r.Moves = append(r.Moves, out)
@@ -231,8 +231,6 @@
 	return out
 }
 
-func round(f float64) float64 { return math.Round(f*100) / 100 }
-
 // faultSince returns when the fault of a move began: when it was set, and for
 // faults of the whole move when its version got its first request.
 func (rt *rented) faultSince(c moveCase) time.Time {
