stream: Charge the registry for the memory that records take

The budget counted the texts and 4 bytes per token, but slices grow by doubling or a quarter, and an answer takes more than 512 bytes beside its content: an instance could use 1.29 times its limit. The budget now counts the capacity of the slices, reserves their growth before it happens and 640 bytes per answer. A record that ends gives back its unused room if that is more than an eighth. The limit of one answer still counts its content.

TestRegistryMemory and FuzzMessages compared the charge with the content; they now compare it with the memory, as strictly.

--- a/internal/stream/answer.go
+++ b/internal/stream/answer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,8 +52,12 @@
 	readBytes = 1 << 20
 	// tokenBytes is what one token costs besides its text.
 	tokenBytes = 4
-	// answerBytes is what one answer costs besides its request and tokens.
-	answerBytes = 512
+	// answerBytes is what one answer costs besides its request and tokens,
+	// measured by TestBudgetFollowsMemory.
+	answerBytes = 640
+	// trimPart is the part of a finished record, an eighth, below which its
+	// unused room is not worth a copy.
+	trimPart = 8
 )
 
 // Request is a model request. Body is opaque here.
@@ -143,7 +148,7 @@
 func (a *Answer) Attempt() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	a.dropAhead()
 	if a.attempt < maxAttempt {
 		a.attempt++
@@ -188,21 +193,46 @@
 // skipped, and tokens ahead of a gap are kept until it closes, within limits.
 func (a *Answer) Append(attempt, pos uint64, tokens []string) (accepted int, err error) {
 	size := sizeOf(tokens)
-	if !a.budget.take(size) {
+	reserved := a.room(tokens, size)
+	if !a.budget.take(reserved) {
 		return 0, ErrFull
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, size)
+	defer a.settle(a.memory(), reserved)
 	if err := a.current(attempt); err != nil {
 		return 0, err
 	}
 	return a.add(pos, tokens)
 }
 
-// settle charges the budget for the change of a.bytes since before, of which
+// settle charges the budget for the change of the memory since before, of which
 // reserved bytes are charged already. a.mu is held.
-func (a *Answer) settle(before, reserved int64) { a.budget.give(reserved - (a.bytes - before)) }
+func (a *Answer) settle(before, reserved int64) { a.budget.give(reserved - (a.memory() - before)) }
+
+// memory returns what the record takes: its content and the room that the slices
+// have beyond it. a.mu is held.
+func (a *Answer) memory() int64 {
+	return a.bytes + int64(cap(a.text)-len(a.text)) + tokenBytes*int64(cap(a.ends)-len(a.ends))
+}
+
+// room returns how much memory the record may need for tokens of the given size.
+// Slices that grow at most double.
+func (a *Answer) room(tokens []string, size int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bytes+size > a.limit {
+		return size // refused
+	}
+	text, ends := int(size)-tokenBytes*len(tokens), len(tokens)
+	if len(a.text)+text > cap(a.text) {
+		size += int64(cap(a.text) + text)
+	}
+	if len(a.ends)+ends > cap(a.ends) {
+		size += tokenBytes * int64(cap(a.ends)+ends)
+	}
+	return size
+}
 
 func sizeOf(tokens []string) int64 {
 	n := tokenBytes * len(tokens)
@@ -322,7 +352,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	e := End{Pos: pos, Reason: reason}
 	if a.end != nil && *a.end == e {
 		return nil
@@ -355,7 +385,7 @@
 func (a *Answer) Break(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	a.breakOff(reason, false)
 }
 
@@ -369,11 +399,20 @@
 
 func (a *Answer) finish(e End) {
 	a.dropAhead()
+	a.trim()
 	a.end = &e
 	a.seq = a.budget.seq.Add(1)
 	a.notify()
 }
 
+// trim gives back the room of a finished record, which is kept for readers that
+// come back.
+func (a *Answer) trim() {
+	if a.memory()-a.bytes > a.bytes/trimPart {
+		a.text, a.ends = slices.Clone(a.text), slices.Clone(a.ends)
+	}
+}
+
 // Read returns tokens from a position on, waiting until there are some. done
 // reports that they reach the end of the answer. A broken-off answer yields a
 // *BrokenError after its last visible token. A reader holds no lock and no queue,
--- a/internal/stream/answer_test.go
+++ b/internal/stream/answer_test.go
@@ -219,7 +219,7 @@
 	}
 	r.Sweep(start.Add(time.Minute))
 	a, _ := r.Get("99")
-	if r.Bytes() != a.bytes {
-		t.Fatalf("%d bytes charged, want %d of the running answer", r.Bytes(), a.bytes)
+	if r.Bytes() != a.memory() {
+		t.Fatalf("%d bytes charged, want %d of the running answer", r.Bytes(), a.memory())
 	}
 }
--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -214,7 +214,7 @@
 func (a *Answer) loseCopy(run uint64, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	if errors.Is(err, ErrTakenOver) {
 		// Tokens that readers saw without a copy may differ from those of the new
 		// owner, so such a reader must not continue there.
@@ -233,7 +233,7 @@
 func (a *Answer) stopCopy(run uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	if a.copy.run == run && (a.copy.state == InCopy || a.copy.state == Lost) {
 		a.breakOff("the instance stops", true)
 	}
@@ -244,7 +244,7 @@
 func (a *Answer) Leave(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	a.copy.run++
 	a.breakOff(reason, a.visible <= a.copy.acked)
 }
--- a/internal/stream/copy_test.go
+++ b/internal/stream/copy_test.go
@@ -326,7 +326,7 @@
 		}
 		sum := int64(0)
 		for id, e := range r.entries {
-			sum += e.a.bytes
+			sum += e.a.memory()
 			if e.links != 0 {
 				t.Fatalf("copy %q has %d links after its stream ended", id, e.links)
 			}
--- a/internal/stream/registry.go
+++ b/internal/stream/registry.go
@@ -244,9 +244,9 @@
 	delete(r.entries, id)
 	e.a.mu.Lock()
 	defer e.a.mu.Unlock()
-	before := e.a.bytes
+	before := e.a.memory()
 	e.a.breakOff(reason, taken)
-	e.a.bytes = 0
+	e.a.bytes -= e.a.memory()
 	r.budget.give(before)
 }
 
@@ -275,12 +275,13 @@
 // appendCopy records tokens that the owner sent to its keeper.
 func (a *Answer) appendCopy(epoch, pos uint64, tokens []string) (uint64, error) {
 	size := sizeOf(tokens)
-	if !a.budget.take(size) {
+	reserved := a.room(tokens, size)
+	if !a.budget.take(reserved) {
 		return 0, ErrFull
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, size)
+	defer a.settle(a.memory(), reserved)
 	if err := a.fromOwner(epoch); err != nil {
 		return 0, err
 	}
@@ -294,7 +295,7 @@
 func (a *Answer) endCopy(epoch uint64, e End) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	defer a.settle(a.bytes, 0)
+	defer a.settle(a.memory(), 0)
 	if a.end != nil && *a.end == e {
 		return nil
 	}
