entry: Count a run without the answer of its permit's home as stranded

The timeline shows one attempt that ends after 5 s and nothing after it: the request whose connection broke needs a permit, its home is cut off, and the run asked for the permit until its deadline. Change: the silence of a home is told from its refusal; a run that meets it is stranded after 3 s like one that reaches no server. A run that was held does not count as one that reached its server. The test prints its timeline when it fails.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -55,6 +55,7 @@
 var (
 	errCondemned = Error.New("the request was running on two backend servers when they crashed")
 	errHeld      = Error.New("the request is suspected of crashing servers and must wait")
+	errNoHome    = Error.New("the instance that holds the permit of a suspected request does not answer")
 )
 
 // pass asks whether a request may run. A suspect needs the cell's one permit for
@@ -68,24 +69,26 @@
 		return gate{}, errHeld
 	}
 	g := gate{avoid: v.Avoid, suspect: v.Permit}
-	if v.Permit && !e.obtain(ctx, &g, f, now) {
-		return gate{}, errHeld
+	if !v.Permit {
+		return g, nil
 	}
-	return g, nil
+	return g, e.obtain(ctx, &g, f, now)
 }
 
-// obtain asks for one permit at its home.
-func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
+// obtain asks for one permit at its home. The error is errHeld if another run has
+// it, and errNoHome if the home does not answer.
+func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) error {
 	home := e.homeOf(key, now)
 	switch e.askPermit(ctx, home, key, false, now) {
 	case granted:
 		g.permits = append(g.permits, heldPermit{key, home})
-		return true
+		return nil
 	case silent:
 		// The answer may have been lost; a permit that nobody uses must not stay.
 		e.running.Go(func() { e.askPermit(context.WithoutCancel(e.runs), home, key, true, e.cfg.Now()) })
+		return errNoHome
 	}
-	return false
+	return errHeld
 }
 
 // homeOf returns the node that gives the permits of a key.
@@ -105,8 +108,11 @@
 
 // takeSlot lets a suspect run on a server only if no other suspect does, so that
 // a crash shows which of them caused it.
-func (e *Entry) takeSlot(ctx context.Context, g *gate, b world.Backend, now time.Time) bool {
-	return !g.suspect || e.obtain(ctx, g, poison.Slot(b.ID, b.Incarnation), now)
+func (e *Entry) takeSlot(ctx context.Context, g *gate, b world.Backend, now time.Time) error {
+	if !g.suspect {
+		return nil
+	}
+	return e.obtain(ctx, g, poison.Slot(b.ID, b.Incarnation), now)
 }
 
 // leave returns the permits of a run that has ended.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -170,8 +170,8 @@
 	if err != nil {
 		return "", nil, notSent("noCapacity", err)
 	}
-	if !e.takeSlot(ctx, &g, choice.Backend, now) {
-		return "", nil, notSent("suspect", errHeld)
+	if err := e.takeSlot(ctx, &g, choice.Backend, now); err != nil {
+		return "", nil, notSent("suspect", err)
 	}
 	ans, err := e.attemptPlain(ctx, p, choice, &g, attempt)
 	return choice.Backend.ID, ans, err
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -155,7 +155,7 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, retryPause)
+			r.hold(ctx, err)
 			continue
 		}
 		r.pass = g
@@ -176,9 +176,9 @@
 			r.exclude = nil
 			continue
 		}
-		if !r.e.takeSlot(ctx, &g, choice.Backend, now) {
+		if err := r.e.takeSlot(ctx, &g, choice.Backend, now); err != nil {
 			r.e.leave(g)
-			pause(ctx, retryPause)
+			r.hold(ctx, err)
 			continue
 		}
 		lacking = time.Time{}
@@ -193,6 +193,14 @@
 	}
 }
 
+// hold waits before a run that may not start now asks again. An instance that
+// does not reach the home of the request is as stranded with it as one that
+// reaches no server.
+func (r *runner) hold(ctx context.Context, err error) {
+	r.unreached = r.unreached || errors.Is(err, errNoHome)
+	pause(ctx, retryPause)
+}
+
 // stop ends a run whose time is over. A run that the process gives up while it
 // stops is left to the keeper of its copy.
 func (r *runner) stop(ctx context.Context) {
--- a/internal/entry/strand.go
+++ b/internal/entry/strand.go
@@ -24,6 +24,9 @@
 
 // reached notes whether an attempt that has ended found its backend server.
 func (r *runner) reached(err error, now time.Time) {
+	if errors.Is(err, errHeld) {
+		return // it was not sent
+	}
 	var ce *backnd.CallError
 	if !errors.As(err, &ce) || ce.Outcome != backnd.NotRun || ce.Code != "" {
 		r.unreached = false
--- a/internal/site/strand_test.go
+++ b/internal/site/strand_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/stand"
 )
@@ -107,4 +108,9 @@
 		t.Errorf("the caller needed %d connections", c.tries)
 	}
 	computedOnce(t, s, "acme", c.id)
+	if t.Failed() {
+		for _, e := range s.Timeline(event.Filter{}) {
+			t.Log(e.Time.Format(time.StampMilli), e.Node, e.Kind, e.Request, e.Instance, e.Detail)
+		}
+	}
 }
