--- a/internal/manage/site_test.go
+++ b/internal/manage/site_test.go
@@ -43,10 +43,17 @@
 	faults []stand.VersionFault
 	sent   atomic.Int64
 	failed atomic.Int64
+	ahead  atomic.Int64 // nanoseconds by which the nodes' clock is put forward
 }
 
+func (r *rented) now() time.Time { return time.Now().Add(time.Duration(r.ahead.Load())) }
+
 func rent(t *testing.T) *rented {
 	t.Parallel()
+	return rentFor(t, declared)
+}
+
+func rentFor(t *testing.T, declared string) *rented {
 	const seed = 7
 	t.Logf("seed %d", seed)
 	d, err := decl.Parse("declared", fmt.Appendf(nil, declared, decl.HashKey("acme-key")))
@@ -72,7 +79,7 @@
 	defer cancel()
 	cfg := site.Config{
 		Seed: seed, DataCentres: []string{"dc1", "dc2", "dc3"}, EntriesPer: 1, Controls: 3, Declaration: d, DrainSeconds: 5,
-		Platform: conf.Platform{Cloud: r.cloud.URL()}, Manage: manage.Timing{List: 500 * time.Millisecond, Prices: time.Second},
+		Now: r.now, Platform: conf.Platform{Cloud: r.cloud.URL()}, Manage: manage.Timing{List: 500 * time.Millisecond, Prices: time.Second},
 	}
 	// Another process may take an address between its choice and its use.
 	for range 5 {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -54,6 +54,8 @@
 	// Router returns a new router for a node; nil for the usual one.
 	Router     func(seed uint64) entry.Router
 	ReplayOnly bool // see entry.Config
+	// Now is the clock of all nodes; time.Now if nil.
+	Now func() time.Time
 	// LinkDelay is the one-way delay of links between data centres.
 	LinkDelay time.Duration
 	// Planner replaces the planner of version moves; see manage.Config.
@@ -237,7 +239,7 @@
 func (s *Site) StartNode(i int) error {
 	set := s.settings[i]
 	cfg := node.Config{
-		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage, Planner: s.cfg.Planner,
+		Settings: set, Seed: s.cfg.Seed + uint64(i), ReplayOnly: s.cfg.ReplayOnly, Manage: s.cfg.Manage, Planner: s.cfg.Planner, Now: s.cfg.Now,
 		Link: func(c *link.Config) { c.Dial = s.Links.Dialer(set.Listen.Peers) },
 	}
 	if s.cfg.Router != nil {
