--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -192,3 +192,39 @@
 		})
 	}
 }
+
+// Guards against an outage that hits both versions and withholds Good from the
+// new one, and against failures of the new one alone that do not.
+func TestOutageOfBoth(t *testing.T) {
+	for _, tt := range []struct {
+		oldFails, newFails int // of 20 requests in a second
+		good               bool
+	}{{0, 0, true}, {1, 1, true}, {0, 1, false}, {1, 3, false}} {
+		m := world.Move{ID: "m", Service: "s", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Hour)}
+		j, rec := New(m, 0.01, 0, start), NewRecorder("e", 1)
+		add := func(version string, fails int, now time.Time) {
+			for n := range 20 {
+				rec.Add(Result{Service: "s", Version: version, Route: "lookup", Server: version, Failed: n < fails, First: time.Second}, now)
+			}
+		}
+		var v Verdict
+		for s := range 111 {
+			now := start.Add(time.Duration(s) * time.Second)
+			switch {
+			case s == 100:
+				j.Follow(m.WithShare(0.5, now), now)
+				m = m.WithShare(0.5, now)
+			case s > 100:
+				add("v1", tt.oldFails, now)
+				add("v2", tt.newFails, now)
+			default:
+				add("v1", 0, now)
+			}
+			j.Add(rec.Take(now), now)
+			v = j.Verdict(now)
+		}
+		if (v.State == Good) != tt.good {
+			t.Errorf("%d and %d of 20 requests failed on the old and the new version: %+v", tt.oldFails, tt.newFails, v)
+		}
+	}
+}
