entry: Split the loop of a run into steps

The loop of a run was 57 lines with two local variables that several branches changed. One pass is now step, the wait for a server is waitForServer, and both variables are fields of the runner. Behaviour is the same. go test -race ./internal/entry passes.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -93,6 +93,8 @@
 	current  *activeRun // the latest attempt
 	number   uint64     // of the latest attempt
 	deadline time.Time
+	wait     time.Duration // next pause if no server is found
+	lacking  time.Time     // since when no server is found; zero if one was
 	// heard is when a backend server last answered, or the run began; unreached
 	// is set if none could be reached since.
 	heard     time.Time
@@ -117,6 +119,7 @@
 		print:    poison.Of(req.Service, req.Version, requestText(acc)),
 		prefix:   world.Blocks(acc.Prompt),
 		deadline: time.UnixMilli(acc.DeadlineMs), heard: e.cfg.Now(),
+		wait: retryPause,
 	}
 	e.running.Go(func() {
 		ctx, cancel := context.WithDeadline(e.runs, r.deadline)
@@ -135,62 +138,71 @@
 
 // run makes attempts until the answer has ended.
 func (r *runner) run(ctx context.Context) {
-	wait := retryPause
-	var lacking time.Time // since when no server is found; zero if one was
-	for {
-		if _, ended := r.a.Ended(); ended {
-			return
-		}
+	for !r.ended() {
 		if ctx.Err() != nil {
 			r.stop(ctx)
 			return
 		}
-		now := r.e.cfg.Now()
-		if r.stranded(now) && r.leave(ctx, now) {
-			return
-		}
-		g, err := r.e.pass(ctx, r.print, now)
-		if errors.Is(err, errCondemned) {
-			r.finish("crashesServers")
+		if r.step(ctx, r.e.cfg.Now()) {
 			return
 		}
-		if err != nil {
-			pause(ctx, retryPause)
-			continue
-		}
-		r.pass = g
-		choice, err := r.pick(now)
-		if err != nil {
-			if lacking.IsZero() {
-				lacking = now
-			}
-			ended := now.Sub(lacking) >= lendAfter && r.lend(ctx, now)
-			r.e.leave(g)
-			if ended {
-				return
-			}
-			r.unreached = r.unreached || !r.e.permitted(r.req.Service, now)
-			// The request is accepted, so it waits for a server until its deadline.
-			pause(ctx, wait)
-			wait = min(2*wait, retryPauseMax)
-			r.exclude = nil
-			continue
-		}
-		if !r.e.takeSlot(ctx, &g, choice.Backend, now) {
-			r.e.leave(g)
-			pause(ctx, retryPause)
-			continue
-		}
-		lacking = time.Time{}
-		err = r.attempt(ctx, choice, &g)
+	}
+}
+
+// step makes one attempt, or pauses if the request may not run yet or no server
+// is found. It reports whether the run is over.
+func (r *runner) step(ctx context.Context, now time.Time) bool {
+	if r.stranded(now) && r.leave(ctx, now) {
+		return true
+	}
+	g, err := r.e.pass(ctx, r.print, now)
+	if errors.Is(err, errCondemned) {
+		r.finish("crashesServers")
+		return true
+	}
+	if err != nil {
+		pause(ctx, retryPause)
+		return false
+	}
+	r.pass = g
+	choice, err := r.pick(now)
+	if err != nil {
+		return r.waitForServer(ctx, g, now)
+	}
+	if !r.e.takeSlot(ctx, &g, choice.Backend, now) {
 		r.e.leave(g)
-		r.reached(err, r.e.cfg.Now())
-		if r.over(ctx, choice.Backend, err) {
-			return
-		}
-		r.spend(ctx)
-		wait = retryPause
+		pause(ctx, retryPause)
+		return false
 	}
+	r.lacking = time.Time{}
+	err = r.attempt(ctx, choice, &g)
+	r.e.leave(g)
+	r.reached(err, r.e.cfg.Now())
+	if r.over(ctx, choice.Backend, err) {
+		return true
+	}
+	r.spend(ctx)
+	r.wait = retryPause
+	return false
+}
+
+// waitForServer pauses a request for which no server was found, because an
+// accepted request waits until its deadline, or lends it to another cell. It
+// returns the permits of g and reports whether the run is over.
+func (r *runner) waitForServer(ctx context.Context, g gate, now time.Time) bool {
+	if r.lacking.IsZero() {
+		r.lacking = now
+	}
+	ended := now.Sub(r.lacking) >= lendAfter && r.lend(ctx, now)
+	r.e.leave(g)
+	if ended {
+		return true
+	}
+	r.unreached = r.unreached || !r.e.permitted(r.req.Service, now)
+	pause(ctx, r.wait)
+	r.wait = min(2*r.wait, retryPauseMax)
+	r.exclude = nil
+	return false
 }
 
 // stop ends a run whose time is over. A run that the process gives up while it
