poison: Give each job its own file and split Merge

Fingerprints, permits and judgement have files now, Merge decodes by fingerprintsOf, and the set of completed fingerprints is the type Recent, which entry has twice. The comment of addCrash named a result that it does not have. Behaviour is the same. go test -race ./internal/poison passes.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -6,11 +6,6 @@
 package poison
 
 import (
-	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -26,59 +21,12 @@
 	MaxCrashes = 2
 	// Expiry is how long crashes and clears are remembered.
 	Expiry = time.Hour
-	// settle is how long other instances have to report what they ran on a
-	// crashed server. Before it, nobody counts as the only suspect. It equals the
-	// age at which a permission to use a backend server lapses.
-	settle = 3 * time.Second
-	// permitLease bounds how long a suspect's permit is held if its holder dies;
-	// it is the longest run of a request in the default settings.
-	permitLease = time.Hour
 	// waitRetry is the retry-after for a request that waits for another run.
 	waitRetry = time.Second
 	// maxRecords bounds the crashes, and the clears, that are remembered.
 	maxRecords = 10_000
-	// maxProven bounds one of two generations of completed fingerprints.
-	maxProven = 1 << 15
 )
 
-// Fingerprint identifies a request by service, version and body. It is a
-// cryptographic hash, so that no caller can make another's request a suspect.
-type Fingerprint [16]byte
-
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
-
-// Of returns the fingerprint of a request.
-func Of(service, version string, body []byte) Fingerprint {
-	h := sha256.New()
-	var n [8]byte
-	for _, s := range []string{service, version} {
-		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
-		h.Write(n[:])
-		h.Write([]byte(s))
-	}
-	h.Write(body)
-	var f Fingerprint
-	copy(f[:], h.Sum(nil))
-	return f
-}
-
-// State of a fingerprint.
-type State uint8
-
-// The states of a fingerprint.
-const (
-	Clear       State = iota // runs normally
-	Suspect                  // was on one crashed server; runs apart and one at a time
-	Quarantined              // was on two, not known to be the cause; not run until they expire
-	Condemned                // the cause of two crashes; final error
-)
-
-// String returns the state's name.
-func (s State) String() string {
-	return [...]string{"clear", "suspect", "quarantined", "condemned"}[s]
-}
-
 // Verdict says whether a request may run now.
 type Verdict struct {
 	State State
@@ -97,16 +45,6 @@
 	Final bool
 }
 
-type crashKey struct {
-	server      string
-	incarnation uint64
-}
-
-type crash struct {
-	at  time.Time
-	all []Fingerprint // sorted
-}
-
 type run struct {
 	server      string
 	incarnation uint64
@@ -120,8 +58,7 @@
 	running  map[Fingerprint][]run
 	crashes  map[crashKey]*crash
 	clears   map[Fingerprint]time.Time
-	proven   map[Fingerprint]struct{} // completed here
-	older    map[Fingerprint]struct{}
+	proven   Recent // completed here
 	permits  map[Fingerprint]permit
 	unsent   map[crashKey]bool
 	unsentOK map[Fingerprint]bool
@@ -129,17 +66,12 @@
 	judgedAt time.Time
 }
 
-type permit struct {
-	node  string
-	until time.Time
-}
-
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
 		running: map[Fingerprint][]run{}, crashes: map[crashKey]*crash{}, clears: map[Fingerprint]time.Time{},
-		proven: map[Fingerprint]struct{}{}, permits: map[Fingerprint]permit{},
-		unsent: map[crashKey]bool{}, unsentOK: map[Fingerprint]bool{},
+		permits: map[Fingerprint]permit{},
+		unsent:  map[crashKey]bool{}, unsentOK: map[Fingerprint]bool{},
 	}
 }
 
@@ -170,13 +102,13 @@
 	case v.State == Suspect:
 		v.Permit, v.Avoid = true, l.suspectServers(f, now)
 		v.Run = n == 0
-	case broken > 0 && !l.isProven(f):
+	case broken > 0 && !l.proven.Has(f):
 		// It may become a suspect at any moment, and shares no server until then:
 		// a second crash beside a suspect would leave both under suspicion.
 		v.Permit, v.Avoid = true, l.suspectServers(f, now)
 		v.Run = n == broken && n < MaxCrashes
 	default:
-		v.Run = n < MaxCrashes || l.isProven(f)
+		v.Run = n < MaxCrashes || l.proven.Has(f)
 	}
 	if !v.Run && v.State <= Suspect {
 		v.RetryAfter = waitRetry
@@ -212,9 +144,9 @@
 		if g == f {
 			continue
 		}
-		clear := l.state(g, now) == Clear
+		isClear := l.state(g, now) == Clear
 		for _, r := range runs {
-			if !clear || r.broken {
+			if !isClear || r.broken {
 				out = append(out, r.server)
 			}
 		}
@@ -269,7 +201,7 @@
 	if !completed {
 		return
 	}
-	l.prove(f)
+	l.proven.Add(f)
 	if l.state(f, now) != Clear {
 		l.clears[f], l.unsentOK[f] = now, true
 		l.judged = nil
@@ -294,21 +226,6 @@
 	l.running[f] = runs
 }
 
-func (l *Ledger) isProven(f Fingerprint) bool {
-	if _, ok := l.proven[f]; ok {
-		return true
-	}
-	_, ok := l.older[f]
-	return ok
-}
-
-func (l *Ledger) prove(f Fingerprint) {
-	if len(l.proven) >= maxProven {
-		l.proven, l.older = map[Fingerprint]struct{}{}, l.proven
-	}
-	l.proven[f] = struct{}{}
-}
-
 // Crashed records that a server was lost without notice and ends this instance's
 // runs on it. Requests that have completed before are no suspects. Call it only
 // for crashes, not for announced reclaims.
@@ -326,7 +243,7 @@
 		if len(runs) == 0 {
 			delete(l.running, f)
 		}
-		if !l.isProven(f) {
+		if !l.proven.Has(f) {
 			all = append(all, f)
 		}
 	}
@@ -335,8 +252,8 @@
 	}
 }
 
-// addCrash merges suspects into a crash and reports whether that changed it. The
-// time of a crash is the earliest known one, so that repeated records expire.
+// addCrash merges suspects into a crash. The time of a crash is the earliest
+// known one, so that repeated records expire.
 func (l *Ledger) addCrash(key crashKey, all []Fingerprint, at time.Time) {
 	c := l.crashes[key]
 	if c == nil {
@@ -392,156 +309,3 @@
 	}
 	return out
 }
-
-// Permit asks this ledger, as the home of the fingerprint, for the one permit to
-// run a suspect, or to use a Slot, in the cell. Asking again renews it.
-func (l *Ledger) Permit(f Fingerprint, node string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.permits[f]
-	if p.node != node && now.Before(p.until) || l.state(f, now) > Suspect {
-		return false
-	}
-	if len(l.permits) >= maxRecords {
-		for g, p := range l.permits {
-			if !now.Before(p.until) {
-				delete(l.permits, g)
-			}
-		}
-	}
-	l.permits[f] = permit{node, now.Add(permitLease)}
-	return true
-}
-
-// Drop takes a permit back if its holder, who asked last at since, is gone. A
-// process that dies with a permit would otherwise hold up the request for permitLease.
-func (l *Ledger) Drop(f Fingerprint, gone func(node string, since time.Time) bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p, ok := l.permits[f]; ok && gone(p.node, p.until.Add(-permitLease)) {
-		delete(l.permits, f)
-	}
-}
-
-// Release gives a permit back.
-func (l *Ledger) Release(f Fingerprint, node string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.permits[f].node == node {
-		delete(l.permits, f)
-	}
-}
-
-// Slot returns the key of the permit to run a suspect on a server.
-func Slot(server string, incarnation uint64) Fingerprint {
-	return Of("slot", server, binary.BigEndian.AppendUint64(nil, incarnation))
-}
-
-// Home returns the node that gives the permits of a fingerprint: the one with
-// the highest hash, so that all instances with the same list of nodes agree.
-func Home(f Fingerprint, nodes []string) string {
-	if len(nodes) == 0 {
-		return ""
-	}
-	return Homes(f, nodes)[0]
-}
-
-// Homes returns the nodes in the order in which they are homes of a fingerprint.
-// Lists that differ in one node give the same order for the others.
-func Homes(f Fingerprint, nodes []string) []string {
-	hash := map[string]Fingerprint{}
-	for _, n := range nodes {
-		hash[n] = Of(n, "", f[:])
-	}
-	return slices.SortedFunc(maps.Keys(hash), func(a, b string) int {
-		x, y := hash[a], hash[b]
-		return cmp.Or(slices.Compare(y[:], x[:]), cmp.Compare(a, b))
-	})
-}
-
-// State returns what is known about a fingerprint.
-func (l *Ledger) State(f Fingerprint, now time.Time) State {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state(f, now)
-}
-
-// state judges all crashes again when something has changed or settled.
-func (l *Ledger) state(f Fingerprint, now time.Time) State {
-	if len(l.crashes) == 0 {
-		return Clear
-	}
-	if l.judged == nil || now.Sub(l.judgedAt) >= time.Second {
-		l.expire(now)
-		l.judged, l.judgedAt = judge(l.crashes, l.clears, now), now
-	}
-	return l.judged[f]
-}
-
-func (l *Ledger) expire(now time.Time) {
-	for key, c := range l.crashes {
-		if now.Sub(c.at) >= Expiry {
-			delete(l.crashes, key)
-			delete(l.unsent, key)
-		}
-	}
-	for f, at := range l.clears {
-		if now.Sub(at) >= Expiry {
-			delete(l.clears, f)
-			delete(l.unsentOK, f)
-		}
-	}
-}
-
-// judge derives the states from the crashes. It repeats until nothing changes:
-// the cause of a crash explains it, which may leave a single suspect in another.
-// An explanation never lets a request run again, only its own completion does:
-// two requests of a crash may both be causes, and running the second one again
-// would cost it a third server.
-func judge(crashes map[crashKey]*crash, clears map[Fingerprint]time.Time, now time.Time) map[Fingerprint]State {
-	out, condemned := map[Fingerprint]State{}, map[Fingerprint]bool{}
-	for _, c := range crashes {
-		for _, f := range c.suspects(clears, nil) {
-			out[f] = min(out[f]+1, Quarantined)
-		}
-	}
-	for {
-		count, only := map[Fingerprint]int{}, map[Fingerprint]bool{}
-		for _, c := range crashes {
-			left := c.suspects(clears, condemned)
-			for _, f := range left {
-				count[f]++
-			}
-			if len(left) == 1 && now.Sub(c.at) >= settle {
-				only[left[0]] = true
-			}
-		}
-		changed := false
-		for f := range only {
-			if count[f] >= MaxCrashes && !condemned[f] {
-				condemned[f], changed = true, true
-				out[f] = Condemned
-			}
-		}
-		if !changed {
-			return out
-		}
-	}
-}
-
-// suspects returns the requests that may have caused the crash.
-func (c *crash) suspects(clears map[Fingerprint]time.Time, condemned map[Fingerprint]bool) []Fingerprint {
-	var left, guilty []Fingerprint
-	for _, f := range c.all {
-		if condemned[f] {
-			guilty = append(guilty, f)
-		}
-		if at, ok := clears[f]; !ok || at.Before(c.at) {
-			left = append(left, f)
-		}
-	}
-	if len(guilty) > 0 {
-		return guilty
-	}
-	return left
-}
--- a/internal/poison/wire.go
+++ b/internal/poison/wire.go
@@ -106,29 +106,9 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return Error.Wrap(err)
 	}
-	if len(m.Crashes) > maxRecords || len(m.Clears) > maxRecords {
-		return Error.New("%d crashes and %d clears exceed %d", len(m.Crashes), len(m.Clears), maxRecords)
-	}
-	crashes := make([][]Fingerprint, len(m.Crashes))
-	for i, c := range m.Crashes {
-		if len(c.Fingerprints) > maxSuspects {
-			return Error.New("%d requests on one server exceed %d", len(c.Fingerprints), maxSuspects)
-		}
-		for _, b := range c.Fingerprints {
-			f, err := fingerprint(b)
-			if err != nil {
-				return err
-			}
-			crashes[i] = append(crashes[i], f)
-		}
-	}
-	clears := make([]Fingerprint, len(m.Clears))
-	for i, c := range m.Clears {
-		f, err := fingerprint(c.Fingerprint)
-		if err != nil {
-			return err
-		}
-		clears[i] = f
+	crashes, clears, err := fingerprintsOf(&m)
+	if err != nil {
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -146,6 +126,44 @@
 	return nil
 }
 
+// fingerprintsOf returns the fingerprints of each crash and each clear, or an
+// error if the message exceeds a limit or has a fingerprint of a wrong length.
+func fingerprintsOf(m *poispb.Records) (crashes [][]Fingerprint, clears []Fingerprint, err error) {
+	if len(m.Crashes) > maxRecords || len(m.Clears) > maxRecords {
+		return nil, nil, Error.New("%d crashes and %d clears exceed %d", len(m.Crashes), len(m.Clears), maxRecords)
+	}
+	for _, c := range m.Crashes {
+		if len(c.Fingerprints) > maxSuspects {
+			return nil, nil, Error.New("%d requests on one server exceed %d", len(c.Fingerprints), maxSuspects)
+		}
+		all, err := fingerprints(c.Fingerprints)
+		if err != nil {
+			return nil, nil, err
+		}
+		crashes = append(crashes, all)
+	}
+	for _, c := range m.Clears {
+		f, err := fingerprint(c.Fingerprint)
+		if err != nil {
+			return nil, nil, err
+		}
+		clears = append(clears, f)
+	}
+	return crashes, clears, nil
+}
+
+func fingerprints(all [][]byte) ([]Fingerprint, error) {
+	out := make([]Fingerprint, 0, len(all))
+	for _, b := range all {
+		f, err := fingerprint(b)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, f)
+	}
+	return out, nil
+}
+
 // addClear keeps the latest completion. Small differences come from the way of
 // the message and are not passed on, or two instances would send them forever.
 func (l *Ledger) addClear(f Fingerprint, at time.Time) {
@@ -159,7 +177,7 @@
 // clearProven clears suspects of another instance that have completed here.
 func (l *Ledger) clearProven(all []Fingerprint, at time.Time) {
 	for _, f := range all {
-		if l.isProven(f) {
+		if l.proven.Has(f) {
 			l.addClear(f, at)
 		}
 	}
