entry: Name things by their usual terms and give each job a file

Entrances, passing a gate, prints and greeted peers were names of this package alone: they are run counts, mayRun, fingerprints and informed peers now.

--- a/internal/entry/active.go
+++ b/internal/entry/active.go
@@ -39,17 +39,17 @@
 
 // runInfo is what a reclaim decision needs to know about an answer.
 type runInfo struct {
-	id        string
-	print     poison.Fingerprint
-	class     world.Class
-	prompt    int // tokens
-	resumed   int // tokens known before the attempt
-	maxTokens int
+	id          string
+	fingerprint poison.Fingerprint
+	class       world.Class
+	prompt      int // tokens
+	resumed     int // tokens known before the attempt
+	maxTokens   int
 }
 
 func (r *runner) info() runInfo {
 	return runInfo{
-		id: r.req.ID, print: r.print, class: r.req.Class, prompt: len(r.acc.Prompt) / bytesPerToken,
+		id: r.req.ID, fingerprint: r.fingerprint, class: r.req.Class, prompt: len(r.acc.Prompt) / bytesPerToken,
 		resumed: int(r.a.Position()), maxTokens: int(r.acc.MaxTokens),
 	}
 }
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	crashCall  = "entry.crash"
-	permitCall = "entry.permit"
+	crashCall = "entry.crash"
 	// crashTick bounds how late the cell learns of a crash.
 	crashTick = 50 * time.Millisecond
 	// probeTimeout is how long a server that broke a stream has to accept a new
@@ -35,153 +34,8 @@
 	// crash; only later ones show that a server lives.
 	inFlight    = 500 * time.Millisecond
 	restartPoll = 50 * time.Millisecond
-	// permitTimeout bounds the question whether a suspect may run.
-	permitTimeout = 300 * time.Millisecond
 )
 
-// gate is the right of a request to run now, given what it did to servers before.
-type gate struct {
-	avoid   []string
-	suspect bool
-	permits []heldPermit // to be returned
-}
-
-// heldPermit is a permit and the node that gave it.
-type heldPermit struct {
-	key  poison.Fingerprint
-	home string
-}
-
-var (
-	errCondemned = Error.New("the request was running on two backend servers when they crashed")
-	errHeld      = Error.New("the request is suspected of crashing servers and must wait")
-)
-
-// pass asks whether a request may run. A suspect needs the cell's one permit for
-// its fingerprint, so that it cannot crash several servers at the same time.
-func (e *Entry) pass(ctx context.Context, f poison.Fingerprint, now time.Time) (gate, error) {
-	v := e.ledger.Check(f, now)
-	switch {
-	case v.Final:
-		return gate{}, errCondemned
-	case !v.Run:
-		return gate{}, errHeld
-	}
-	g := gate{avoid: v.Avoid, suspect: v.Permit}
-	if v.Permit && !e.obtain(ctx, &g, f, now) {
-		return gate{}, errHeld
-	}
-	return g, nil
-}
-
-// obtain asks for one permit at its home.
-func (e *Entry) obtain(ctx context.Context, g *gate, key poison.Fingerprint, now time.Time) bool {
-	home := e.homeOf(key, now)
-	switch e.askPermit(ctx, home, key, false, now) {
-	case granted:
-		g.permits = append(g.permits, heldPermit{key, home})
-		return true
-	case silent:
-		// The answer may have been lost; a permit that nobody uses must not stay.
-		e.running.Go(func() { e.askPermit(context.WithoutCancel(e.runs), home, key, true, e.cfg.Now()) })
-	}
-	return false
-}
-
-// homeOf returns the node that gives the permits of a key.
-func (e *Entry) homeOf(key poison.Fingerprint, now time.Time) string {
-	return e.homesOf(key, now)[0]
-}
-
-// homesOf returns the nodes of the cell in the order in which they are homes of
-// a key.
-func (e *Entry) homesOf(key poison.Fingerprint, now time.Time) []string {
-	nodes := []string{e.cfg.Settings.Node}
-	for _, p := range e.member.Peers(now) {
-		nodes = append(nodes, p.Node)
-	}
-	return poison.Homes(key, nodes)
-}
-
-// takeSlot lets a suspect run on a server only if no other suspect does, so that
-// a crash shows which of them caused it.
-func (e *Entry) takeSlot(ctx context.Context, g *gate, b world.Backend, now time.Time) bool {
-	return !g.suspect || e.obtain(ctx, g, poison.Slot(b.ID, b.Incarnation), now)
-}
-
-// leave returns the permits of a run that has ended.
-func (e *Entry) leave(g gate) {
-	for _, p := range g.permits {
-		e.running.Go(func() { e.askPermit(e.runs, p.home, p.key, true, e.cfg.Now()) })
-	}
-}
-
-func (e *Entry) askPermit(ctx context.Context, home string, f poison.Fingerprint, release bool, now time.Time) answer {
-	self := e.cfg.Settings.Node
-	if home == self {
-		return verdict(e.permit(f, self, release, now))
-	}
-	resp, err := e.callPermit(ctx, home, &entrpb.PermitRequest{Fingerprint: f[:], Release: release}, permitTimeout)
-	if err != nil {
-		return silent
-	}
-	return verdict(resp.Granted)
-}
-
-func (e *Entry) callPermit(ctx context.Context, home string, req *entrpb.PermitRequest, timeout time.Duration) (*entrpb.PermitResponse, error) {
-	p, ok := e.peerNamed(home)
-	if !ok {
-		return nil, Error.New("%s is not in the cell", home)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	resp := &entrpb.PermitResponse{}
-	return resp, Error.Wrap(e.cfg.Net.Call(ctx, p.Address, permitCall, req, resp))
-}
-
-func (e *Entry) permit(f poison.Fingerprint, node string, release bool, now time.Time) bool {
-	if release {
-		e.ledger.Release(f, node)
-		return true
-	}
-	e.ledger.Drop(f, e.left)
-	return e.ledger.Permit(f, node, now)
-}
-
-// left reports whether a node has left the cell or restarted since a time. An
-// incarnation is the start of its process in nanoseconds.
-func (e *Entry) left(node string, since time.Time) bool {
-	if node == e.cfg.Settings.Node {
-		return false
-	}
-	p, ok := e.peerNamed(node)
-	return !ok || time.Unix(0, int64(p.Incarnation)).After(since)
-}
-
-func (e *Entry) handlePermit(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
-	var req entrpb.PermitRequest
-	if err := proto.Unmarshal(body, &req); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	var f poison.Fingerprint
-	if copy(f[:], req.Fingerprint) != len(f) {
-		return nil, Error.New("fingerprint has %d bytes", len(req.Fingerprint))
-	}
-	now := e.cfg.Now()
-	if err := e.ledger.Merge(req.Records, now); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	switch {
-	case req.Run != "" && req.Release:
-		e.entrances.exit(f, req.Run, req.Completed, now)
-		return &entrpb.PermitResponse{Granted: true}, nil
-	case req.Run != "":
-		granted := e.enterHere(f, req.Run, req.Server, now)
-		return &entrpb.PermitResponse{Granted: granted, Records: e.ledger.Of(f, now)}, nil
-	}
-	return &entrpb.PermitResponse{Granted: e.permit(f, from.Node, req.Release, e.cfg.Now())}, nil
-}
-
 func (e *Entry) handleCrash(_ context.Context, _ link.Peer, body []byte) (proto.Message, error) {
 	var msg entrpb.Crash
 	if err := proto.Unmarshal(body, &msg); err != nil {
@@ -193,13 +47,13 @@
 	return &entrpb.Empty{}, nil
 }
 
-// greeted remembers which peers have got everything that this node knows of crashes.
-type greeted struct {
+// informed remembers which peers have got everything that this node knows of crashes.
+type informed struct {
 	mu    sync.Mutex
 	peers map[string]uint64 // incarnation by node
 }
 
-func (g *greeted) first(node string, incarnation uint64) bool {
+func (g *informed) first(node string, incarnation uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.peers == nil {
@@ -210,13 +64,13 @@
 	return !ok || have != incarnation
 }
 
-// tellCrashes spreads what this node learnt of crashes and stops the runs that
+// spreadCrashes spreads what this node learnt of crashes and stops the runs that
 // are no longer allowed.
-func (e *Entry) tellCrashes(now time.Time) {
+func (e *Entry) spreadCrashes(now time.Time) {
 	changed := e.ledger.Changed(now)
 	for _, p := range e.member.Peers(now) {
 		records := changed
-		if e.greeted.first(p.Node, p.Incarnation) {
+		if e.informed.first(p.Node, p.Incarnation) {
 			records = e.ledger.All(now)
 		}
 		if len(records) == 0 {
@@ -232,7 +86,7 @@
 	for f, servers := range e.ledger.Excess(now) {
 		for _, id := range servers {
 			for _, a := range e.active.on(id) {
-				if a.info.print == f {
+				if a.info.fingerprint == f {
 					a.stop(errHeld)
 				}
 			}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,12 +94,12 @@
 	quiet   time.Duration // how long an engine may be silent
 	restart time.Duration // how long a restart of a backend server may stay unknown
 
-	active    activeRuns
-	holders   keepersOf
-	reserved  reservations
-	entrances entrances
-	greeted   greeted
-	tally     tally
+	active   activeRuns
+	holders  keepersOf
+	reserved reservations
+	counts   runCounts
+	informed informed
+	tally    tally
 
 	claims    atomic.Uint64 // number of claims taken, part of their owner's name
 	inFlight  sync.Map      // owners of claims whose calls are being served
@@ -146,21 +146,33 @@
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.runs, e.stop = context.WithCancel(context.Background())
-	stream.Serve(cfg.Net, e.answers, e.adopt)
-	cfg.Net.Handle(findCall, e.handleFind)
-	cfg.Net.Handle(crashCall, e.handleCrash)
-	cfg.Net.Handle(permitCall, e.handlePermit)
-	cfg.Net.Handle(idleCall, e.handleIdle)
-	cfg.Net.Handle(forwardedCall, e.handleForwarded)
-	cfg.Net.Handle(lendCall, e.handleLend)
+	e.handlePeers()
 	var err error
 	if e.server, err = e.listen(); err != nil {
 		return nil, err
 	}
+	e.startLoops()
+	return e, nil
+}
+
+// handlePeers answers the calls of other entry instances.
+func (e *Entry) handlePeers() {
+	net := e.cfg.Net
+	stream.Serve(net, e.answers, e.adopt)
+	net.Handle(findCall, e.handleFind)
+	net.Handle(crashCall, e.handleCrash)
+	net.Handle(permitCall, e.handlePermit)
+	net.Handle(idleCall, e.handleIdle)
+	net.Handle(forwardedCall, e.handleForwarded)
+	net.Handle(lendCall, e.handleLend)
+}
+
+// startLoops starts what this instance does at intervals.
+func (e *Entry) startLoops() {
 	e.loop(sweepEvery, func(now time.Time) {
 		e.answers.Sweep(now)
 		e.reserved.sweep(now)
-		e.entrances.sweep(now)
+		e.counts.sweep(now)
 		e.sent.sweep(e.keepForwarded(), now)
 		e.adoptOrphans(now)
 		e.learnCaches(now)
@@ -168,8 +180,7 @@
 	})
 	moves := &reclaims{e: e, waiting: map[string]*activeRun{}}
 	e.loop(reclaimTick, moves.step)
-	e.loop(crashTick, e.tellCrashes)
-	return e, nil
+	e.loop(crashTick, e.spreadCrashes)
 }
 
 // loop calls f each interval until the process stops serving.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,7 +29,7 @@
 // wanted is what a request needs that this cell may not have.
 type wanted struct {
 	service, version string
-	print            poison.Fingerprint
+	fingerprint      poison.Fingerprint
 	limit            time.Duration // of the whole request
 	// done is called when the other cell no longer works on the request; it may
 	// be nil.
@@ -41,7 +41,7 @@
 
 func (e *Entry) wantedModel(m modelRequest, version string, acc *entrpb.Accepted) wanted {
 	return wanted{
-		service: m.Service, version: version, print: poison.Of(m.Service, version, requestText(acc)),
+		service: m.Service, version: version, fingerprint: poison.Of(m.Service, version, requestText(acc)),
 		limit: seconds(e.cfg.Settings.Limits.RequestSeconds), model: true, stream: m.Stream,
 	}
 }
@@ -59,7 +59,7 @@
 func (e *Entry) forward(c *call, w wanted, f *failure) *failure {
 	// A request that is suspected to crash servers stays with the cell that
 	// counts its crashes.
-	if c.hop || !isFull(f) || e.suspect(w.print, c.now) {
+	if c.hop || !isFull(f) || e.suspect(w.fingerprint, c.now) {
 		return f
 	}
 	id := answerID(c.org.Name, c.id)
--- a/internal/entry/lend.go
+++ b/internal/entry/lend.go
@@ -55,7 +55,7 @@
 	n := r.a.Attempt()
 	msg := &entrpb.Lend{
 		Id: fmt.Sprintf("%s %d", r.req.ID, n), Org: r.req.Org, Service: r.req.Service, Version: r.req.Version, Class: uint32(r.req.Class),
-		Records: r.e.ledger.Of(r.print, r.e.cfg.Now()),
+		Records: r.e.ledger.Of(r.fingerprint, r.e.cfg.Now()),
 	}
 	acc := proto.CloneOf(r.acc)
 	acc.Lender = r.e.cfg.Settings.Cell
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -154,7 +154,7 @@
 		return busy
 	}
 	if cell := cellOfOwner(s.Owner); cell != "" && cell != e.cfg.Settings.Cell {
-		w := wanted{service: p.service.Name, version: p.version, print: p.print, limit: p.service.Timeout()}
+		w := wanted{service: p.service.Name, version: p.version, fingerprint: p.fingerprint, limit: p.service.Timeout()}
 		if done, f := e.again(p.call, cell, w); done {
 			return f
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -34,12 +34,12 @@
 // plainCall is one call of a plain service.
 type plainCall struct {
 	*call
-	service decl.Service
-	version string
-	path    string
-	header  []backnd.Header
-	print   poison.Fingerprint
-	limits  *limit.Limits
+	service     decl.Service
+	version     string
+	path        string
+	header      []backnd.Header
+	fingerprint poison.Fingerprint
+	limits      *limit.Limits
 }
 
 // plainAnswer is a backend server's response whose first part is in memory.
@@ -62,8 +62,8 @@
 		version: chooseVersion(c.view.Shares[service.Name], answerID(c.org.Name, c.id), c.view.Serving[service.Name]),
 		header:  forwarded(c),
 	}
-	p.print = poison.Of(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
-	w := wanted{service: service.Name, version: p.version, print: p.print, limit: service.Timeout()}
+	p.fingerprint = poison.Of(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
+	w := wanted{service: service.Name, version: p.version, fingerprint: p.fingerprint, limit: service.Timeout()}
 	// Without a server here another cell is asked before the call is claimed. If
 	// none takes the call, its claim may still hold an answer.
 	vacant := e.vacant(p)
@@ -90,7 +90,7 @@
 // serveHere answers a call by a server of this cell.
 func (e *Entry) serveHere(p *plainCall, path string) *failure {
 	c, service := p.call, p.service
-	if f := e.checkPoison(p.print, c.now); f != nil {
+	if f := e.checkPoison(p.fingerprint, c.now); f != nil {
 		return f
 	}
 	limits, f := e.admit(c, service.Name, world.Call)
@@ -158,11 +158,11 @@
 // if there was none.
 func (e *Entry) tryOnce(ctx context.Context, p *plainCall, exclude []string, attempt uint64, now time.Time) (string, *plainAnswer, error) {
 	e.refresh(now)
-	g, err := e.pass(ctx, p.print, now)
+	g, err := e.mayRun(ctx, p.fingerprint, now)
 	if err != nil {
 		return "", nil, notSent("suspect", err)
 	}
-	defer func() { e.leave(g) }()
+	defer func() { e.returnPermits(g) }()
 	choice, err := e.table.Pick(route.Query{
 		Service: p.service.Name, Version: p.version, Org: p.org.Name, Class: world.Call,
 		DataCenter: e.cfg.Settings.DataCentre, PromptTokens: plainTokens, MaxTokens: 1, Exclude: append(g.avoid, exclude...),
@@ -185,7 +185,7 @@
 func (e *Entry) attemptPlain(ctx context.Context, p *plainCall, c route.Choice, g *gate, attempt uint64) (*plainAnswer, error) {
 	began := e.cfg.Now()
 	b := c.Backend
-	exit, ok := e.begin(ctx, p.print, g, b, began)
+	exit, ok := e.begin(ctx, p.fingerprint, g, b, began)
 	if !ok {
 		return nil, notSent("suspect", errHeld)
 	}
@@ -193,12 +193,12 @@
 	ans, err := e.callPlain(ctx, p, b, attempt)
 	now := e.cfg.Now()
 	lost := err != nil && backnd.OutcomeOf(err) != backnd.NotRun
-	e.ended(p.print, b, lost && ctx.Err() == nil, err == nil, exit)
+	e.ended(p.fingerprint, b, lost && ctx.Err() == nil, err == nil, exit)
 	e.table.Ended(b.ID, route.Result{Cost: c.Cost, Failed: lost, Took: now.Sub(began)}, now)
 	e.results.Add(judge.Result{
 		Service: p.service.Name, Version: p.version, Route: p.service.Path, Server: b.ID,
 		Load: e.loadOf(b), Failed: lost || (ans != nil && ans.status >= 500), First: now.Sub(began),
-		Poison: e.suspect(p.print, now), Leaving: e.reclaimed(b, now),
+		Poison: e.suspect(p.fingerprint, now), Leaving: e.reclaimed(b, now),
 	}, now)
 	if err != nil {
 		e.event(event.Of("call.failed").WithRequest(answerID(p.org.Name, p.id)).WithInstance(b.ID).With("error", err.Error()))
--- a/internal/entry/runcount_test.go
+++ b/internal/entry/runcount_test.go
@@ -19,8 +19,8 @@
 	passed := map[int]int{} // seeds by the number of runs that passed
 	for seed := range uint64(5000) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		n := 1 + rng.IntN(entranceHomes)
-		homes := make([]entrances, n)
+		n := 1 + rng.IntN(countHomes)
+		homes := make([]runCounts, n)
 		const runs = 5
 		answers := make([]chan answer, runs)
 		for i := range answers {
@@ -30,7 +30,7 @@
 			run, home := q/n, q%n
 			a := silent
 			if rng.IntN(10) > 0 { // the question arrives
-				a = verdict(homes[home].enter(f, strconv.Itoa(run), strconv.Itoa(run), poison.MaxCrashes, lives, now))
+				a = verdict(homes[home].add(f, strconv.Itoa(run), strconv.Itoa(run), poison.MaxCrashes, lives, now))
 			}
 			if rng.IntN(4) == 0 { // the answer is late
 				a = silent
@@ -39,7 +39,7 @@
 		}
 		count := 0
 		for _, a := range answers {
-			if enough(n, a) == granted {
+			if decide(n, a) == granted {
 				count++
 			}
 		}
@@ -54,22 +54,22 @@
 }
 
 // Guards against the end of a run that overtakes its question: the run would hold
-// a place at that home for entranceLease.
+// a place at that home for countLease.
 func TestEndOvertakesQuestion(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var s entrances
+	var s runCounts
 	var f poison.Fingerprint
 	lives := func(string) bool { return false }
-	s.exit(f, "late", false, now)
-	if s.enter(f, "late", "a", 1, lives, now) {
+	s.remove(f, "late", false, now)
+	if s.add(f, "late", "a", 1, lives, now) {
 		t.Error("a run that has ended was let in")
 	}
-	if !s.enter(f, "next", "a", 1, lives, now) {
+	if !s.add(f, "next", "a", 1, lives, now) {
 		t.Error("a run that has ended holds a place")
 	}
-	s.sweep(now.Add(exitedKept))
-	if len(s.exited) > 0 {
-		t.Errorf("%d ended runs are remembered after %v", len(s.exited), exitedKept)
+	s.sweep(now.Add(endedKept))
+	if len(s.ended) > 0 {
+		t.Errorf("%d ended runs are remembered after %v", len(s.ended), endedKept)
 	}
 }
 
@@ -77,16 +77,16 @@
 // crashes carry the same incarnation and count as one.
 func TestRunsOnOneServerComeOneByOne(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var s entrances
+	var s runCounts
 	var f poison.Fingerprint
 	lives := func(string) bool { return false }
-	if !s.enter(f, "first", "a", poison.MaxCrashes, lives, now) {
+	if !s.add(f, "first", "a", poison.MaxCrashes, lives, now) {
 		t.Fatal("the first run was not let in")
 	}
-	if s.enter(f, "second", "a", poison.MaxCrashes, lives, now) {
+	if s.add(f, "second", "a", poison.MaxCrashes, lives, now) {
 		t.Error("a second run was let in on the same server")
 	}
-	if !s.enter(f, "third", "b", poison.MaxCrashes, lives, now) {
+	if !s.add(f, "third", "b", poison.MaxCrashes, lives, now) {
 		t.Error("a run on another server was not let in")
 	}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -139,7 +139,7 @@
 // request is accepted and will be finished.
 func (e *Entry) accept(c *call, m modelRequest, w wanted, acc *entrpb.Accepted) (*stream.Answer, *failure) {
 	version := w.version
-	if f := e.checkPoison(w.print, c.now); f != nil {
+	if f := e.checkPoison(w.fingerprint, c.now); f != nil {
 		return nil, f
 	}
 	e.refresh(c.now)
--- a/internal/entry/strand.go
+++ b/internal/entry/strand.go
@@ -55,10 +55,10 @@
 	return false
 }
 
-// leave hands a stranded answer to its keeper and reports whether the run is
+// handToKeeper hands a stranded answer to its keeper and reports whether the run is
 // over. An isolated instance that does not reach the keeper breaks it off, so
 // that the caller can continue elsewhere.
-func (r *runner) leave(ctx context.Context, now time.Time) bool {
+func (r *runner) handToKeeper(ctx context.Context, now time.Time) bool {
 	r.heard = now
 	info, _ := r.e.answers.Info(r.req.ID)
 	if info.Epoch < maxTakeovers {
