--- a/internal/member/leaving.go
+++ b/internal/member/leaving.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/member/membpb"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -19,21 +20,13 @@
 		order
 	}
 	best := map[string]known{}
-	consider := func(b world.Backend, seq uint64, at time.Time) {
+	m.eachEntry(func(b world.Backend, seq uint64, _ *membpb.Load, at time.Time) {
 		o := order{b.Incarnation, seq}
 		if have, ok := best[b.ID]; now.Sub(at) > keepLeaving || (ok && !have.less(o)) {
 			return
 		}
 		best[b.ID] = known{b, o}
-	}
-	for _, e := range m.table.entries {
-		consider(e.backend, e.seq, e.at)
-	}
-	for _, p := range m.peers {
-		for _, e := range p.remote.entries {
-			consider(e.backend, e.seq, e.at)
-		}
-	}
+	})
 	var out []world.Backend
 	for _, k := range best {
 		if k.State == world.Leaving || !k.LeaveBy.IsZero() {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -51,6 +51,9 @@
 	// rate 106 engines produce about ten times as much; what does not fit waits
 	// and is dropped with a gap when it gets too old.
 	cacheBytesPerSecond = 8 << 10
+	// The names of the calls between entry instances.
+	pullCall   = "member.pull"
+	revokeCall = "member.revoke"
 	// driftPart is the part of a lease that clock rates may differ by.
 	driftPart = 100
 )
@@ -139,26 +142,28 @@
 		budget: cacheBudget{at: now},
 	}
 	m.cache.lost = map[string]bool{}
-	net.Handle("member.pull", m.handlePull)
-	net.Handle("member.revoke", m.handleRevoke)
-	if cfg.Manual {
-		return m, nil
+	net.Handle(pullCall, m.handlePull)
+	net.Handle(revokeCall, m.handleRevoke)
+	if !cfg.Manual {
+		m.wg.Go(m.pullRounds)
 	}
-	m.wg.Go(func() {
-		t := time.NewTicker(cfg.Pull)
-		defer t.Stop()
-		for {
-			m.startRound()
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
 	return m, nil
 }
 
+// pullRounds starts a round at each interval until Close.
+func (m *Member) pullRounds() {
+	t := time.NewTicker(m.cfg.Pull)
+	defer t.Stop()
+	for {
+		m.startRound()
+		select {
+		case <-t.C:
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
 // Close stops the pulls. It tells nobody; Leave does.
 func (m *Member) Close() {
 	m.mu.Lock()
@@ -206,7 +211,7 @@
 	var wg sync.WaitGroup
 	for _, p := range m.Peers(now) {
 		wg.Go(func() {
-			err := m.net.Call(ctx, p.Address, "member.revoke", msg, &membpb.RevokeResponse{})
+			err := m.net.Call(ctx, p.Address, revokeCall, msg, &membpb.RevokeResponse{})
 			if err == nil {
 				return
 			}
--- a/internal/member/pull.go
+++ b/internal/member/pull.go
@@ -129,7 +129,7 @@
 
 func (m *Member) pull(ctx context.Context, t target) {
 	var resp membpb.PullResponse
-	err := m.net.Call(ctx, t.addr, "member.pull", t.req, &resp)
+	err := m.net.Call(ctx, t.addr, pullCall, t.req, &resp)
 	now := m.cfg.Clock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
