entry: Separate acceptance, events, addresses and response shapes

The header of an event stream was set by the same lines in two places, startEvents now, and isError only renamed errors.As. Behaviour is the same. go test -race ./internal/entry passes.

--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -4,14 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"cranberrypath.example/cranberrypath/internal/member"
 	"cranberrypath.example/cranberrypath/internal/store"
 	"cranberrypath.example/cranberrypath/pkg/decl"
 )
@@ -20,14 +18,8 @@
 	maxRequestIDBytes = 128
 	// ownPaths is the prefix that no plain service can have.
 	ownPaths = "/v1/"
-	// otherCells is how many instances of other cells the directory names last,
-	// so that callers find the system when their whole cell is lost.
-	otherCells = 2
 )
 
-// isError is errors.As with the target's type left to the caller.
-func isError(err error, target any) bool { return errors.As(err, target) }
-
 // call is one request of a caller with what every handler needs.
 type call struct {
 	http *fasthttp.RequestCtx
@@ -155,52 +147,6 @@
 	return decl.Organisation{}, refused
 }
 
-type addressesBody struct {
-	Addresses   []addressBody `json:"addresses"`
-	KeepSeconds int           `json:"keepSeconds"`
-}
-
-type addressBody struct {
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
-}
-
-// serveAddresses answers which entry instances the caller should use. It needs
-// no key, because it is the first thing that a caller asks.
-func (e *Entry) serveAddresses(ctx *fasthttp.RequestCtx) *failure {
-	if f := wantMethod(ctx, fasthttp.MethodGet); f != nil {
-		return f
-	}
-	c := member.Caller{
-		Key:        string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)) + ctx.RemoteIP().String(),
-		DataCentre: string(ctx.QueryArgs().Peek("dataCentre")),
-	}
-	b := e.addresses(c)
-	for _, i := range e.cells.Others(c.Key, otherCells, e.cfg.Now()) {
-		b.Addresses = append(b.Addresses, addressBody{Address: i.Callers})
-	}
-	writeJSON(ctx, b)
-	return nil
-}
-
-func (e *Entry) addresses(c member.Caller) addressesBody {
-	d := e.member.Directory(e.cfg.Now(), c)
-	b := addressesBody{KeepSeconds: int(d.Keep / time.Second), Addresses: []addressBody{}}
-	for _, a := range d.Addresses {
-		b.Addresses = append(b.Addresses, addressBody{Address: a, DataCentre: e.dataCentreOf(a)})
-	}
-	return b
-}
-
-func (e *Entry) dataCentreOf(callers string) string {
-	for _, p := range append(e.member.Peers(e.cfg.Now()), e.member.Self()) {
-		if p.Callers == callers {
-			return p.DataCentre
-		}
-	}
-	return ""
-}
-
 type modelsBody struct {
 	Object string      `json:"object"`
 	Data   []modelBody `json:"data"`
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -136,11 +136,7 @@
 // writeStream relays server-sent events until the answer ends. If the instance
 // that sends them is lost, another one of its cell continues the answer.
 func (r *remote) writeStream(c *call, cell cells.Cell) {
-	h := &c.http.Response.Header
-	h.SetContentType(eventStream)
-	h.Set("Cache-Control", "no-store")
-	h.Set(headerOutcome, string(answered))
-	c.http.Response.ImmediateHeaderFlush = true
+	c.startEvents()
 	from, _ := lastEvent(c.http) // it has been checked
 	next := r.continuation(c)
 	c.http.SetBodyStreamWriter(func(w *bufio.Writer) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -157,11 +157,11 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case isError(err, &small):
+	case errors.As(err, &small):
 		f.status, f.code, f.message = fasthttp.StatusRequestHeaderFieldsTooLarge, "headersTooLarge", "the request line and headers are too large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return bodyTooLarge()
-	case isError(err, &timeout) && timeout.Timeout():
+	case errors.As(err, &timeout) && timeout.Timeout():
 		f.status, f.code, f.message = fasthttp.StatusRequestTimeout, "badHeader", "the request did not arrive in time"
 	}
 	return f
