--- a/internal/stream/answer.go
+++ b/internal/stream/answer.go
@@ -6,10 +6,7 @@
 package stream
 
 import (
-	"context"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -45,19 +42,6 @@
 	// maxAttempt bounds the attempts of one owner, so that its numbers stay
 	// below those of the owner that follows.
 	maxAttempt = 1<<32 - 1
-	// readTokens bounds the tokens returned by one Read.
-	readTokens = 1024
-	// readBytes bounds their text, so that a remote reader's message stays below
-	// the link's frame limit; a single token may exceed it.
-	readBytes = 1 << 20
-	// tokenBytes is what one token costs besides its text.
-	tokenBytes = 4
-	// answerBytes is what one answer costs besides its request and tokens,
-	// measured by TestBudgetFollowsMemory.
-	answerBytes = 640
-	// trimPart is the part of a finished record, an eighth, below which its
-	// unused room is not worth a copy.
-	trimPart = 8
 )
 
 // Request is a model request. Body is opaque here.
@@ -156,13 +140,6 @@
 	return a.epoch<<32 | a.attempt
 }
 
-// Attempts returns how many attempts this owner has started.
-func (a *Answer) Attempts() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return int(a.attempt)
-}
-
 // Position returns the number of consecutive tokens recorded, which is where
 // the next attempt continues. Readers may not see the last of them yet.
 func (a *Answer) Position() uint64 {
@@ -206,42 +183,6 @@
 	return a.add(pos, tokens)
 }
 
-// settle charges the budget for the change of the memory since before, of which
-// reserved bytes are charged already. a.mu is held.
-func (a *Answer) settle(before, reserved int64) { a.budget.give(reserved - (a.memory() - before)) }
-
-// memory returns what the record takes: its content and the room that the slices
-// have beyond it. a.mu is held.
-func (a *Answer) memory() int64 {
-	return a.bytes + int64(cap(a.text)-len(a.text)) + tokenBytes*int64(cap(a.ends)-len(a.ends))
-}
-
-// room returns how much memory the record may need for tokens of the given size.
-// Slices that grow at most double.
-func (a *Answer) room(tokens []string, size int64) int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.bytes+size > a.limit {
-		return size // refused
-	}
-	text, ends := int(size)-tokenBytes*len(tokens), len(tokens)
-	if len(a.text)+text > cap(a.text) {
-		size += int64(cap(a.text) + text)
-	}
-	if len(a.ends)+ends > cap(a.ends) {
-		size += tokenBytes * int64(cap(a.ends)+ends)
-	}
-	return size
-}
-
-func sizeOf(tokens []string) int64 {
-	n := tokenBytes * len(tokens)
-	for _, t := range tokens {
-		n += len(t)
-	}
-	return int64(n)
-}
-
 func (a *Answer) current(attempt uint64) error {
 	if a.end != nil {
 		return ErrEnded
@@ -404,127 +345,3 @@
 	a.seq = a.budget.seq.Add(1)
 	a.notify()
 }
-
-// trim gives back the room of a finished record, which is kept for readers that
-// come back.
-func (a *Answer) trim() {
-	if a.memory()-a.bytes > a.bytes/trimPart {
-		a.text, a.ends = slices.Clone(a.text), slices.Clone(a.ends)
-	}
-}
-
-// Read returns tokens from a position on, waiting until there are some. done
-// reports that they reach the end of the answer. A broken-off answer yields a
-// *BrokenError after its last visible token. A reader holds no lock and no queue,
-// so a slow one blocks nobody.
-func (a *Answer) Read(ctx context.Context, from uint64) ([]Chunk, bool, error) {
-	for {
-		a.mu.Lock()
-		out, done, err := a.read(from)
-		if len(out) > 0 || done || err != nil {
-			a.mu.Unlock()
-			return out, done, err
-		}
-		wait := a.wait()
-		a.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return nil, false, Error.Wrap(ctx.Err())
-		case <-wait:
-		}
-	}
-}
-
-func (a *Answer) read(from uint64) ([]Chunk, bool, error) {
-	if from > uint64(len(a.ends)) {
-		return nil, false, ErrPosition
-	}
-	to := min(uint64(a.visible), from+readTokens)
-	for to > from+1 && a.ends[to-1]-a.ends[from] > readBytes {
-		to = from + (to-from)/2
-	}
-	var out []Chunk
-	if from < to {
-		out = make([]Chunk, 0, to-from)
-		for i, t := range a.slice(from, to) {
-			out = append(out, Chunk{Pos: from + uint64(i), Text: t})
-		}
-	}
-	switch {
-	case a.end == nil:
-		return out, false, nil
-	case !a.end.Broken:
-		return out, max(from, to) == a.end.Pos && uint64(a.visible) == a.end.Pos, nil
-	case len(out) > 0:
-		return out, false, nil
-	default:
-		return nil, false, &BrokenError{ID: a.req.ID, Reason: a.end.Reason, TakenOver: a.taken}
-	}
-}
-
-func (a *Answer) token(i uint64) []byte {
-	start := uint32(0)
-	if i > 0 {
-		start = a.ends[i-1]
-	}
-	return a.text[start:a.ends[i]]
-}
-
-// slice returns tokens as parts of one string, which costs one allocation for all texts.
-func (a *Answer) slice(from, to uint64) []string {
-	if from >= to {
-		return nil
-	}
-	base := uint32(0)
-	if from > 0 {
-		base = a.ends[from-1]
-	}
-	all := string(a.text[base:a.ends[to-1]])
-	out := make([]string, 0, to-from)
-	start := uint32(0)
-	for _, e := range a.ends[from:to] {
-		out = append(out, all[start:e-base])
-		start = e - base
-	}
-	return out
-}
-
-// wait returns a channel that is closed at the next change. a.mu is held.
-func (a *Answer) wait() <-chan struct{} {
-	if a.changed == nil {
-		a.changed = make(chan struct{})
-	}
-	return a.changed
-}
-
-func (a *Answer) notify() {
-	if a.changed != nil {
-		close(a.changed)
-		a.changed = nil
-	}
-}
-
-// budget counts the bytes of all answers of a Registry.
-type budget struct {
-	max  int64
-	used atomic.Int64
-	seq  atomic.Uint64
-	// evict frees memory; called without locks held.
-	evict func(need int64)
-}
-
-func (b *budget) take(n int64) bool {
-	for range 2 {
-		if b.used.Add(n) <= b.max {
-			return true
-		}
-		b.used.Add(-n)
-		if b.evict == nil {
-			return false
-		}
-		b.evict(n)
-	}
-	return false
-}
-
-func (b *budget) give(n int64) { b.used.Add(-n) }
--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -209,8 +209,8 @@
 	}
 }
 
-// loseCopy notes that the answer has no keeper, or breaks the answer off if the keeper has
-// taken it over.
+// loseCopy notes that the answer has no keeper, or breaks the answer off if the
+// keeper has taken it over.
 func (a *Answer) loseCopy(run uint64, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/stream/held.go
+++ b/internal/stream/held.go
@@ -102,3 +102,50 @@
 	o.open[n] = heldCopy{a: a, epoch: m.GetEpoch()}
 	return a.Position(), nil
 }
+
+// appendCopy records tokens that the owner sent to its keeper.
+func (a *Answer) appendCopy(epoch, pos uint64, tokens []string) (uint64, error) {
+	size := sizeOf(tokens)
+	reserved := a.room(tokens, size)
+	if !a.budget.take(reserved) {
+		return 0, ErrFull
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	defer a.settle(a.memory(), reserved)
+	if err := a.fromOwner(epoch); err != nil {
+		return 0, err
+	}
+	if pos > uint64(len(a.ends)) {
+		return 0, ErrGap
+	}
+	_, err := a.add(pos, tokens)
+	return uint64(len(a.ends)), err
+}
+
+func (a *Answer) endCopy(epoch uint64, e End) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	defer a.settle(a.memory(), 0)
+	if a.end != nil && *a.end == e {
+		return nil
+	}
+	if err := a.fromOwner(epoch); err != nil {
+		return err
+	}
+	if e.Pos != uint64(len(a.ends)) {
+		return ErrMismatch
+	}
+	a.finish(e)
+	return nil
+}
+
+func (a *Answer) fromOwner(epoch uint64) error {
+	if !a.copy.held || epoch != a.epoch || a.taken {
+		return ErrTakenOver
+	}
+	if a.end != nil {
+		return ErrEnded
+	}
+	return nil
+}
