--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -26,7 +26,7 @@
 		select {
 		case <-g.ctx.Done():
 			return
-		case term := <-g.summons:
+		case term := <-g.standNow:
 			g.takeOver(term)
 			t.Reset(g.untilCheck())
 			continue
@@ -220,30 +220,7 @@
 		asked++
 		to := proto.CloneOf(req)
 		to.ToIncarnation = m.Incarnation
-		g.wg.Go(func() {
-			resp, err := g.cfg.Transport.Call(ctx, m.ID, to)
-			if err != nil || resp.From != m.ID {
-				answers <- Member{}
-				return
-			}
-			if resp.Stranger {
-				g.mu.Lock()
-				g.stranger = true
-				g.mu.Unlock()
-			}
-			if resp.Stranger || m.Incarnation != 0 && m.Incarnation != resp.FromIncarnation {
-				answers <- Member{}
-				return
-			}
-			if resp.Term > req.Term {
-				g.observe(resp.Term)
-			}
-			if !resp.Ok {
-				answers <- Member{}
-				return
-			}
-			answers <- Member{ID: m.ID, Incarnation: resp.FromIncarnation}
-		})
+		g.wg.Go(func() { answers <- g.askVoter(ctx, m, to) })
 	}
 	for ; len(granted) < need && len(granted)+asked >= need; asked-- {
 		if m := <-answers; m.ID != "" {
@@ -253,6 +230,30 @@
 	return granted
 }
 
+// askVoter asks one voter and returns it with the incarnation that answered, or
+// the zero Member if it did not grant.
+func (g *Group) askVoter(ctx context.Context, m Member, req *raftpb.Message) Member {
+	resp, err := g.cfg.Transport.Call(ctx, m.ID, req)
+	if err != nil || resp.From != m.ID {
+		return Member{}
+	}
+	if resp.Stranger {
+		g.mu.Lock()
+		g.stranger = true
+		g.mu.Unlock()
+	}
+	if resp.Stranger || m.Incarnation != 0 && m.Incarnation != resp.FromIncarnation {
+		return Member{}
+	}
+	if resp.Term > req.Term {
+		g.observe(resp.Term)
+	}
+	if !resp.Ok {
+		return Member{}
+	}
+	return Member{ID: m.ID, Incarnation: resp.FromIncarnation}
+}
+
 // win makes this member the leader and appends its first entry: the membership
 // of a group that is forming, or an empty one, whose commitment confirms all
 // entries of earlier terms.
@@ -278,54 +279,3 @@
 	g.mu.Unlock()
 	g.persist(batch)
 }
-
-// handleVote answers a vote or a question whether one would be granted.
-func (g *Group) handleVote(req, resp *raftpb.Message) {
-	if req.Kind == raftpb.Kind_KIND_VOTE {
-		g.io.Lock()
-		defer g.io.Unlock()
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	defer func() { resp.Term = g.state.Term }()
-	now := g.cfg.Clock()
-	if g.err != nil || req.Term < g.state.Term {
-		return
-	}
-	if req.ToIncarnation == 0 && !g.forming() {
-		resp.Stranger = true // the group exists already
-		return
-	}
-	// The leases of all terms before req.Term have ended if its candidate was
-	// asked to stand by the leader of the one before.
-	transfer := req.Transfer && req.Kind == raftpb.Kind_KIND_VOTE
-	if !transfer && !g.leaderLost(now) {
-		return
-	}
-	lastTerm := g.termAt(g.last())
-	current := req.LogTerm > lastTerm || req.LogTerm == lastTerm && req.Index >= g.last()
-	if req.Kind == raftpb.Kind_KIND_PRE_VOTE {
-		resp.Ok = current && req.Term > g.state.Term
-		return
-	}
-	vote, prior := voteFor(req.From, req.FromIncarnation), ""
-	if req.Term == g.state.Term {
-		prior = g.state.Vote
-	}
-	grant := current && (prior == "" || prior == vote)
-	if grant {
-		prior = vote
-	}
-	later := req.Term > g.state.Term
-	if (later || prior != g.state.Vote) && !g.enter(req.Term, prior) {
-		return
-	}
-	if later {
-		g.follow("")
-	}
-	if !grant {
-		return
-	}
-	g.delayElection(now)
-	resp.Ok = true
-}
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -2,23 +2,10 @@
 
 import (
 	"context"
-	"time"
-
-	"google.golang.org/protobuf/proto"
 
 	"cranberrypath.example/cranberrypath/internal/raft/raftpb"
-	"cranberrypath.example/cranberrypath/internal/walog"
 )
 
-// incoming is a snapshot of which some chunks have arrived.
-type incoming struct {
-	from  string
-	term  uint64
-	index uint64
-	total uint64
-	data  []byte
-}
-
 // Handle answers a request of another member. It returns nil if this member
 // has stopped.
 func (g *Group) Handle(ctx context.Context, req *raftpb.Message) *raftpb.Message {
@@ -136,7 +123,7 @@
 	resp.Ok, resp.Match = true, match
 	if commit := min(req.Commit, match); commit > g.commit {
 		g.commit = commit
-		poke(g.ready)
+		signal(g.ready)
 	}
 }
 
@@ -188,157 +175,3 @@
 	g.stable = g.last()
 	return true
 }
-
-func (g *Group) handleSnapshot(req, resp *raftpb.Message) {
-	g.io.Lock()
-	defer g.io.Unlock()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.accept(req, resp) {
-		return
-	}
-	if req.Index <= g.commit {
-		resp.Ok, resp.Match = true, req.Total
-		return
-	}
-	in := &g.incoming
-	if in.from != req.From || in.term != req.Term || in.index != req.Index || in.total != req.Total {
-		*in = incoming{from: req.From, term: req.Term, index: req.Index, total: req.Total}
-	}
-	resp.Match = uint64(len(in.data))
-	if req.Total > maxSnapshotBytes || req.Offset != resp.Match || resp.Match+uint64(len(req.Chunk)) > req.Total {
-		return
-	}
-	in.data = append(in.data, req.Chunk...)
-	resp.Match = uint64(len(in.data))
-	if resp.Match < req.Total {
-		return
-	}
-	content, ok := walog.Unseal(in.data)
-	*in = incoming{}
-	var snap raftpb.Snapshot
-	if !ok || proto.Unmarshal(content, &snap) != nil || snap.Index != req.Index || len(fromProto(snap.Members).voters()) == 0 {
-		resp.Match = 0
-		return
-	}
-	resp.Ok = g.install(&snap, content)
-}
-
-// install replaces the log by a snapshot. The caller holds io and mu; mu is
-// free during the write.
-func (g *Group) install(snap *raftpb.Snapshot, content []byte) bool {
-	if g.termAt(snap.Index) == snap.Term {
-		// The log has the entry. What follows it may have been acknowledged to
-		// the leader and must stay.
-		g.commit = max(g.commit, snap.Index)
-		poke(g.ready)
-		return true
-	}
-	old := g.snapIndex
-	g.mu.Unlock()
-	err := walog.WriteFile(g.cfg.FS, g.snapPath(snap.Index), content)
-	if err == nil {
-		err = g.log.Reset(snap.Index)
-	}
-	if err == nil {
-		g.later(g.log.Trim(snap.Index))
-	}
-	if err == nil && old > 0 {
-		err = g.cfg.FS.Remove(g.snapPath(old))
-	}
-	g.mu.Lock()
-	if err != nil {
-		g.fail(Error.Wrap(err))
-		return false
-	}
-	g.base, g.baseTerm, g.entries = snap.Index, snap.Term, nil
-	g.history = []membersAt{{snap.Index, fromProto(snap.Members)}}
-	g.commit, g.stable = snap.Index, snap.Index
-	g.snapIndex, g.snapBytes, g.sinceSnap = snap.Index, len(content), 0
-	g.restore = snap
-	poke(g.ready)
-	return g.err == nil
-}
-
-// Barrier returns an index at which a read of this member's machine is
-// linearizable, after the machine has reached it. A member that is not the leader
-// asks the leader. Its errors are *NotLeader, ErrStopped and that of the context.
-func (g *Group) Barrier(ctx context.Context) (uint64, error) {
-	g.mu.Lock()
-	role, leader, err := g.role, g.leader, g.err
-	g.mu.Unlock()
-	if err != nil {
-		return 0, ErrStopped
-	}
-	if role == Leader {
-		index, err := g.confirm(ctx)
-		if err != nil {
-			return 0, err
-		}
-		return index, g.awaitApplied(ctx, index)
-	}
-	if leader == "" {
-		return 0, &NotLeader{}
-	}
-	resp, err := g.cfg.Transport.Call(ctx, leader, g.message(raftpb.Kind_KIND_BARRIER))
-	if err != nil {
-		return 0, &NotLeader{leader}
-	}
-	if !resp.Ok || resp.From != leader {
-		return 0, &NotLeader{resp.Leader}
-	}
-	return resp.Match, g.awaitApplied(ctx, resp.Match)
-}
-
-// confirm returns the commit index at a moment at which this member holds the
-// lease. The clock is read after the index: no other leader can have committed
-// anything before that moment.
-func (g *Group) confirm(ctx context.Context) (uint64, error) {
-	for {
-		g.mu.Lock()
-		if g.role != Leader || g.err != nil {
-			err := g.refusal()
-			g.mu.Unlock()
-			return 0, err
-		}
-		index, changed := g.commit, g.changed
-		now := g.cfg.Clock()
-		held := index >= g.termStart && now.Before(g.leaseUntil(now))
-		g.mu.Unlock()
-		if held {
-			return index, nil
-		}
-		if err := wait(ctx, changed, g.cfg.Heartbeat); err != nil {
-			return 0, err
-		}
-	}
-}
-
-func (g *Group) awaitApplied(ctx context.Context, index uint64) error {
-	for {
-		g.mu.Lock()
-		applied, changed, err := g.applied, g.changed, g.err
-		g.mu.Unlock()
-		if applied >= index {
-			return nil
-		}
-		if err != nil {
-			return ErrStopped
-		}
-		if err := wait(ctx, changed, g.cfg.Heartbeat); err != nil {
-			return err
-		}
-	}
-}
-
-func wait(ctx context.Context, changed chan struct{}, most time.Duration) error {
-	t := time.NewTimer(most)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return Error.Wrap(ctx.Err())
-	}
-	return nil
-}
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -7,13 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/raft/raftpb"
 )
 
-// maxRestarts bounds how often one transfer of a snapshot begins anew.
-const maxRestarts = 2
-
 // peer is another member as the leader knows it. Its fields are guarded by mu.
 type peer struct {
 	id          string
@@ -72,7 +68,7 @@
 	g.queue = g.queue[n:]
 	g.queueBytes -= size
 	if len(g.queue) > 0 {
-		poke(g.wake)
+		signal(g.wake)
 	}
 	return out
 }
@@ -171,7 +167,7 @@
 
 func (g *Group) wakePeers() {
 	for _, p := range g.peers {
-		poke(p.wake)
+		signal(p.wake)
 	}
 }
 
@@ -241,7 +237,7 @@
 		p.unsure = p.unsure || err != nil
 		g.mu.Unlock()
 		if err != nil {
-			poke(p.wake)
+			signal(p.wake)
 		}
 		heartbeat.Reset(untilBeat(g.cfg.Heartbeat, done))
 	}
@@ -258,16 +254,7 @@
 		g.mu.Unlock()
 		return g.sendSnapshot(ctx, p)
 	}
-	req := g.newMessage(raftpb.Kind_KIND_APPEND)
-	req.ToIncarnation = p.incarnation
-	req.Index, req.LogTerm, req.Commit = p.next-1, g.termAt(p.next-1), g.commit
-	for i, size := p.next, 0; i <= g.last(); i++ {
-		e := g.entries[i-g.base-1]
-		if size += len(e.Data); size > maxBatchBytes && len(req.Entries) > 0 {
-			break
-		}
-		req.Entries = append(req.Entries, e)
-	}
+	req := g.appendRequest(p)
 	g.mu.Unlock()
 	resp, err := g.ask(ctx, p, req)
 	if err != nil {
@@ -294,6 +281,22 @@
 	return p.next <= g.last(), nil
 }
 
+// appendRequest returns the next append for a member, with as many entries as
+// fit into a batch. The caller holds mu.
+func (g *Group) appendRequest(p *peer) *raftpb.Message {
+	req := g.newMessage(raftpb.Kind_KIND_APPEND)
+	req.ToIncarnation = p.incarnation
+	req.Index, req.LogTerm, req.Commit = p.next-1, g.termAt(p.next-1), g.commit
+	for i, size := p.next, 0; i <= g.last(); i++ {
+		e := g.entries[i-g.base-1]
+		if size += len(e.Data); size > maxBatchBytes && len(req.Entries) > 0 {
+			break
+		}
+		req.Entries = append(req.Entries, e)
+	}
+	return req
+}
+
 // ask sends a request of the leader and judges the response. On success the
 // member has confirmed this leader.
 func (g *Group) ask(ctx context.Context, p *peer, req *raftpb.Message) (*raftpb.Message, error) {
@@ -344,7 +347,7 @@
 		return
 	}
 	g.commit = n
-	poke(g.ready)
+	signal(g.ready)
 	g.wakePeers()
 	if m, ok := g.self(); (!ok || m.Learner) && g.history[len(g.history)-1].index <= g.commit {
 		// Removed by its own entry, which is committed now. Its waiters still get
@@ -365,54 +368,3 @@
 	g.follow("")
 	g.waiters = kept
 }
-
-// sendSnapshot sends the newest snapshot in chunks.
-func (g *Group) sendSnapshot(ctx context.Context, p *peer) (bool, error) {
-	g.mu.Lock()
-	if ctx.Err() != nil {
-		g.mu.Unlock()
-		return false, nil // the term may be later than this leader's
-	}
-	index := g.snapIndex
-	req := g.newMessage(raftpb.Kind_KIND_SNAPSHOT)
-	g.mu.Unlock()
-	b, err := disk.Read(g.cfg.FS, g.snapPath(index))
-	if disk.IsNotExist(err) {
-		return true, nil // a newer one has replaced it
-	}
-	if err != nil {
-		g.mu.Lock()
-		g.fail(Error.Wrap(err))
-		g.mu.Unlock()
-		return false, Error.Wrap(err)
-	}
-	req.ToIncarnation, req.Index, req.Total = p.incarnation, index, uint64(len(b))
-	restarts := 0
-	for at := uint64(0); at < req.Total; {
-		part := proto.CloneOf(req)
-		part.Offset, part.Chunk = at, b[at:min(at+chunkBytes, req.Total)]
-		resp, err := g.ask(ctx, p, part)
-		if err != nil {
-			return false, err
-		}
-		if resp.Ok {
-			break
-		}
-		if resp.Match <= at {
-			restarts++ // the member has begun anew, after a restart or damage
-		}
-		if resp.Match > req.Total || restarts > maxRestarts {
-			return false, Error.New("%q does not take the snapshot at byte %d", p.id, at)
-		}
-		at = resp.Match
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if ctx.Err() != nil {
-		return false, nil
-	}
-	p.match = max(p.match, index)
-	p.next = p.match + 1
-	g.advance()
-	return true, nil
-}
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -87,7 +87,7 @@
 		g.mu.Lock()
 		if err != nil && g.role == Leader && g.state.Term == term {
 			g.target = ""
-			poke(g.wake)
+			signal(g.wake)
 			return nil, Error.New("%q did not catch up in time", p.id)
 		}
 	}
@@ -204,7 +204,7 @@
 		return
 	}
 	select {
-	case g.summons <- req.Term:
+	case g.standNow <- req.Term:
 		resp.Ok = true
 	default: // one is waiting
 	}
