cells, claim: Straighten a comparison and two comments

candidate.compare tested one condition twice, and the comments of Known and Take were broken over lines of uneven length. Behaviour is the same. go test -race ./internal/cells ./internal/claim passes.

--- a/internal/cells/choose.go
+++ b/internal/cells/choose.go
@@ -20,10 +20,10 @@
 }
 
 func (c candidate) compare(o candidate) int {
-	switch {
-	case c.far != o.far && o.far:
-		return -1
-	case c.far != o.far:
+	if c.far != o.far {
+		if o.far {
+			return -1
+		}
 		return 1
 	}
 	return cmp.Or(cmp.Compare(c.score, o.score), cmp.Compare(c.cell, o.cell))
@@ -54,7 +54,7 @@
 	if !ok || len(t.cells) == 0 {
 		return nil
 	}
-	dearest := max(slices.Max(col.price), 1.0/milli)
+	highest := max(slices.Max(col.price), 1.0/milli)
 	var out []candidate
 	for i, c := range t.cells {
 		free := col.free[i] - col.used[i]
@@ -63,7 +63,7 @@
 		}
 		price := col.price[i]
 		if price == 0 { // not announced
-			price = dearest
+			price = highest
 		}
 		out = append(out, candidate{i, c.Region != t.region, exponential(c.Name+"\x00"+id) * price / float64(free)})
 	}
--- a/internal/cells/table.go
+++ b/internal/cells/table.go
@@ -101,8 +101,8 @@
 	return out
 }
 
-// Known returns the cell of that name, with its instances in the
-// order to try for a request id. It may be older than a digest.
+// Known returns the cell of that name, with its instances in the order to try for
+// a request id. It may be older than a digest that counts.
 func (t *Table) Known(name, id string) (Cell, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -143,12 +143,12 @@
 	return &Client{net: net, groups: groups, members: members, leaders: map[uint32]string{}}
 }
 
-// Take asks for the right to run the call once. After *Full no claim
-// was granted. After another error the claim may be
-// held under owner's name; owner then finds it Pending and can Release it, as it
-// has sent nothing. The same holds for a claim that is Pending under the caller's own
-// name without running there: a try that was delayed in the network may have been
-// granted after a later one was answered.
+// Take asks for the right to run the call once. After *Full no claim was granted.
+// After another error the claim may be held under owner's name; owner then finds
+// it Pending and can Release it, as it has sent nothing. The same holds for a
+// claim that is Pending under the caller's own name without running there: a try
+// that was delayed in the network may have been granted after a later one was
+// answered.
 func (c *Client) Take(ctx context.Context, k Key, bodyHash uint64, owner string, now time.Time) (State, error) {
 	res, err := c.do(ctx, k, &clmpb.Command{Op: clmpb.Op_OP_TAKE, BodyHash: bodyHash, Owner: owner}, now)
 	if err != nil {
