--- a/internal/manage/action.go
+++ b/internal/manage/action.go
@@ -36,10 +36,7 @@
 // records what came of them. After a crash the record makes fleet.Decide repeat
 // the action.
 func (k *keeper) act(ctx context.Context, n fleetNotes, actions []fleet.Action, servers []server, now time.Time) error {
-	at := map[string]server{}
-	for _, s := range servers {
-		at[s.ID] = s
-	}
+	at := byID(servers)
 	loads, err := k.recordLoads(ctx, &n, actions, at, now)
 	if err != nil {
 		return err
--- a/internal/manage/demand.go
+++ b/internal/manage/demand.go
@@ -152,6 +152,14 @@
 	return cmp.Or(cmp.Compare(s.Incarnation, o.Incarnation), cmp.Compare(s.State, o.State), s.at.Compare(o.at)) > 0
 }
 
+func byID(servers []server) map[string]server {
+	out := map[string]server{}
+	for _, s := range servers {
+		out[s.ID] = s
+	}
+	return out
+}
+
 // isReady reports whether the server takes new work.
 func (s *server) isReady() bool { return s.State == world.Ready && s.LeaveBy.IsZero() }
 
