--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -66,21 +67,24 @@
 	w := wanted{service: service.Name, version: p.version, fingerprint: p.fingerprint, limit: service.Timeout()}
 	// Without a server here another cell is asked before the call is claimed. If
 	// none takes the call, its claim may still hold an answer.
-	vacant := e.vacant(p)
-	if f := e.forward(c, w, vacant); f != vacant {
+	refusal := e.withoutServer(p)
+	if f := e.forward(c, w, refusal); f != refusal {
 		return f
 	}
 	f := e.serveHere(p, path)
-	if vacant != nil {
+	if refusal != nil {
 		return f
 	}
 	return e.forward(c, w, f)
 }
 
-// vacant returns the refusal of a call for which this cell has no server.
-func (e *Entry) vacant(p *plainCall) *failure {
+// withoutServer returns the refusal of a call for which this cell has no server.
+func (e *Entry) withoutServer(p *plainCall) *failure {
 	e.refresh(p.now)
-	_, err := e.table.Pick(route.Query{Service: p.service.Name, Version: p.version, Class: world.Call, DataCenter: e.cfg.Settings.DataCentre}, p.now)
+	q := route.Query{
+		Service: p.service.Name, Version: p.version, Class: world.Call, DataCenter: e.cfg.Settings.DataCentre,
+	}
+	_, err := e.table.Pick(q, p.now)
 	if err == nil {
 		return nil
 	}
@@ -118,10 +122,10 @@
 // stays here.
 func forwarded(c *call) []backnd.Header {
 	var out []backnd.Header
+	stays := []string{fasthttp.HeaderAuthorization, headerOrganisation, headerForwarded}
 	for k, v := range c.http.Request.Header.All() {
-		switch name := string(k); {
-		case strings.EqualFold(name, fasthttp.HeaderAuthorization), strings.EqualFold(name, headerOrganisation), strings.EqualFold(name, headerForwarded):
-		default:
+		name := string(k)
+		if !slices.ContainsFunc(stays, func(s string) bool { return strings.EqualFold(name, s) }) {
 			out = append(out, backnd.Header{Name: name, Value: string(v)})
 		}
 	}
