--- a/internal/faults/latency.go
+++ b/internal/faults/latency.go
@@ -51,7 +51,8 @@
 	err error
 }
 
-// distant is a connection whose bytes arrive after a delay.
+// distant is a connection whose bytes arrive after a delay. It does not give the
+// connection below, because its own reader holds that one's read lock.
 type distant struct {
 	net.Conn
 	out, in   time.Duration
@@ -63,14 +64,6 @@
 	rest []byte     // arrived and not read
 }
 
-// NetConn returns the connection below.
-func (d *distant) NetConn() net.Conn {
-	if c, ok := d.Conn.(*conn); ok {
-		return c.NetConn()
-	}
-	return d.Conn
-}
-
 // send writes the pieces at their times. After Close it ends when the connection
 // below is closed.
 func (d *distant) send() {
