--- a/internal/bench/model.go
+++ b/internal/bench/model.go
@@ -219,7 +219,7 @@
 		return gone
 	case said == "not-run" && status == http.StatusServiceUnavailable:
 		return notRun
-	case code == "": // the response broke
+	case code == "", code == "cutOff": // the response broke, or goes on elsewhere
 		return broken
 	}
 	return wrong // an error that the contract does not foresee for a valid request
--- a/internal/entry/strand.go
+++ b/internal/entry/strand.go
@@ -60,7 +60,8 @@
 
 // handToKeeper hands a stranded answer to its keeper and reports whether the run is
 // over. An isolated instance that does not reach the keeper breaks it off, so
-// that the caller can continue elsewhere.
+// that the caller can continue elsewhere. An answer that no keeper has had goes on
+// here, because nobody else knows it.
 func (r *runner) handToKeeper(ctx context.Context, now time.Time) bool {
 	r.heard = now
 	info, _ := r.e.answers.Info(r.req.ID)
@@ -72,7 +73,7 @@
 			return true
 		}
 	}
-	if !r.e.member.Isolated(now) {
+	if !r.e.member.Isolated(now) || !r.a.Kept() {
 		return false
 	}
 	r.note(reasonCutOff)
--- a/internal/stream/copier.go
+++ b/internal/stream/copier.go
@@ -61,6 +61,7 @@
 	acked  int
 	reason string // why the answer is uncopied
 	held   bool   // this record is itself the copy that a keeper holds
+	kept   bool   // a keeper has had the record
 }
 
 // CopyStatus returns the state of the copy and, if the answer is uncopied
@@ -71,6 +72,14 @@
 	return a.copy.state, a.copy.reason
 }
 
+// Kept reports whether a keeper has had the record. If not, no other instance can
+// continue the answer.
+func (a *Answer) Kept() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.copy.kept
+}
+
 // Copy gives the record to a keeper and returns when the keeper has the request
 // and all tokens recorded at the call. From then on tokens become visible when
 // the keeper has acknowledged them; those that arrive while an acknowledgement
@@ -128,7 +137,7 @@
 	if a.copy.run != run {
 		return false
 	}
-	a.copy.state, a.copy.acked, a.copy.reason = InCopy, acked, ""
+	a.copy.state, a.copy.acked, a.copy.reason, a.copy.kept = InCopy, acked, "", true
 	a.reveal()
 	return true
 }
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -195,6 +195,9 @@
 			Error struct{ Code, Message, Outcome string }
 		}
 		_ = json.Unmarshal([]byte(data), &body) // an unreadable error is an error too
+		if body.Error.Code == "cutOff" {
+			return Event{}, Error.Wrap(errCut) // the answer goes on at another address
+		}
 		return Event{}, &Failure{Status: http.StatusOK, Code: body.Error.Code, Message: body.Error.Message, Outcome: body.Error.Outcome}
 	case data == "[DONE]":
 		s.done = true
