--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,7 +158,7 @@
 // handlePeers answers the calls of other entry instances.
 func (e *Entry) handlePeers() {
 	net := e.cfg.Net
-	stream.Serve(net, e.answers, e.adopt)
+	stream.Serve(net, e.answers, e.cfg.Now, e.adopt)
 	net.Handle(findCall, e.handleFind)
 	net.Handle(crashCall, e.handleCrash)
 	net.Handle(permitCall, e.handlePermit)
--- a/internal/stream/copy_bench_test.go
+++ b/internal/stream/copy_bench_test.go
@@ -53,7 +53,7 @@
 	b.Cleanup(func() { _ = n.Close() })
 	r := NewRegistry(Config{Node: name, TotalBytes: 1 << 30, Keep: time.Minute})
 	n.HandleStream(copyStream, func(_ context.Context, from link.Peer, s *link.Stream) error {
-		return r.serveCopies(from.Node, late{s, c.roundTrip})
+		return r.serveCopies(from.Node, late{s, c.roundTrip}, time.Now)
 	})
 	return n
 }
--- a/internal/stream/copy_test.go
+++ b/internal/stream/copy_test.go
@@ -242,7 +242,7 @@
 	t.Cleanup(func() { _ = n.Close() })
 	r := NewRegistry(Config{Node: name, TotalBytes: 1 << 20, Keep: time.Minute})
 	owned := make(chan *Answer, 1)
-	Serve(n, r, func(a *Answer) { owned <- a })
+	Serve(n, r, time.Now, func(a *Answer) { owned <- a })
 	return n, r, owned
 }
 
--- a/internal/stream/held.go
+++ b/internal/stream/held.go
@@ -20,7 +20,7 @@
 }
 
 // serveCopies keeps the copies of one owner until its stream ends.
-func (r *Registry) serveCopies(owner string, s wire) error {
+func (r *Registry) serveCopies(owner string, s wire, clock func() time.Time) error {
 	o := &ownerStream{r: r, owner: owner, open: map[uint32]heldCopy{}}
 	defer o.end()
 	var m strmpb.Copies
@@ -28,7 +28,7 @@
 		if err := s.Recv(&m); err != nil {
 			return Error.Wrap(err)
 		}
-		acks := o.receive(&m, time.Now())
+		acks := o.receive(&m, clock())
 		if len(acks.Acks) == 0 {
 			continue
 		}
--- a/internal/stream/serve.go
+++ b/internal/stream/serve.go
@@ -19,15 +19,16 @@
 
 // Serve registers the keeper's side of copy, attach and takeover. run is called
 // with each answer that this instance becomes the owner of and must not block.
-func Serve(h Handlers, r *Registry, run func(*Answer)) {
+// clock is the one by which the instance judges how long an owner is silent.
+func Serve(h Handlers, r *Registry, clock func() time.Time, run func(*Answer)) {
 	h.HandleStream(copyStream, func(_ context.Context, from link.Peer, s *link.Stream) error {
-		return r.serveCopies(from.Node, s)
+		return r.serveCopies(from.Node, s, clock)
 	})
 	h.HandleStream(attachStream, func(ctx context.Context, _ link.Peer, s *link.Stream) error {
 		return r.serveAttach(ctx, s)
 	})
 	h.Handle(takeoverCall, func(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
-		return r.serveTakeover(from.Node, body, run)
+		return r.serveTakeover(from.Node, body, clock(), run)
 	})
 }
 
@@ -94,21 +95,21 @@
 	return &strmpb.Chunk{Code: code, Message: broken.Reason}
 }
 
-func (r *Registry) serveTakeover(from string, body []byte, run func(*Answer)) (proto.Message, error) {
+func (r *Registry) serveTakeover(from string, body []byte, now time.Time, run func(*Answer)) (proto.Message, error) {
 	var m strmpb.Takeover
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	info, _ := r.Info(m.Id)
 	// Only the owner itself may hand over while its copy stream is open.
-	a, err := r.Takeover(m.Id, m.Handover && info.Owner == from, time.Now())
+	a, err := r.Takeover(m.Id, m.Handover && info.Owner == from, now)
 	if err != nil {
 		return nil, &link.RemoteError{Code: codeOf(err), Message: err.Error()}
 	}
 	_, ended := a.Ended()
-	now, _ := r.Info(m.Id)
-	if info.Held && !now.Held && !ended {
+	after, _ := r.Info(m.Id)
+	if info.Held && !after.Held && !ended {
 		run(a)
 	}
-	return &strmpb.TakeoverReply{Epoch: now.Epoch, Pos: a.Position(), Ended: ended}, nil
+	return &strmpb.TakeoverReply{Epoch: after.Epoch, Pos: a.Position(), Ended: ended}, nil
 }
