platform: Thin path for opaque requests

Cause: the product served its own interface only. This adds the request path for opaque requests, coordination without a list of instances and an adapter. Not measured yet.

--- a/internal/backnd/backnd.go
+++ b/internal/backnd/backnd.go
@@ -101,6 +101,9 @@
 	IdleConns int
 	// IdleTimeout closes idle connections; 15 s if zero.
 	IdleTimeout time.Duration
+	// ReadBytes is the read buffer of each connection and bounds the header of a
+	// response to calls of the contract; 16 KiB if zero.
+	ReadBytes int
 	// MaxAnswerBytes bounds the body of an answer to Call; 64 MiB if zero.
 	MaxAnswerBytes int64
 }
@@ -131,6 +134,9 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = 15 * time.Second
 	}
+	if cfg.ReadBytes == 0 {
+		cfg.ReadBytes = maxHeaderBytes
+	}
 	if cfg.MaxAnswerBytes == 0 {
 		cfg.MaxAnswerBytes = 64 << 20
 	}
--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -33,6 +33,9 @@
 	br      *bufio.Reader
 	written int64 // bytes written since the current call began
 	since   time.Time
+	// keep is how long the connection may be idle by the server's word; 0 if it
+	// does not say.
+	keep time.Duration
 }
 
 // Write counts the bytes that left.
@@ -82,7 +85,7 @@
 		if cn == nil {
 			break
 		}
-		if cn.quiet() {
+		if (cn.keep == 0 || time.Since(cn.since) < cn.keep) && cn.quiet() {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, maxHeaderBytes)}, nil
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, c.cfg.ReadBytes)}, nil
 }
 
 func (c *Client) popIdle(addr string) (*conn, error) {
--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -74,25 +74,45 @@
 	}
 }
 
+// Extra is a subcommand that is defined outside this package.
+type Extra struct {
+	Name, Summary string
+	Run           func(out io.Writer) error
+}
+
+// command turns an extra subcommand, which takes no arguments, into one of this package.
+func (x Extra) command() command {
+	return command{x.Name, "", x.Summary, func(_ context.Context, t terminal, args []string) error {
+		if err := parse(flags(t, x.Name), args, 0); err != nil {
+			return err
+		}
+		return x.Run(t.out)
+	}}
+}
+
 // Main runs the program and returns its exit code.
-func Main(args []string, in io.Reader, out, err io.Writer) int {
+func Main(args []string, in io.Reader, out, err io.Writer, extra ...Extra) int {
+	all := commands()
+	for _, x := range extra {
+		all = append(all, x.command())
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	t := terminal{in, out, err}
 	if len(args) == 0 || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
-		usage(out)
+		usage(out, all)
 		if len(args) == 0 {
 			return exitUsage
 		}
 		return exitOK
 	}
-	for _, c := range commands() {
+	for _, c := range all {
 		if c.name == args[0] {
 			return exitCode(t, c.run(ctx, t, args[1:]))
 		}
 	}
 	fmt.Fprintf(err, "cranberrypath: unknown subcommand %q\n", args[0])
-	usage(err)
+	usage(err, all)
 	return exitUsage
 }
 
@@ -111,9 +131,9 @@
 	return exitFailed
 }
 
-func usage(w io.Writer) {
+func usage(w io.Writer, all []command) {
 	fmt.Fprintln(w, "usage: cranberrypath SUBCOMMAND [flags]; -h after a subcommand lists its flags")
-	for _, c := range commands() {
+	for _, c := range all {
 		fmt.Fprintf(w, "  %-9s %-18s %s\n", c.name, c.args, c.summary)
 	}
 }
--- /dev/null
+++ b/internal/coord/hub.go
@@ -0,0 +1,261 @@
+package coord
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/quota"
+	"cranberrypath.example/cranberrypath/internal/roster"
+)
+
+const (
+	// nodeSilence is how long an instance may miss its reports and still be named
+	// to callers: five reports.
+	nodeSilence = 5 * syncInterval
+	// nodeForget is how long the counts of a silent instance are kept: longer than
+	// usage may be reported after its window.
+	nodeForget = 20 * time.Second
+	// serverSilence is how many heartbeats a backend server may miss. Heartbeats
+	// arrive seconds late.
+	serverSilence = 3.5
+	// stallGap is the pause between two looks after which the leader takes itself,
+	// not the servers, for having been stopped.
+	stallGap = time.Second
+)
+
+// hub is what the leader sums of one term.
+type hub struct {
+	term  uint64
+	since time.Time
+
+	mu       sync.Mutex
+	roster   *roster.Roster
+	ledger   *quota.Ledger
+	rules    uint64 // version of the configuration that set the ledger's rules
+	nodes    map[nodeKey]*nodeState
+	numbers  uint64 // of the last change of the listed nodes
+	listed   []Node
+	lastTick time.Time
+}
+
+// nodeKey names one process; a restarted one counts anew.
+type nodeKey struct {
+	id      string
+	started int64
+}
+
+type nodeState struct {
+	node    Node
+	heard   time.Time
+	spent   uint64 // number of the last report of spending
+	version uint64
+	loads   []Load
+	windows []Window
+	results []Result
+}
+
+func newHub(term uint64, now time.Time) *hub {
+	return &hub{
+		term: term, since: now, roster: roster.New(), ledger: quota.NewLedger(),
+		nodes: map[nodeKey]*nodeState{}, lastTick: now,
+	}
+}
+
+// setRules follows the configuration. Buckets of a new term start half full,
+// because a predecessor may just have spent them.
+func (h *hub) setRules(version uint64, rules map[string]quota.Rule, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version == h.rules {
+		return
+	}
+	first := h.rules == 0
+	h.rules = version
+	h.ledger.Configure(rules, now)
+	if first && h.term > 1 {
+		for name, r := range rules {
+			h.ledger.Spend(name, r.Burst/2, now)
+		}
+	}
+}
+
+// tick marks silent servers and instances. It returns the servers that it marked.
+func (h *hub) tick(heartbeat time.Duration, now time.Time) []roster.Server {
+	h.mu.Lock()
+	gap := now.Sub(h.lastTick)
+	h.lastTick = now
+	if gap > stallGap {
+		for _, n := range h.nodes {
+			if now.Sub(n.heard) < gap+nodeSilence {
+				n.heard = now
+			}
+		}
+	}
+	h.list(now)
+	h.mu.Unlock()
+	if gap > stallGap {
+		h.roster.Touch(now)
+	}
+	return h.roster.Expire(now.Add(-time.Duration(serverSilence*float64(heartbeat))), now)
+}
+
+// list renews the instances that callers and others may know of. mu is held.
+func (h *hub) list(now time.Time) {
+	var out []Node
+	for key, n := range h.nodes {
+		silent := now.Sub(n.heard)
+		if silent > nodeForget {
+			delete(h.nodes, key)
+		}
+		if silent <= nodeSilence {
+			out = append(out, n.node)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
+	if !slices.Equal(out, h.listed) {
+		h.listed = out
+		h.numbers++
+	}
+}
+
+// durable returns the instances with a disk that report.
+func (h *hub) durable(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for _, n := range h.nodes {
+		if n.node.Durable && now.Sub(n.heard) <= nodeSilence {
+			out = append(out, n.node.ID)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// take counts the report of an instance.
+func (h *hub) take(req *coordpb.Sync, now time.Time) {
+	for _, p := range req.Servers {
+		h.roster.Put(serverOf(p, now), now)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	node := nodeOf(req.Node)
+	key := nodeKey{node.ID, req.Node.StartedMs}
+	n := h.nodes[key]
+	if n == nil {
+		n = &nodeState{}
+		h.nodes[key] = n
+		for other, o := range h.nodes {
+			if other.id == key.id && other.started < key.started {
+				// Its work is over; what it counted stays.
+				o.heard, o.loads = now.Add(-nodeSilence-1), nil
+			}
+		}
+	}
+	n.node, n.heard, n.version = node, now, req.Node.ConfigVersion
+	n.loads = loadsOf(req.Loads)
+	n.windows, n.results = nil, nil
+	for _, w := range req.Windows {
+		n.windows = append(n.windows, Window{w.Number, amounts(w.Counts)})
+	}
+	for _, r := range req.Results {
+		n.results = append(n.results, Result{r.Service, r.Version, r.Good, r.Bad, r.Seconds})
+	}
+	if req.SpentNumber > n.spent {
+		n.spent = req.SpentNumber
+		for _, s := range req.Spent {
+			h.ledger.Spend(s.Name, s.Amount, now)
+		}
+	}
+	h.list(now)
+}
+
+// reply fills the answer with what the instance does not know yet.
+func (h *hub) reply(req *coordpb.Sync, now time.Time) *coordpb.SyncReply {
+	out := &coordpb.SyncReply{Epoch: h.term, Levels: countsOf(h.ledger.Levels(now))}
+	serversSeen, nodesSeen := req.ServersSeen, req.NodesSeen
+	if req.Epoch != h.term {
+		serversSeen, nodesSeen = 0, 0
+	}
+	servers, change := h.roster.Since(serversSeen)
+	out.ServersSeen = change
+	for _, s := range servers {
+		out.Servers = append(out.Servers, serverProto(s, now))
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out.NodesSeen = h.numbers
+	if nodesSeen != h.numbers {
+		out.NodesChanged = true
+		for _, n := range h.listed {
+			out.Nodes = append(out.Nodes, n.proto())
+		}
+	}
+	for _, n := range h.listed {
+		if n.Ready {
+			out.Fronts++
+		}
+	}
+	out.Loads = loadsProto(h.loads(now))
+	return out
+}
+
+// loads sums the outstanding work. mu is held.
+func (h *hub) loads(now time.Time) []Load {
+	sum := map[string]Load{}
+	for _, n := range h.nodes {
+		if now.Sub(n.heard) > nodeSilence {
+			continue
+		}
+		for _, l := range n.loads {
+			s := sum[l.Server]
+			sum[l.Server] = Load{l.Server, s.Running + l.Running, s.Waiting + l.Waiting}
+		}
+	}
+	out := make([]Load, 0, len(sum))
+	for _, l := range sum {
+		out = append(out, l)
+	}
+	return out
+}
+
+// usage sums the counts of one window over all instances.
+func (h *hub) usage(number int64) map[string]float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]float64{}
+	for _, n := range h.nodes {
+		for _, w := range n.windows {
+			if w.Number != number {
+				continue
+			}
+			for name, count := range w.Counts {
+				out[name] += count
+			}
+		}
+	}
+	return out
+}
+
+// results sums the answers by service and version.
+func (h *hub) results() []Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Result
+	for _, n := range h.nodes {
+		for _, r := range n.results {
+			i := slices.IndexFunc(out, func(o Result) bool { return o.Service == r.Service && o.Version == r.Version })
+			if i < 0 {
+				out = append(out, r)
+				continue
+			}
+			out[i].Good += r.Good
+			out[i].Bad += r.Bad
+			out[i].Seconds += r.Seconds
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coord/view.go
@@ -0,0 +1,134 @@
+package coord
+
+import (
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+// Load is the outstanding work at one backend server.
+type Load struct {
+	Server  string
+	Running int
+	Waiting int // of Running, those without a first byte
+}
+
+// Window holds how many requests began to run in one window, by organisation.
+type Window struct {
+	Number int64
+	Counts map[string]float64
+}
+
+// Result counts the answers of one version of a service since an instance's start.
+type Result struct {
+	Service, Version string
+	Good, Bad        uint64
+	Seconds          float64 // sum of the times to the first byte of the good ones
+}
+
+// Report is what an instance tells the leader.
+type Report struct {
+	Ready         bool
+	ConfigVersion uint64
+	Servers       []roster.Server
+	Spent         map[string]float64 // of each organisation's rate since the last report
+	Loads         []Load
+	Windows       []Window // all counts of recent windows
+	Results       []Result
+}
+
+// View is what an instance learns from the leader. Nil fields have not changed.
+type View struct {
+	Leader   string
+	Term     uint64
+	Version  uint64 // of Config
+	Config   []byte
+	Servers  []roster.Server // those that changed
+	Nodes    []Node          // all that take part
+	Levels   map[string]float64
+	Loads    []Load // of all instances together
+	Rollouts []Rollout
+	Fronts   int       // instances that take requests
+	Asked    time.Time // when the report was sent that this answers
+}
+
+// Local is what coord needs of its instance. The methods are called by one
+// goroutine.
+type Local interface {
+	// Report returns the report. With full it holds all that is known of backend
+	// servers, for a leader that has just been elected.
+	Report(full bool, now time.Time) Report
+	// Learn takes the leader's answer to the last report.
+	Learn(v View, now time.Time)
+	// Lost tells that the last report was not answered.
+	Lost(now time.Time)
+}
+
+// view is what the last answer said, by number, so that only changes are sent.
+type view struct {
+	epoch    uint64
+	servers  uint64
+	nodes    uint64
+	rollouts uint64
+	version  uint64
+}
+
+func (n Node) proto() *coordpb.Node {
+	return &coordpb.Node{
+		Id: n.ID, Name: n.Name, DataCentre: n.DataCentre, Region: n.Region, Callers: n.Callers, Control: n.Control,
+		Ready: n.Ready, Durable: n.Durable, StartedMs: n.Started.UnixMilli(),
+	}
+}
+
+func nodeOf(p *coordpb.Node) Node {
+	return Node{
+		ID: p.Id, Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, Callers: p.Callers, Control: p.Control,
+		Ready: p.Ready, Durable: p.Durable, Started: time.UnixMilli(p.StartedMs),
+	}
+}
+
+// noLeave marks a server without a time to leave on the wire, where times are
+// durations because clocks differ.
+const noLeave = -1
+
+func serverProto(s roster.Server, now time.Time) *coordpb.Server {
+	leave := int64(noLeave)
+	if !s.LeaveBy.IsZero() {
+		leave = max(s.LeaveBy.Sub(now).Milliseconds(), 0)
+	}
+	return &coordpb.Server{
+		Id: s.ID, Born: s.Born, Seq: s.Seq, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
+		Version: s.Version, Slots: uint32(s.Slots), State: uint32(s.State), Silent: s.Silent, Reclaimable: s.Reclaimable,
+		LeaveInMs: leave, ColdMs: s.Cold.Milliseconds(),
+	}
+}
+
+func serverOf(p *coordpb.Server, now time.Time) roster.Server {
+	s := roster.Server{
+		ID: p.Id, Born: p.Born, Seq: p.Seq, Service: p.Service, Address: p.Address, DataCentre: p.DataCentre,
+		Version: p.Version, Slots: int(p.Slots), State: world.State(p.State), Silent: p.Silent, Reclaimable: p.Reclaimable,
+		Cold: time.Duration(p.ColdMs) * time.Millisecond,
+	}
+	if p.LeaveInMs != noLeave {
+		s.LeaveBy = now.Add(time.Duration(p.LeaveInMs) * time.Millisecond)
+	}
+	return s
+}
+
+func loadsProto(loads []Load) []*coordpb.Load {
+	out := make([]*coordpb.Load, len(loads))
+	for i, l := range loads {
+		out[i] = &coordpb.Load{Id: l.Server, Running: uint32(l.Running), Waiting: uint32(l.Waiting)}
+	}
+	return out
+}
+
+func loadsOf(loads []*coordpb.Load) []Load {
+	out := make([]Load, len(loads))
+	for i, l := range loads {
+		out[i] = Load{Server: l.Id, Running: int(l.Running), Waiting: int(l.Waiting)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,162 @@
+// Package duty makes the calls to the platform that one instance makes for all.
+// The leader of the replicated log holds them. A new holder waits until an
+// earlier one has surely stopped, so that the platform never sees the two take
+// turns, and what must not differ between two holders is made durable before it
+// is sent.
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/zeebo/errs"
+
+	"cranberrypath.example/cranberrypath/internal/coord"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("duty")
+
+// Fence names the holder of a duty in a call.
+type Fence struct {
+	Holder string
+	Token  uint64 // grows with each change of the holder
+}
+
+// Platform takes the calls.
+type Platform interface {
+	// Usage reports the requests of each organisation that began to run in a window.
+	Usage(ctx context.Context, f Fence, window int64, counts map[string]float64) error
+}
+
+// Timing of the reports of usage.
+type Timing struct {
+	Window time.Duration // length; window k begins at k windows after 1970
+	Due    time.Duration // after the end of a window
+	Lease  time.Duration // a holder's turn lasts at least so long
+}
+
+// Config sets up a Runner.
+type Config struct {
+	Name          string
+	Coord         *coord.Coord
+	Platform      Platform
+	Timing        Timing
+	Organisations func() []string
+	Clock         func() time.Time
+	Log           log.Interface
+}
+
+const (
+	// interval is how often the holder looks for work.
+	interval = 250 * time.Millisecond
+	// settle is how long after its end a window is reported: clocks differ a little
+	// and the counts of all instances arrive within a few reports.
+	settle = 1500 * time.Millisecond
+	// callTimeout bounds one call to the platform.
+	callTimeout = 2 * time.Second
+	// leaseMargin is added to the wait of a new holder for the drift of clocks.
+	leaseMargin = 500 * time.Millisecond
+)
+
+// Runner makes the calls while its instance leads.
+type Runner struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	sent   map[int64]bool // windows that the platform has
+}
+
+// Start starts the runner. Close ends it.
+func Start(cfg Config) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Runner{cfg: cfg, ctx: ctx, cancel: cancel, sent: map[int64]bool{}}
+	r.wg.Go(func() {
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			r.step()
+		}
+	})
+	return r
+}
+
+// Close ends the runner.
+func (r *Runner) Close() {
+	r.cancel()
+	r.wg.Wait()
+}
+
+// holds returns the fence if this instance may act now.
+func (r *Runner) holds() (Fence, bool) {
+	now := r.cfg.Clock()
+	l, ok := r.cfg.Coord.Leads(now)
+	if !ok || now.Sub(l.Since) < r.cfg.Timing.Lease+leaseMargin {
+		return Fence{}, false
+	}
+	return Fence{Holder: r.cfg.Name, Token: l.Term}, true
+}
+
+func (r *Runner) step() {
+	if _, ok := r.holds(); !ok {
+		return
+	}
+	for _, n := range due(r.cfg.Timing, r.cfg.Clock()) {
+		if !r.sent[n] {
+			r.report(n)
+		}
+	}
+}
+
+// due returns the windows that have ended and whose reports still count.
+func due(t Timing, now time.Time) []int64 {
+	w := max(t.Window.Milliseconds(), 1)
+	last := (now.UnixMilli()-settle.Milliseconds())/w - 1
+	var out []int64
+	for n := last; now.UnixMilli() < (n+1)*w+t.Due.Milliseconds(); n-- {
+		out = append(out, n)
+	}
+	return out
+}
+
+func (r *Runner) report(window int64) {
+	sum, fixed := r.cfg.Coord.Usage(window)
+	l := r.cfg.Log.WithFields(log.Fields{"event": "duty.usage", "window": window})
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	if fixed == nil {
+		if sum == nil {
+			return
+		}
+		for _, name := range r.cfg.Organisations() {
+			sum[name] += 0
+		}
+		var err error
+		if fixed, err = r.cfg.Coord.FixUsage(ctx, window, sum); err != nil {
+			l.WithError(err).Warn("the usage of a window could not be made durable")
+			return
+		}
+	}
+	f, ok := r.holds()
+	if !ok {
+		return
+	}
+	if err := r.cfg.Platform.Usage(ctx, f, window, fixed); err != nil {
+		l.WithError(err).Warn("the platform did not take a report of usage; it is sent again")
+		return
+	}
+	r.sent[window] = true
+	delete(r.sent, window-keepSent)
+	l.WithField("token", f.Token).Info("usage reported")
+}
+
+// keepSent is how many windows are remembered as sent; older ones are not due.
+const keepSent = 16
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -87,9 +87,7 @@
 	pool    float64 // spare capacity granted to this node
 	until   time.Time
 
-	retries  [retryBuckets]int
-	requests [retryBuckets]int
-	second   int64 // of the newest bucket
+	budget *Budget
 }
 
 type org struct {
@@ -120,7 +118,10 @@
 // New returns limits without grants: each organisation has its share divided by
 // the number of nodes until the first grants arrive.
 func New(cfg Config) *Limits {
-	l := &Limits{orgs: map[string]*org{}}
+	l := &Limits{
+		orgs:   map[string]*org{},
+		budget: NewBudget(BudgetConfig{Window: retryBuckets * time.Second, Share: retryShare, Least: retryLeast}),
+	}
 	l.Configure(cfg)
 	return l
 }
@@ -171,8 +172,7 @@
 func (l *Limits) Admit(name string, class world.Class, cost Cost, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bucket(now)
-	l.requests[l.second%retryBuckets]++
+	l.budget.Request(now)
 	o, units := l.org(name), cost.units()
 	have := l.guarantee(name, o, now)
 	excess := max(o.inUse+units-have, 0)
@@ -319,27 +319,4 @@
 
 // Retry spends from the retry budget and reports whether a request may be tried
 // again: retries are at most 10% of the requests of the last 10 s, or 3 if that is less.
-func (l *Limits) Retry(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.bucket(now)
-	requests, retries := 0, 0
-	for i := range retryBuckets {
-		requests += l.requests[i]
-		retries += l.retries[i]
-	}
-	if float64(retries+1) > max(retryShare*float64(requests), retryLeast) {
-		return false
-	}
-	l.retries[l.second%retryBuckets]++
-	return true
-}
-
-// bucket empties the buckets of seconds that have passed.
-func (l *Limits) bucket(now time.Time) {
-	second := now.Unix()
-	for l.second < second {
-		l.second = max(l.second+1, second-retryBuckets+1)
-		l.requests[l.second%retryBuckets], l.retries[l.second%retryBuckets] = 0, 0
-	}
-}
+func (l *Limits) Retry(now time.Time) bool { return l.budget.Retry(now) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -67,10 +67,13 @@
 type Config struct {
 	Node       string
 	DataCenter string
-	Listen     string      // IP address and port
-	Key        []byte      // shared key; empty restricts peers to loopback
-	TLS        *tls.Config // optional, used for both directions
-	Clock      *clock.Clock
+	Listen     string // IP address and port
+	Key        []byte // shared key; empty restricts peers to loopback
+	// AnyPeer accepts peers without a key from everywhere, for networks that only
+	// the deployment's own processes reach.
+	AnyPeer bool
+	TLS     *tls.Config // optional, used for both directions
+	Clock   *clock.Clock
 	// Dial replaces the TCP dialer, so that tests can delay and cut links.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -282,7 +285,7 @@
 // handshake exchanges names and proofs. Each proof covers both nonces, the
 // sender's name and its side, so that it cannot be replayed or reflected.
 func (n *Net) handshake(conn net.Conn, client bool) (Peer, error) {
-	if len(n.cfg.Key) == 0 && !isLoopback(conn.RemoteAddr()) {
+	if len(n.cfg.Key) == 0 && !n.cfg.AnyPeer && !isLoopback(conn.RemoteAddr()) {
 		return Peer{}, Error.New("peer %v is not on loopback and no shared key is set", conn.RemoteAddr())
 	}
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
--- /dev/null
+++ b/internal/proxy/run.go
@@ -0,0 +1,417 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/route"
+	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+const (
+	// maxSends bounds how often one request is sent when servers refuse it: enough
+	// to pass a few full ones, few enough that a full service is not asked in turn.
+	maxSends = 4
+	// bufferBytes is the largest answer that is complete here before its caller gets
+	// the first byte, so that a truncated one can be replaced.
+	bufferBytes = 256 << 10
+	// answerMargin is how long before its end a request's time is taken as over, so
+	// that the final answer still reaches the caller in time.
+	answerMargin = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time to come back: longer than a
+	// report takes to reach all instances, shorter than half of the shortest deadlines.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = time.Second
+	// lookupTokens is the largest prompt of a short question; longer ones are reviews,
+	// which the route table keeps apart.
+	lookupTokens = 2048
+)
+
+// run is one request on its way.
+type run struct {
+	p       *Proxy
+	r       *Request
+	w       http.ResponseWriter
+	cfg     *routes.Config
+	route   *routes.Route
+	service string
+	org     *routes.Organisation
+	end     time.Time // of the caller's patience and the route's timeout
+
+	prefix []uint64
+	home   uint64
+
+	sends   int
+	runs    int      // servers that may have run it
+	tried   []string // servers it was sent to
+	lastErr error
+
+	begun     bool   // the caller has the header
+	lastEvent string // that the caller has
+	counted   bool   // in the usage of its organisation
+}
+
+func (x *run) serve(ctx context.Context) error {
+	now := x.p.cfg.Clock()
+	if err := x.admit(now); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.end)
+	defer cancel()
+	return x.attempts(ctx)
+}
+
+// admit decides whether the request may be served at all.
+func (x *run) admit(now time.Time) error {
+	if x.cfg = x.p.Config(); x.cfg == nil {
+		return &Refusal{Cause: NoConfig, RetryAfter: maxRetryAfter}
+	}
+	if x.route = x.cfg.Match(x.r.Host, x.r.Path); x.route == nil {
+		return &Refusal{Cause: NoRoute}
+	}
+	x.org = x.cfg.Organisation(x.r.Key)
+	if x.org == nil && x.cfg.HasOrganisations() && !x.route.Anonymous {
+		return &Refusal{Cause: NoKey}
+	}
+	limit := x.route.Timeout
+	if x.r.Patience > 0 {
+		limit = min(limit, x.r.Patience)
+	}
+	x.end = x.r.Arrived.Add(limit - answerMargin)
+	x.p.mu.Lock()
+	x.service = x.route.Pick(x.p.rnd)
+	x.p.mu.Unlock()
+	svc := x.cfg.Service(x.service)
+	if svc.Engine != nil && svc.Engine.MemoryTokens > 0 && x.r.Prompt+x.r.Output > svc.Engine.MemoryTokens {
+		return &Refusal{Cause: NoServer}
+	}
+	x.prefix, x.home = blocks(x.r.Parts)
+	x.lastEvent = x.r.LastEvent
+	if x.org != nil {
+		if ok, wait := x.p.cfg.Quota.Admit(x.org.Name, x.cost(), now); !ok {
+			return &Refusal{Cause: OverQuota, RetryAfter: max(wait, minRetryAfter)}
+		}
+	}
+	x.p.budget(x.service).Request(now)
+	return nil
+}
+
+// cost is what the request takes of its organisation's rate.
+func (x *run) cost() float64 {
+	switch {
+	case !x.org.ByTokens:
+		return 1
+	case x.r.HasTokens:
+		return float64(x.r.Prompt + x.r.Output)
+	default:
+		return x.org.PlainTokens
+	}
+}
+
+// attempts sends the request until it is answered or may not be sent again.
+func (x *run) attempts(ctx context.Context) error {
+	refused := false
+	for {
+		now := x.p.cfg.Clock()
+		if ctx.Err() != nil || !now.Before(x.end) {
+			return x.giveUp(NoTime)
+		}
+		choice, err := x.p.table.Pick(x.query(now), now)
+		if err != nil {
+			x.lastErr = err
+			if refused {
+				return x.giveUp(Full)
+			}
+			return x.giveUp(NoServer)
+		}
+		if x.sends > 0 && !x.p.budget(x.service).Retry(now) {
+			return x.giveUp(Full)
+		}
+		ended, err := x.attempt(ctx, choice)
+		if ended {
+			return err
+		}
+		x.lastErr = err
+		refused = true
+		if x.sends >= maxSends || x.runs > 0 && (!x.route.Repeatable() || x.runs >= x.route.Attempts) {
+			return x.giveUp(Full)
+		}
+		x.p.count(func(c *Counts) {
+			c.Retries++
+			if x.begun {
+				c.Resumes++
+			}
+		})
+	}
+}
+
+// giveUp returns the final answer of a request that is not sent again. If it may
+// have run, the answer must not promise that it has not.
+func (x *run) giveUp(c Cause) error {
+	switch {
+	case x.begun:
+		return ErrBroken
+	case x.runs > 0 && !x.p.cfg.Clock().Before(x.end):
+		return &Refusal{Cause: TimedOut}
+	case x.runs > 0:
+		return &Refusal{Cause: Lost}
+	}
+	if x.org != nil {
+		x.p.cfg.Quota.Refund(x.org.Name, x.cost())
+	}
+	return &Refusal{Cause: c, RetryAfter: minRetryAfter + time.Duration(x.rand()*float64(maxRetryAfter-minRetryAfter)/4)}
+}
+
+func (x *run) rand() float64 {
+	x.p.mu.Lock()
+	defer x.p.mu.Unlock()
+	return x.p.rnd.Float64()
+}
+
+func (x *run) query(now time.Time) route.Query {
+	q := route.Query{
+		Service: x.service, Version: x.p.version(x.service, now), DataCenter: x.p.cfg.DataCentre, Class: world.Call,
+		Prefix: x.prefix, Home: x.home, PromptTokens: x.r.Prompt, MaxTokens: x.r.Output, Exclude: x.tried,
+	}
+	if x.r.HasTokens {
+		q.Class = world.Review
+		if x.r.Prompt <= lookupTokens {
+			q.Class = world.Lookup
+		}
+	}
+	return q
+}
+
+// version draws the group of servers for a new request. While a rollout runs, its
+// share goes to the target; after it was taken back nothing does.
+func (p *Proxy) version(service string, _ time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.rollouts[service]
+	switch {
+	case !ok || r.Phase == coord.Done:
+		return anyVersion
+	case r.Phase == coord.Running && p.rnd.Float64() < r.Share:
+		return versionPrefix + r.Target
+	}
+	return otherPrefix + r.Target
+}
+
+// attempt sends the request to one server. It returns true with the final result,
+// or false if the request may be sent elsewhere.
+func (x *run) attempt(ctx context.Context, choice route.Choice) (bool, error) {
+	p := x.p
+	p.mu.Lock()
+	server, ok := p.servers[choice.Backend.ID]
+	p.mu.Unlock()
+	if !ok {
+		return false, Error.New("server %q has left", choice.Backend.ID)
+	}
+	sent := p.cfg.Clock()
+	x.sends++
+	x.tried = append(x.tried, server.ID)
+	p.table.Started(server.ID, choice.Cost, sent)
+	p.work(server.ID, 1, 1)
+	t := &trial{x: x, server: server, choice: choice, sent: sent, waiting: true}
+	defer t.end()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := p.cfg.Sender.Send(ctx, x.r, x.attemptTo(server, sent))
+	if err != nil {
+		if notRun(err) {
+			t.failed = ctx.Err() == nil
+			return false, err
+		}
+		x.runs++
+		t.failed = ctx.Err() == nil
+		return x.lostAnswer(err)
+	}
+	defer resp.Body.Close()
+	if resp.NotRun || resp.Other {
+		t.failed = resp.Other
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, bufferBytes)) // so that the connection can be kept
+		return false, Error.New("server %q refused with status %d", server.ID, resp.Status)
+	}
+	x.runs++
+	if resp.Events && resp.Status == http.StatusOK && x.route.Kind == routes.Stream {
+		return x.relay(ctx, t, resp)
+	}
+	return x.answer(ctx, t, resp)
+}
+
+func (x *run) attemptTo(s roster.Server, now time.Time) Attempt {
+	a := Attempt{Server: s, Left: x.end.Sub(now), LastEvent: x.lastEvent}
+	if x.org != nil {
+		a.Organisation = x.org.Name
+	}
+	if svc := x.cfg.Service(x.service); svc.Engine != nil {
+		a.HasPriority, a.Priority = true, x.priority()
+	}
+	return a
+}
+
+// priority is the rank of the request at model engines.
+func (x *run) priority() int {
+	if x.org != nil && x.org.Priority != routes.NoPriority {
+		return x.org.Priority
+	}
+	return x.route.Priority
+}
+
+// lostAnswer decides about a request that may have run without an answer.
+func (x *run) lostAnswer(err error) (bool, error) {
+	if x.route.Repeatable() {
+		return false, err
+	}
+	x.lastErr = err
+	return true, x.giveUp(Lost)
+}
+
+// answer passes a response on that is not a series of events.
+func (x *run) answer(_ context.Context, t *trial, resp *Response) (bool, error) {
+	if x.begun {
+		// A stream cannot go on with this.
+		t.failed = true
+		return false, Error.New("status %d instead of the rest of a stream", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferBytes+1))
+	if err != nil {
+		t.failed = true
+		return x.lostAnswer(err)
+	}
+	t.first(resp.Status)
+	if resp.Status >= http.StatusInternalServerError {
+		t.failed = true
+		if x.mayRepeat(resp.Status) {
+			return false, Error.New("status %d", resp.Status)
+		}
+	}
+	x.head(resp)
+	whole := len(body) <= bufferBytes
+	if whole {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	} else if resp.Length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
+	x.w.WriteHeader(resp.Status)
+	x.begun = true
+	if _, err := x.w.Write(body); err != nil {
+		return true, Error.Wrap(err)
+	}
+	if whole {
+		return true, nil
+	}
+	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		t.failed = true
+		x.lastErr = err
+		return true, ErrBroken
+	}
+	return true, nil
+}
+
+// mayRepeat reports whether a failure that a server answered is worth another
+// server: the request may run twice and there is one left.
+func (x *run) mayRepeat(status int) bool {
+	if !x.route.Repeatable() || x.runs >= x.route.Attempts || x.sends >= maxSends || status == http.StatusGatewayTimeout {
+		return false
+	}
+	now := x.p.cfg.Clock()
+	if _, err := x.p.table.Pick(x.query(now), now); err != nil {
+		return false
+	}
+	return x.end.Sub(now) > x.route.Target/2
+}
+
+func (x *run) head(resp *Response) {
+	h := x.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // keeps the library from guessing one
+	}
+}
+
+// work counts this instance's outstanding requests at a server.
+func (p *Proxy) work(id string, running, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loads[id]
+	if l == nil {
+		l = &coord.Load{Server: id}
+		p.loads[id] = l
+	}
+	l.Running += running
+	l.Waiting += waiting
+}
+
+// trial is one attempt at one server.
+type trial struct {
+	x       *run
+	server  roster.Server
+	choice  route.Choice
+	sent    time.Time
+	waiting bool // no first byte yet
+	failed  bool
+	status  int
+	took    time.Duration // to the first byte
+}
+
+// first records that the answer has begun.
+func (t *trial) first(status int) {
+	if !t.waiting {
+		return
+	}
+	p, now := t.x.p, t.x.p.cfg.Clock()
+	t.waiting, t.status, t.took = false, status, now.Sub(t.sent)
+	p.work(t.server.ID, 0, -1)
+	if status < http.StatusInternalServerError {
+		p.table.FirstToken(t.server.ID, t.choice.Expected, t.took, now)
+	}
+	if x := t.x; !x.counted {
+		x.counted = true
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if x.org != nil {
+			n := p.windowOf(now)
+			if p.windows[n] == nil {
+				p.windows[n] = map[string]float64{}
+			}
+			p.windows[n][x.org.Name]++
+		}
+	}
+}
+
+// end records the result of the attempt.
+func (t *trial) end() {
+	p, now := t.x.p, t.x.p.cfg.Clock()
+	waiting := 0
+	if t.waiting {
+		waiting = -1
+	}
+	p.work(t.server.ID, -1, waiting)
+	p.table.Ended(t.server.ID, route.Result{Cost: t.choice.Cost, Failed: t.failed, Took: now.Sub(t.sent)}, now)
+	if t.status == 0 && !t.failed {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := [2]string{t.server.Service, t.server.Version}
+	r := p.results[key]
+	if r == nil {
+		r = &coord.Result{Service: t.server.Service, Version: t.server.Version}
+		p.results[key] = r
+	}
+	if t.failed {
+		r.Bad++
+		return
+	}
+	r.Good++
+	r.Seconds += t.took.Seconds()
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -310,10 +310,14 @@
 // that all instances compute alike. Without it several instances send a new
 // prompt to several servers before the first cache event arrives.
 func (s *server) homeBonus(g *group, q *Query) float64 {
-	if len(q.Prefix) <= homeBlock {
-		return 0
+	home := q.Home
+	if home == 0 {
+		if len(q.Prefix) <= homeBlock {
+			return 0
+		}
+		home = homeOf(q.Prefix)
 	}
-	h := (homeOf(q.Prefix) ^ s.hash) * 0x9E3779B97F4A7C15
+	h := (home ^ s.hash) * 0x9E3779B97F4A7C15
 	h = (h ^ h>>32) * 0xD6E8FEB86659FD93
 	// The best of n servers is about 1/n from the top; the bonus is for it alone.
 	rank := float64(len(g.servers)) * (1 - float64(h>>11)/(1<<53))
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -28,11 +28,14 @@
 
 // Query describes one request to route.
 type Query struct {
-	Service, Version, Org   string
-	Adapter                 string // required adapter; empty for none
-	Class                   world.Class
-	DataCenter              string   // of this entry instance
-	Prefix                  []uint64 // world.Blocks of the prompt
+	Service, Version, Org string
+	Adapter               string // required adapter; empty for none
+	Class                 world.Class
+	DataCenter            string   // of this entry instance
+	Prefix                []uint64 // world.Blocks of the prompt, or a hash for each equal piece of it
+	// Home is the hash of the part of the prompt that gives it its home; 0 takes a
+	// block of Prefix.
+	Home                    uint64
 	PromptTokens, MaxTokens int
 	Exclude                 []string // ids not to pick, such as those that failed this request
 }
@@ -71,6 +74,9 @@
 	Delay func(from, to string) time.Duration
 	// CacheBlocks bounds the prefix map of one backend server, in blocks.
 	CacheBlocks int
+	// PerToken is the prefill time of a token before a report tells it; 0 takes the
+	// default.
+	PerToken time.Duration
 }
 
 // The defaults of a Config.
@@ -117,9 +123,10 @@
 	side   float64 // 0 to 1, from the hash; see sidePenalty
 	group  *group  // of the first version, for averages
 	load   world.Load
-	seen   bool // load is set
-	own    int  // requests of this instance
-	ownRev int  // of them reviews
+	seen   bool          // load is set
+	untold time.Duration // prefill time of a token until load tells it
+	own    int           // requests of this instance
+	ownRev int           // of them reviews
 	recent []step
 	next   int       // in recent
 	busy   time.Time // until when this instance's prefills last
@@ -145,6 +152,9 @@
 	if cfg.CacheBlocks == 0 {
 		cfg.CacheBlocks = defaultCacheBlocks
 	}
+	if cfg.PerToken == 0 {
+		cfg.PerToken = defaultPerToken
+	}
 	if cfg.Delay == nil {
 		cfg.Delay = func(from, to string) time.Duration {
 			if from == to {
@@ -191,7 +201,7 @@
 		limit = min(limit, b.CacheBlocks)
 	}
 	hash := xxhash.Sum64String(b.ID)
-	s := &server{b: b, num: t.nextNum, hash: hash, side: float64(hash>>11) / (1 << 53), cache: newCache(limit)}
+	s := &server{b: b, num: t.nextNum, hash: hash, side: float64(hash>>11) / (1 << 53), cache: newCache(limit), untold: t.cfg.PerToken}
 	t.nums[s.num] = s
 	return s
 }
@@ -395,7 +405,7 @@
 	if s.load.PrefillPerToken > 0 {
 		return s.load.PrefillPerToken
 	}
-	return defaultPerToken
+	return s.untold
 }
 
 func (s *server) biasNow(now time.Time) float64 {
