--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -432,3 +432,21 @@
 	}
 	return m.state.rollouts()
 }
+
+// Loads returns the outstanding work at each backend server, summed over all
+// instances. It is known at the leader only.
+func (c *Coord) Loads() map[string]Load {
+	c.mu.Lock()
+	h := c.hub
+	c.mu.Unlock()
+	out := map[string]Load{}
+	if h == nil {
+		return out
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.loads(c.cfg.Clock()) {
+		out[l.Server] = l
+	}
+	return out
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -14,6 +14,8 @@
 	"github.com/zeebo/errs"
 
 	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/routes"
 )
 
 // Error is the class of this package's errors.
@@ -29,6 +31,8 @@
 type Platform interface {
 	// Usage reports the requests of each organisation that began to run in a window.
 	Usage(ctx context.Context, f Fence, window int64, counts map[string]float64) error
+	// Scale orders engines. Its error wraps ErrNoneAvailable if there are none.
+	Scale(ctx context.Context, f Fence, o Order) error
 }
 
 // Timing of the reports of usage.
@@ -40,13 +44,17 @@
 
 // Config sets up a Runner.
 type Config struct {
-	Name          string
-	Coord         *coord.Coord
-	Platform      Platform
-	Timing        Timing
-	Organisations func() []string
-	Clock         func() time.Time
-	Log           log.Interface
+	Name     string
+	Coord    *coord.Coord
+	Platform Platform
+	Timing   Timing
+	// Reports and Sizes tell which duties there are.
+	Reports, Sizes bool
+	Organisations  func() []string
+	// Services returns the services and the backend servers that take work.
+	Services func() ([]routes.Service, []roster.Server)
+	Clock    func() time.Time
+	Log      log.Interface
 }
 
 const (
@@ -68,12 +76,13 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	sent   map[int64]bool // windows that the platform has
+	sizer  sizer
 }
 
 // Start starts the runner. Close ends it.
 func Start(cfg Config) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Runner{cfg: cfg, ctx: ctx, cancel: cancel, sent: map[int64]bool{}}
+	r := &Runner{cfg: cfg, ctx: ctx, cancel: cancel, sent: map[int64]bool{}, sizer: sizer{places: map[placeKey]*placed{}, peaks: map[string]*[peakSeconds]int{}, holds: map[string]held{}}}
 	r.wg.Go(func() {
 		t := time.NewTicker(interval)
 		defer t.Stop()
@@ -99,14 +108,21 @@
 func (r *Runner) holds() (Fence, bool) {
 	now := r.cfg.Clock()
 	l, ok := r.cfg.Coord.Leads(now)
-	if !ok || now.Sub(l.Since) < r.cfg.Timing.Lease+leaseMargin {
-		return Fence{}, false
+	if !ok || l.Term > 1 && now.Sub(l.Since) < r.cfg.Timing.Lease+leaseMargin {
+		return Fence{}, false // nobody held a duty before the first term
 	}
 	return Fence{Holder: r.cfg.Name, Token: l.Term}, true
 }
 
 func (r *Runner) step() {
 	if _, ok := r.holds(); !ok {
+		r.sizer.places = map[placeKey]*placed{} // another holder may have changed them
+		return
+	}
+	if r.cfg.Sizes {
+		r.size()
+	}
+	if !r.cfg.Reports {
 		return
 	}
 	for _, n := range due(r.cfg.Timing, r.cfg.Clock()) {
--- /dev/null
+++ b/internal/duty/scale.go
@@ -0,0 +1,193 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"cranberrypath.example/cranberrypath/internal/fleet"
+	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+// ErrNoneAvailable means that the platform has no engines of the kind in the data
+// centre now.
+var ErrNoneAvailable = Error.New("no engines of the kind are available")
+
+// Order is how many engines of one kind a data centre shall have.
+type Order struct {
+	Service     string
+	DataCentre  string
+	Reclaimable bool
+	Count       int
+}
+
+// placeKey names the engines that are ordered together.
+type placeKey struct{ service, dataCentre string }
+
+// placed is what this holder knows of its orders for one place.
+type placed struct {
+	ordered fleet.Counts
+	at      time.Time
+	refused time.Time // a reclaimable engine
+}
+
+// sizer orders engines.
+type sizer struct {
+	places map[placeKey]*placed
+	peaks  map[string]*[peakSeconds]int // most requests that ran in each of the last seconds, by service
+	holds  map[string]held
+	second int64 // of the last look
+}
+
+const (
+	// perEngine is how many requests one model engine runs without delaying their
+	// prompts much: each token step and prompt delays all others of the batch.
+	perEngine = 5
+	// peakSeconds is how long a peak of the load decides the size. Engines take
+	// several seconds to start and lose their caches when they stop.
+	peakSeconds = 20
+	// holdSeconds is how long engines that are not reclaimable are kept after they
+	// were last missed: as long as one takes to start.
+	holdSeconds = 5
+	// leastEngines carry a service that is idle: a crash of one leaves some.
+	leastEngines = 3
+)
+
+// need returns how many engines a service needs for the requests that run.
+func (s *sizer) need(service string, running int, now time.Time) int {
+	m := s.peaks[service]
+	if m == nil {
+		m = &[peakSeconds]int{}
+		s.peaks[service] = m
+	}
+	for second := max(s.second, now.Unix()-peakSeconds); second < now.Unix(); second++ {
+		m[(second+1)%peakSeconds] = 0
+	}
+	at := now.Unix() % peakSeconds
+	m[at] = max(m[at], running)
+	n := (slices.Max(m[:]) + perEngine - 1) / perEngine
+	return max(n, leastEngines)
+}
+
+// hold returns the most engines that were missing in the last holdSeconds.
+func (s *sizer) hold(service string, missing int, now time.Time) int {
+	h := s.holds[service]
+	if missing >= h.count || now.Sub(h.at) > holdSeconds*time.Second {
+		h = held{missing, now}
+	}
+	s.holds[service] = h
+	return h.count
+}
+
+// held is a count and when it was last needed.
+type held struct {
+	count int
+	at    time.Time
+}
+
+// view collects what the size of one service depends on.
+func (s *sizer) view(svc *routes.Service, servers []roster.Server, need int, now time.Time) fleet.ZoneView {
+	v := fleet.ZoneView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, Boot: svc.Scaling.Boot, Need: need, Now: now}
+	for dc, price := range svc.Scaling.Prices {
+		z := fleet.ZoneEngines{DataCentre: dc, Price: price}
+		for _, x := range servers {
+			if x.Service != svc.Name || x.DataCentre != dc || x.State != world.Ready {
+				continue
+			}
+			if x.Reclaimable {
+				z.Spare++
+			} else {
+				z.Ready++
+			}
+		}
+		p := s.place(placeKey{svc.Name, dc})
+		z.Ordered, z.OrderedAt, z.Refused = p.ordered, p.at, p.refused
+		v.Zones = append(v.Zones, z)
+	}
+	return v
+}
+
+func (s *sizer) place(k placeKey) *placed {
+	p := s.places[k]
+	if p == nil {
+		p = &placed{}
+		s.places[k] = p
+	}
+	return p
+}
+
+// size looks at all services whose engines can be ordered.
+func (r *Runner) size() {
+	now := r.cfg.Clock()
+	services, servers := r.cfg.Services()
+	loads := r.cfg.Coord.Loads()
+	for i := range services {
+		svc := &services[i]
+		if svc.Scaling == nil {
+			continue
+		}
+		running := 0
+		for _, x := range servers {
+			if x.Service == svc.Name {
+				running += loads[x.ID].Running
+			}
+		}
+		need := r.sizer.need(svc.Name, running, now)
+		v := r.sizer.view(svc, servers, need, now)
+		v.Hold = r.sizer.hold(svc.Name, v.Missing(), now)
+		for _, o := range fleet.Size(v) {
+			r.order(svc.Name, o, need, running, now)
+		}
+	}
+	r.sizer.second = now.Unix()
+}
+
+// order sends the orders for one data centre, the reclaimable kind first so that
+// the sum never falls below what runs.
+func (r *Runner) order(service string, o fleet.ZoneOrder, need, running int, now time.Time) {
+	p := r.sizer.place(placeKey{service, o.DataCentre})
+	first := p.at.IsZero()
+	p.at = now
+	if first || o.Want.Reclaimable != p.ordered.Reclaimable || o.Want == p.ordered {
+		switch err := r.send(Order{service, o.DataCentre, true, o.Want.Reclaimable}, need, running); {
+		case errors.Is(err, ErrNoneAvailable):
+			p.refused = now
+		case err == nil:
+			p.ordered.Reclaimable = o.Want.Reclaimable
+		}
+	}
+	if first || o.Want.Steady != p.ordered.Steady {
+		if r.send(Order{service, o.DataCentre, false, o.Want.Steady}, need, running) == nil {
+			p.ordered.Steady = o.Want.Steady
+		}
+	}
+}
+
+// send makes one call to the platform and logs its outcome.
+func (r *Runner) send(o Order, need, running int) error {
+	f, ok := r.holds()
+	if !ok {
+		return Error.New("this instance does not hold the duty any more")
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	err := r.cfg.Platform.Scale(ctx, f, o)
+	l := r.cfg.Log.WithFields(log.Fields{
+		"event": "duty.scale", "service": o.Service, "dataCentre": o.DataCentre, "reclaimable": o.Reclaimable, "count": o.Count,
+		"need": need, "running": running, "token": f.Token,
+	})
+	switch {
+	case errors.Is(err, ErrNoneAvailable):
+		l.Warn("the platform has no engines to give")
+	case err != nil:
+		l.WithError(err).Warn("the order was not taken; it is repeated")
+	default:
+		l.Info("engines ordered")
+	}
+	return err
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -56,6 +56,8 @@
 	Retry     proxy.RetryLimit
 	// Duties are the calls that one instance makes for all; nil without any.
 	Duties duty.Platform
+	// Reports and Sizes tell which duties there are.
+	Reports, Sizes bool
 	// Usage describes the reports of usage.
 	Usage duty.Timing
 	// Decode turns the content of a configuration into its meaning.
@@ -119,6 +121,7 @@
 	if cfg.Duties != nil && e.self.Durable {
 		e.duties = duty.Start(duty.Config{
 			Name: cfg.Name, Coord: e.coord, Platform: cfg.Duties, Timing: cfg.Usage, Organisations: e.organisations,
+			Reports: cfg.Reports, Sizes: cfg.Sizes, Services: e.services,
 			Clock: cfg.Clock, Log: cfg.Log,
 		})
 	}
@@ -391,6 +394,14 @@
 	return out
 }
 
+func (e *Edge) services() ([]routes.Service, []roster.Server) {
+	c := e.proxy.Config()
+	if c == nil {
+		return nil, nil
+	}
+	return c.Services, e.roster.Usable()
+}
+
 // pack compresses a configuration, which goes to every instance.
 func pack(content []byte) ([]byte, error) {
 	var b bytes.Buffer
