--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -51,7 +51,7 @@
 	// Reports and Sizes tell which duties there are.
 	Reports, Sizes bool
 	Organisations  func() []string
-	// Services returns the services and the backend servers that take work.
+	// Services returns the services and the backend servers that are there.
 	Services func() ([]routes.Service, []roster.Server)
 	Clock    func() time.Time
 	Log      log.Interface
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -96,13 +96,14 @@
 	for dc, price := range svc.Scaling.Prices {
 		z := fleet.ZoneEngines{DataCentre: dc, Price: price}
 		for _, x := range servers {
-			if x.Service != svc.Name || x.DataCentre != dc || x.State != world.Ready {
-				continue
-			}
-			if x.Reclaimable {
+			switch {
+			case x.Service != svc.Name || x.DataCentre != dc:
+			case x.State == world.Ready && x.Reclaimable:
 				z.Spare++
-			} else {
+			case x.State == world.Ready:
 				z.Ready++
+			case x.Reclaimable && !x.LeaveBy.IsZero():
+				z.Leaving++
 			}
 		}
 		p := s.place(placeKey{svc.Name, dc})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -399,7 +399,7 @@
 	if c == nil {
 		return nil, nil
 	}
-	return c.Services, e.roster.Usable()
+	return c.Services, e.roster.Present()
 }
 
 // pack compresses a configuration, which goes to every instance.
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -14,6 +14,7 @@
 	Price      float64 // of an engine that is not reclaimable, a second
 	Ready      int     // engines that are not reclaimable
 	Spare      int     // reclaimable engines that are ready
+	Leaving    int     // reclaimable engines that are being taken away
 	Ordered    Counts  // last accepted order
 	OrderedAt  time.Time
 	// Refused is when a reclaimable engine was last refused here.
@@ -59,7 +60,7 @@
 
 // Size decides how many engines each data centre shall have: reclaimable ones,
 // spread evenly and enough that the load is carried while two data centres are
-// reclaimed, and the others only for what reclaimable ones do not carry. Engines
+// reclaimed, and the others for what reclaimable ones do not carry. Engines
 // that are not reclaimable are given up only once enough reclaimable ones are ready.
 func Size(v ZoneView) []ZoneOrder {
 	if len(v.Zones) == 0 {
@@ -100,13 +101,18 @@
 	return n
 }
 
-// Missing returns how many engines the load needs beyond the reclaimable ones that
-// are ready, or will be before others could.
+// Missing returns how many engines the load needs beyond the reclaimable ones. While
+// reclaimable engines are being taken away or refused none of them counts: those
+// of the other data centres may be next, and others take several seconds to start.
 func (v ZoneView) Missing() int {
-	have, steady := v.ready(), 0
+	have, steady := 0, 0
 	for _, z := range v.Zones {
 		steady += z.Ready
-		if !z.blocked(v.Now) && v.Now.Sub(z.OrderedAt) < v.Boot+bootSlack {
+		if z.Leaving > 0 || z.blocked(v.Now) {
+			return v.Need
+		}
+		have += z.Spare
+		if v.Now.Sub(z.OrderedAt) < v.Boot+bootSlack {
 			have += max(z.Ordered.Reclaimable-z.Spare, 0)
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -167,9 +167,14 @@
 	return out, r.change
 }
 
-// Usable returns the servers that may get new work. Of two that name the same
-// address the one that started last has it.
+// Usable returns the servers that may get new work.
 func (r *Roster) Usable() []Server {
+	return slices.DeleteFunc(r.Present(), func(s Server) bool { return s.State != world.Ready })
+}
+
+// Present returns the servers that are there. Of two that name the same address
+// the one that started last has it.
+func (r *Roster) Present() []Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	byAddress := map[string]Server{}
@@ -181,11 +186,9 @@
 			byAddress[e.s.Address] = e.s
 		}
 	}
-	var out []Server
+	out := make([]Server, 0, len(byAddress))
 	for _, s := range byAddress {
-		if s.State == world.Ready {
-			out = append(out, s)
-		}
+		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	return out
