--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -39,8 +39,13 @@
 	numbers  uint64 // of the last change of the listed nodes
 	listed   []Node
 	lastTick time.Time
+	held     []*coordpb.Held // the newest, in order
+	heldNext uint64          // number that follows the last of held
 }
 
+// keepHeld is how many records of prompts are kept for instances that missed some.
+const keepHeld = 1024
+
 // nodeKey names one process; a restarted one counts anew.
 type nodeKey struct {
 	id      string
@@ -164,6 +169,11 @@
 	for _, r := range req.Results {
 		n.results = append(n.results, Result{r.Service, r.Version, r.Good, r.Bad, r.Seconds})
 	}
+	h.held = append(h.held, req.Held...)
+	h.heldNext += uint64(len(req.Held))
+	if len(h.held) > 2*keepHeld {
+		h.held = slices.Clone(h.held[len(h.held)-keepHeld:])
+	}
 	if req.SpentNumber > n.spent {
 		n.spent = req.SpentNumber
 		for _, s := range req.Spent {
@@ -200,6 +210,11 @@
 		}
 	}
 	out.Loads = loadsProto(h.loads(now))
+	out.HeldSeen = h.heldNext
+	if seen := req.HeldSeen; req.Epoch == h.term && seen < h.heldNext {
+		missed := min(h.heldNext-seen, uint64(len(h.held)))
+		out.Held = h.held[uint64(len(h.held))-missed:]
+	}
 	return out
 }
 
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -89,13 +89,14 @@
 	c.mu.Unlock()
 	r := c.cfg.Local.Report(v.epoch == 0, now)
 	req := c.request(r, v, number, now)
+	asked := now
 	reply, err := c.exchange(req, now)
 	now = c.cfg.Clock()
 	if err != nil {
 		c.cfg.Local.Lost(now)
 		return err
 	}
-	c.learn(reply, req, now)
+	c.learn(reply, req, asked, now)
 	if reply.Epoch != v.epoch && v.epoch != 0 {
 		// The new leader knows nothing of before; the next report is a full one.
 		c.mu.Lock()
@@ -110,7 +111,7 @@
 	self := c.cfg.Self
 	self.Ready = r.Ready
 	req := &coordpb.Sync{
-		Node: self.proto(), Epoch: v.epoch, ServersSeen: v.servers, NodesSeen: v.nodes, RolloutsSeen: v.rollouts,
+		Node: self.proto(), Epoch: v.epoch, ServersSeen: v.servers, NodesSeen: v.nodes, RolloutsSeen: v.rollouts, Held: heldProto(r.Held), HeldSeen: v.held,
 		Spent: countsOf(r.Spent), SpentNumber: number, Loads: loadsProto(r.Loads),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
@@ -151,10 +152,10 @@
 }
 
 // learn passes the answer on.
-func (c *Coord) learn(reply *coordpb.SyncReply, req *coordpb.Sync, now time.Time) {
+func (c *Coord) learn(reply *coordpb.SyncReply, req *coordpb.Sync, asked, now time.Time) {
 	v := View{
 		Leader: reply.Leader, Term: reply.Epoch, Fronts: int(reply.Fronts), Levels: amounts(reply.Levels),
-		Loads: loadsOf(reply.Loads), Asked: now,
+		Loads: loadsOf(reply.Loads), Held: heldOf(reply.Held), Asked: asked,
 	}
 	if reply.Config != nil {
 		v.Version, v.Config = reply.ConfigVersion, reply.Config
@@ -181,6 +182,7 @@
 	c.leader, c.members, c.lastSync = reply.Leader, reply.Members, now
 	c.view = view{
 		epoch: reply.Epoch, servers: reply.ServersSeen, nodes: reply.NodesSeen, rollouts: reply.RolloutsSeen,
+		held: reply.HeldSeen,
 	}
 	c.mu.Unlock()
 	c.cfg.Local.Learn(v, now)
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -28,6 +28,18 @@
 	Seconds          float64 // sum of the times to the first byte of the good ones
 }
 
+// Part is one part of a prompt that other prompts may share.
+type Part struct {
+	Hash   uint64 // of it and all parts before it
+	Tokens int
+}
+
+// Held tells that a backend server has read the parts of a prompt.
+type Held struct {
+	Server string
+	Parts  []Part
+}
+
 // Report is what an instance tells the leader.
 type Report struct {
 	Ready         bool
@@ -37,6 +49,7 @@
 	Loads         []Load
 	Windows       []Window // all counts of recent windows
 	Results       []Result
+	Held          []Held // since the last report
 }
 
 // View is what an instance learns from the leader. Nil fields have not changed.
@@ -50,6 +63,7 @@
 	Levels   map[string]float64
 	Loads    []Load // of all instances together
 	Rollouts []Rollout
+	Held     []Held
 	Fronts   int       // instances that take requests
 	Asked    time.Time // when the report was sent that this answers
 }
@@ -72,7 +86,7 @@
 	servers  uint64
 	nodes    uint64
 	rollouts uint64
-	version  uint64
+	held     uint64
 }
 
 func (n Node) proto() *coordpb.Node {
@@ -132,3 +146,30 @@
 	}
 	return out
 }
+
+func heldProto(all []Held) []*coordpb.Held {
+	out := make([]*coordpb.Held, len(all))
+	for i, h := range all {
+		out[i] = &coordpb.Held{Server: h.Server}
+		for _, p := range h.Parts {
+			out[i].Parts = append(out[i].Parts, p.Hash)
+			out[i].Tokens = append(out[i].Tokens, uint32(p.Tokens))
+		}
+	}
+	return out
+}
+
+func heldOf(all []*coordpb.Held) []Held {
+	out := make([]Held, 0, len(all))
+	for _, p := range all {
+		if len(p.Parts) != len(p.Tokens) {
+			continue // not from this program
+		}
+		h := Held{Server: p.Server}
+		for i := range p.Parts {
+			h.Parts = append(h.Parts, Part{p.Parts[i], int(p.Tokens[i])})
+		}
+		out = append(out, h)
+	}
+	return out
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -285,6 +285,7 @@
 func (e *Edge) Report(full bool, now time.Time) coord.Report {
 	r := coord.Report{
 		Ready: e.Ready(), Spent: e.quota.Take(), Loads: e.proxy.Loads(), Windows: e.proxy.Windows(now), Results: e.proxy.Results(),
+		Held: e.proxy.TakeHeld(now),
 	}
 	if c := e.proxy.Config(); c != nil {
 		r.ConfigVersion = c.Version
@@ -333,6 +334,7 @@
 		e.serversChanged(now)
 	}
 	e.proxy.SetLoads(v.Loads, v.Asked)
+	e.proxy.Learn(v.Held)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.flying = map[string]roster.Server{}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,6 +107,8 @@
 	windows  map[int64]map[string]float64
 	results  map[[2]string]*coord.Result
 	counts   Counts
+	told     map[heldKey]time.Time // when others were told
+	held     []coord.Held          // to tell
 }
 
 // Counts are the requests since the start, by outcome.
@@ -122,7 +124,7 @@
 		cfg: cfg, table: route.New(route.Config{Seed: cfg.Seed, PerToken: cfg.PerToken}),
 		rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
 		servers: map[string]roster.Server{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
-		windows: map[int64]map[string]float64{}, results: map[[2]string]*coord.Result{},
+		windows: map[int64]map[string]float64{}, results: map[[2]string]*coord.Result{}, told: map[heldKey]time.Time{},
 	}
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/roster"
 )
 
@@ -44,6 +45,9 @@
 	LastEvent    string
 	Priority     int // 0 is the most urgent
 	HasPriority  bool
+	// FetchFrom is the address of the server from which it shall fetch the cache of
+	// the prompt; empty for none.
+	FetchFrom string
 }
 
 // Response is a backend server's response.
@@ -70,20 +74,26 @@
 // pieces cost memory; larger ones blur how much of a prompt a server holds.
 const blockTokens = 256
 
-// blocks returns the hashes of the prompt's pieces in order, each of which covers
-// all before it, and the hash of its last part that other requests share.
-func blocks(parts []Part) (prefix []uint64, home uint64) {
+// chain returns the parts with hashes that cover all parts before each.
+func chain(parts []Part) []coord.Part {
+	out := make([]coord.Part, len(parts))
 	var h uint64
 	for i, p := range parts {
 		h = mix(h, xxhash.Sum64String(p.ID))
-		if i < len(parts)-1 {
-			home = h
-		}
+		out[i] = coord.Part{Hash: h, Tokens: p.Tokens}
+	}
+	return out
+}
+
+// blocks returns the hashes of the pieces of a prompt in order.
+func blocks(parts []coord.Part) []uint64 {
+	var out []uint64
+	for _, p := range parts {
 		for n := 0; n < p.Tokens; n += blockTokens {
-			prefix = append(prefix, mix(h, uint64(n)))
+			out = append(out, mix(p.Hash, uint64(n)))
 		}
 	}
-	return prefix, home
+	return out
 }
 
 // mix combines two hashes; the constants are those of splitmix64.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -44,8 +44,8 @@
 	org     *routes.Organisation
 	end     time.Time // of the caller's patience and the route's timeout
 
+	parts  []coord.Part // the last one belongs to this request
 	prefix []uint64
-	home   uint64
 
 	sends   int
 	runs    int      // servers that may have run it
@@ -91,7 +91,8 @@
 	if svc.Engine != nil && svc.Engine.MemoryTokens > 0 && x.r.Prompt+x.r.Output > svc.Engine.MemoryTokens {
 		return &Refusal{Cause: NoServer}
 	}
-	x.prefix, x.home = blocks(x.r.Parts)
+	x.parts = chain(x.r.Parts)
+	x.prefix = blocks(x.parts)
 	x.lastEvent = x.r.LastEvent
 	if x.org != nil {
 		if ok, wait := x.p.cfg.Quota.Admit(x.org.Name, x.cost(), now); !ok {
@@ -177,7 +178,13 @@
 func (x *run) query(now time.Time) route.Query {
 	q := route.Query{
 		Service: x.service, Version: x.p.version(x.service, now), DataCenter: x.p.cfg.DataCentre, Class: world.Call,
-		Prefix: x.prefix, Home: x.home, PromptTokens: x.r.Prompt, MaxTokens: x.r.Output, Exclude: x.tried,
+		Prefix: x.prefix, PromptTokens: x.r.Prompt, MaxTokens: x.r.Output, Exclude: x.tried,
+	}
+	if shared := len(x.parts) - 1; shared > 0 {
+		q.Home = x.parts[shared-1].Hash
+	}
+	if svc := x.cfg.Service(x.service); svc.Engine != nil {
+		q.FetchPerToken = svc.Engine.FetchPerToken
 	}
 	if x.r.HasTokens {
 		q.Class = world.Review
@@ -222,7 +229,11 @@
 	defer t.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := p.cfg.Sender.Send(ctx, x.r, x.attemptTo(server, sent))
+	a := x.attemptTo(server, sent)
+	if choice.FetchTokens > 0 {
+		a.FetchFrom = choice.Source.Address
+	}
+	resp, err := p.cfg.Sender.Send(ctx, x.r, a)
 	if err != nil {
 		if notRun(err) {
 			t.failed = ctx.Err() == nil
@@ -371,6 +382,9 @@
 	p, now := t.x.p, t.x.p.cfg.Clock()
 	t.waiting, t.status, t.took = false, status, now.Sub(t.sent)
 	p.work(t.server.ID, 0, -1)
+	if shared := len(t.x.parts) - 1; shared > 0 {
+		p.noteHeld(t.server.ID, t.x.parts[:shared], now)
+	}
 	if status < http.StatusInternalServerError {
 		p.table.FirstToken(t.server.ID, t.choice.Expected, t.took, now)
 	}
@@ -415,3 +429,49 @@
 	r.Good++
 	r.Seconds += t.took.Seconds()
 }
+
+// heldPause is how long this instance does not tell again that a server holds the
+// parts of a prompt: shorter than they stay in its cache.
+const heldPause = 5 * time.Second
+
+// maxHeld bounds the records that wait for the next report.
+const maxHeld = 256
+
+// heldKey names the parts of a prompt at a server.
+type heldKey struct {
+	server string
+	hash   uint64
+}
+
+// noteHeld records for the others that a server has read the parts of a prompt.
+func (p *Proxy) noteHeld(server string, parts []coord.Part, now time.Time) {
+	key := heldKey{server, parts[len(parts)-1].Hash}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if last, ok := p.told[key]; ok && now.Sub(last) < heldPause || len(p.held) >= maxHeld {
+		return
+	}
+	p.told[key] = now
+	p.held = append(p.held, coord.Held{Server: server, Parts: parts})
+}
+
+// TakeHeld returns what this instance has to tell of prompts that servers hold.
+func (p *Proxy) TakeHeld(now time.Time) []coord.Held {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, last := range p.told {
+		if now.Sub(last) >= heldPause {
+			delete(p.told, key)
+		}
+	}
+	out := p.held
+	p.held = nil
+	return out
+}
+
+// Learn takes what other instances tell of prompts that servers hold.
+func (p *Proxy) Learn(all []coord.Held) {
+	for _, h := range all {
+		p.table.Holds(h.Server, blocks(h.Parts))
+	}
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -56,6 +56,12 @@
 	// it also delays the prompts behind it. With 2 instead of 1 the queueing model
 	// of the tests recomputes about half as many tokens at equal latency.
 	prefillWeight = 2.0
+	// fetchLeast is the smallest part of a prompt that is fetched from another server.
+	fetchLeast = 1024
+	// fetchWeight is what fetching a token costs against reading it, besides the time:
+	// transfers take link and memory of two servers. Prices of today's deployments
+	// make it two thirds of a token read again.
+	fetchWeight = 0.65
 	// homeBlock is the first block that may give a prompt its home; see homeOf.
 	homeBlock = 32
 	// homeShare is the part of the prefill time that a server may be slower and
@@ -183,26 +189,43 @@
 	}
 }
 
-// best adds the prefill time to each finalist and returns the best.
+// best adds the time to read or fetch the prompt to each finalist and returns the
+// best.
 func (t *Table) best(list *shortlist, q *Query, now time.Time) Choice {
-	var best candidate
-	cached, prefill := 0, 0.0
+	var hits [finalists + indexed]int
+	holder := 0 // the finalist with most of the prompt
+	for i := range list.n {
+		if hits[i] = list.c[i].s.cachedTokens(q); hits[i] > hits[holder] {
+			holder = i
+		}
+	}
+	var out Choice
+	var s *server
+	least, prefill := math.Inf(1), 0.0
 	for i := range list.n {
 		c := list.c[i]
-		hit := c.s.cachedTokens(q)
-		p := float64(q.PromptTokens-hit) * c.s.perToken().Seconds()
-		if best.s == nil || c.score+prefillWeight*p < best.score+prefillWeight*prefill {
-			best, cached, prefill = c, hit, p
+		hit, fetch := hits[i], 0
+		if gain := hits[holder] - hit; q.FetchPerToken > 0 && gain >= fetchLeast {
+			fetch = gain
+		}
+		p := float64(q.PromptTokens-hit-fetch) * c.s.perToken().Seconds()
+		f := float64(fetch) * q.FetchPerToken.Seconds()
+		score := c.score + prefillWeight*p + f + fetchWeight*float64(fetch)*c.s.perToken().Seconds()
+		if score >= least {
+			continue
+		}
+		least, prefill, s = score, p+f, c.s
+		out = Choice{Backend: s.b, CachedTokens: hit, FetchTokens: fetch}
+		if fetch > 0 {
+			out.Source = list.c[holder].s.b
 		}
 	}
-	return Choice{
-		Backend: best.s.b, CachedTokens: cached,
-		Expected: time.Duration((best.s.delay(now, t.distance(best.s, q)) + prefill) * float64(time.Second)),
-		Cost: Cost{
-			Class: q.Class, Prefix: q.Prefix, UncachedTokens: q.PromptTokens - cached, MaxTokens: q.MaxTokens,
-			server: best.s.num,
-		},
+	out.Expected = time.Duration((s.delay(now, t.distance(s, q)) + prefill) * float64(time.Second))
+	out.Cost = Cost{
+		Class: q.Class, Prefix: q.Prefix, UncachedTokens: q.PromptTokens - out.CachedTokens - out.FetchTokens,
+		MaxTokens: q.MaxTokens, server: s.num,
 	}
+	return out
 }
 
 func (s *server) cachedTokens(q *Query) int {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -38,6 +38,9 @@
 	Home                    uint64
 	PromptTokens, MaxTokens int
 	Exclude                 []string // ids not to pick, such as those that failed this request
+	// FetchPerToken is the time in which a server fetches the cache of a prompt token
+	// from another one; 0 if servers cannot.
+	FetchPerToken time.Duration
 }
 
 // Cost is the work that one request puts on a backend server. Only the one in a
@@ -57,7 +60,11 @@
 	Backend      world.Backend
 	Expected     time.Duration // expected time to first token
 	CachedTokens int           // prompt tokens expected in its cache
-	Cost         Cost          // for Started and Ended
+	// Source is the server from whose cache it shall fetch FetchTokens more first;
+	// it is zero if FetchTokens is.
+	Source      world.Backend
+	FetchTokens int
+	Cost        Cost // for Started and Ended
 }
 
 // Result tells how a request ended on a backend server.
@@ -355,6 +362,21 @@
 	}
 }
 
+// Holds records that a server has read the pieces of a prompt for another
+// instance.
+func (t *Table) Holds(id string, prefix []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	for _, h := range prefix {
+		t.index.add(h, s.num)
+		s.cache.add(h)
+	}
+}
+
 // Resync returns the servers whose prefix map has a gap and that were not asked
 // within resyncPause. The caller asks each for its whole cache content.
 func (t *Table) Resync(now time.Time) []string {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -74,6 +74,9 @@
 	Slots         int
 	MemoryTokens  int // KV cache
 	WaitingEvents int // calls for cache events that one engine keeps waiting
+	// FetchPerToken is the time in which one engine fetches the cache of a token from
+	// another; 0 if it cannot.
+	FetchPerToken time.Duration
 }
 
 // Scaling bounds what may be ordered of a service in each data centre.
