raft, proxy: Elect at once when all members have restarted

Cause: after the final fault instances were back at 53.25 s and had a leader at 54.39 s, because each member waits an election timeout for a lease that cannot exist any more; 136 requests were refused meanwhile. Ruled out: a shorter timeout, which deposes leaders that stall.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -82,6 +82,8 @@
 	// between a notice at one instance and its effect at all others, well inside the
 	// 2 s that deployments allow.
 	syncInterval = 200 * time.Millisecond
+	// seekInterval is the same while this instance has no leader: callers wait.
+	seekInterval = 50 * time.Millisecond
 	// syncTimeout bounds one report; a leader that takes longer has stalled.
 	syncTimeout = 700 * time.Millisecond
 	// heartbeat and election time the replicated log. Instances share processors
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -76,7 +76,11 @@
 				w <- err
 			}
 		}
-		t.Reset(syncInterval)
+		if err != nil {
+			t.Reset(seekInterval)
+		} else {
+			t.Reset(syncInterval)
+		}
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,7 +95,8 @@
 	cfg   Config
 	table *route.Table
 
-	config atomic.Pointer[routes.Config]
+	config     atomic.Pointer[routes.Config]
+	configured chan struct{} // closed with the first configuration
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
@@ -122,7 +123,8 @@
 func New(cfg Config) *Proxy {
 	return &Proxy{
 		cfg: cfg, table: route.New(route.Config{Seed: cfg.Seed, PerToken: cfg.PerToken}),
-		rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
+		configured: make(chan struct{}),
+		rnd:        rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
 		servers: map[string]roster.Server{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
 		windows: map[int64]map[string]float64{}, results: map[[2]string]*coord.Result{}, told: map[heldKey]time.Time{},
 	}
@@ -137,7 +139,9 @@
 		}
 	}
 	p.cfg.Quota.Configure(rules, now)
-	p.config.Store(c)
+	if p.config.Swap(c) == nil {
+		close(p.configured)
+	}
 }
 
 // Config returns the configuration in force, or nil.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -58,6 +58,7 @@
 }
 
 func (x *run) serve(ctx context.Context) error {
+	x.p.awaitConfig(ctx, configPatience(x.r.Patience))
 	now := x.p.cfg.Clock()
 	if err := x.admit(now); err != nil {
 		return err
@@ -67,6 +68,25 @@
 	return x.attempts(ctx)
 }
 
+// configPatience is how long a request waits for the first configuration of an
+// instance that has just started. Callers that are refused come back once, after
+// at most a third of their time, so waiting longer would serve them worse.
+func configPatience(patience time.Duration) time.Duration { return patience / 3 }
+
+// awaitConfig waits until a configuration is known, at most d.
+func (p *Proxy) awaitConfig(ctx context.Context, d time.Duration) {
+	if p.Config() != nil || d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-p.configured:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit decides whether the request may be served at all.
 func (x *run) admit(now time.Time) error {
 	if x.cfg = x.p.Config(); x.cfg == nil {
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -175,7 +175,7 @@
 }
 
 // elect holds the election of the term after term. A transfer needs no pre-vote
-// and no lost leader, as the leader of term has given up.
+// and no lost leader, as the leader of term has given up or all voters have restarted.
 func (g *Group) elect(term uint64, voters members, need int, transfer bool) {
 	var req *raftpb.Message
 	g.io.Lock()
@@ -184,7 +184,7 @@
 		g.enter(term+1, voteFor(g.cfg.ID, g.state.Incarnation))
 	if stands {
 		g.follow("")
-		g.role = Candidate
+		g.role, g.met = Candidate, true
 		req = g.newMessage(raftpb.Kind_KIND_VOTE)
 		req.Index, req.LogTerm, req.Transfer = g.last(), g.termAt(g.last()), transfer
 	}
--- a/internal/raft/follow.go
+++ b/internal/raft/follow.go
@@ -64,7 +64,7 @@
 	if g.role != Follower || g.leader != req.From {
 		g.follow(req.From)
 	}
-	g.heard = g.cfg.Clock()
+	g.heard, g.met = g.cfg.Clock(), true
 	g.stranger = false
 	g.delayElection(g.heard)
 	resp.Term, resp.Leader = g.state.Term, req.From
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -174,6 +174,7 @@
 	leader   string
 	heard    time.Time // last message of the current leader, or start
 	electAt  time.Time // when to stand for election
+	met      bool      // since its start this member heard from a leader, voted or led
 	stranger bool      // the group knows this member under another incarnation
 
 	base     uint64 // the entry before entries[0]
@@ -226,6 +227,9 @@
 	g.wg.Go(g.write)
 	g.wg.Go(g.apply)
 	g.wg.Go(g.keep)
+	if !g.forming() {
+		g.wg.Go(g.early)
+	}
 	return g, nil
 }
 
--- a/internal/raft/vote.go
+++ b/internal/raft/vote.go
@@ -26,7 +26,8 @@
 	// The leases of all terms before req.Term have ended if its candidate was
 	// asked to stand by the leader of the one before.
 	transfer := req.Transfer && req.Kind == raftpb.Kind_KIND_VOTE
-	if !transfer && !g.leaderLost(now) {
+	resp.Restarted = req.Kind == raftpb.Kind_KIND_PRE_VOTE && !g.met && g.role == Follower
+	if !transfer && !(req.Transfer && resp.Restarted) && !g.leaderLost(now) {
 		return
 	}
 	lastTerm := g.termAt(g.last())
@@ -47,7 +48,7 @@
 	}
 	grant := current && (prior == "" || prior == vote)
 	if grant {
-		prior = vote
+		prior, g.met = vote, true
 	}
 	later := req.Term > g.state.Term
 	if (later || prior != g.state.Vote) && !g.enter(req.Term, prior) {
