proxy, quota: Repair what the first tests found

Cause: a 503 without the word that the request has not run was passed on as that promise; a stream that ended within an event looked complete; instances that spent one level at the same time exceeded a rate by 38% under a tenfold flood, because debts were cut off. Each was found by a test that failed first. Callers are no longer led to a leader that does not answer.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -107,6 +107,7 @@
 	member   *member // nil without a disk, or while its disk fails
 	hub      *hub    // of the term that this instance leads, or nil
 	leader   string  // as last heard of
+	suspect  string  // a leader that did not answer
 	members  []string
 	tried    int
 	founder  string    // of a group that is forming, as this instance decided
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -47,6 +47,13 @@
 // Leader returns the leader's id as last heard of, or "".
 func (c *Coord) Leader() string { return c.target(false) }
 
+// Suspect returns the leader that did not answer last, until another one does, or "".
+func (c *Coord) Suspect() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspect
+}
+
 // report reports to the leader until the instance stops.
 func (c *Coord) report() {
 	t := time.NewTimer(syncInterval)
@@ -183,7 +190,7 @@
 	if c.leader != reply.Leader {
 		c.cfg.Log.WithField("event", "leader.found").WithField("leader", reply.Leader).WithField("term", reply.Epoch).Info("reports go to a leader")
 	}
-	c.leader, c.members, c.lastSync = reply.Leader, reply.Members, now
+	c.leader, c.members, c.lastSync, c.suspect = reply.Leader, reply.Members, now, ""
 	c.view = view{
 		epoch: reply.Epoch, servers: reply.ServersSeen, nodes: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		held: reply.HeldSeen,
@@ -316,6 +323,6 @@
 		c.leader = hint
 	case c.leader == id:
 		c.cfg.Log.WithError(err).WithField("event", "leader.lost").WithField("leader", id).Warn("the leader does not answer")
-		c.leader = ""
+		c.leader, c.suspect = "", id
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -257,9 +257,11 @@
 	e.mu.Lock()
 	nodes := e.nodes
 	e.mu.Unlock()
+	suspect := e.coord.Suspect()
 	var near, far, other []string
 	for _, n := range nodes {
 		switch {
+		case n.ID == suspect: // nobody else can tell that it stands still
 		case !n.Ready || n.ID == e.self.ID && e.draining.Load():
 		case n.DataCentre == dataCentre:
 			near = append(near, n.Callers)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -347,6 +347,9 @@
 	if x.cfg != nil {
 		f["config"] = x.cfg.Version
 	}
+	if x.org != nil {
+		f["organisation"], f["cost"], f["level"] = x.org.Name, x.cost(), int(x.p.cfg.Quota.Level(x.org.Name, now))
+	}
 	if x.lastErr != nil {
 		f["error"] = x.lastErr.Error()
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -317,6 +317,11 @@
 		return x.lostAnswer(err)
 	}
 	t.first(resp.Status)
+	if promises(resp.Status) {
+		// Callers would take it as the word that the request has not run.
+		t.failed = true
+		return x.lostAnswer(Error.New("status %d without the word that the request has not run", resp.Status))
+	}
 	if resp.Status >= http.StatusInternalServerError {
 		t.failed = true
 		if x.mayRepeat(resp.Status) {
@@ -346,6 +351,16 @@
 	return true, nil
 }
 
+// promises reports whether callers take a status as the word that the request has
+// not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // mayRepeat reports whether a failure that a server answered is worth another
 // server: the request may run twice and there is one left.
 func (x *run) mayRepeat(status int) bool {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -52,7 +52,10 @@
 			}
 			return e.buf[:end], err
 		}
-		if err != nil {
+		switch {
+		case err == io.EOF && len(e.buf) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
 			return nil, err
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,7 +2,9 @@
 // together. Every instance keeps a copy of one token bucket per organisation,
 // admits from it without asking anyone, and tells the leader what it spent. The
 // leader sums the spending and returns the level, so copies differ only by what
-// was spent within one round trip.
+// was spent within one round trip. Between two answers a copy is refilled with the
+// instance's part of the rate, so that instances which hear nothing of each other
+// stay within the limit together.
 package quota
 
 import (
@@ -19,6 +21,7 @@
 type bucket struct {
 	rule  Rule
 	level float64
+	told  float64 // level by the leader's last word
 	at    time.Time
 }
 
@@ -63,13 +66,14 @@
 }
 
 // Spend subtracts what one instance has spent. A bucket may fall below zero:
-// instances that spent at the same time did not know of each other.
+// instances that spent at the same time did not know of each other. The debt is
+// kept, so that they stay within the rate over time.
 func (l *Ledger) Spend(name string, units float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[name]; b != nil {
 		b.advance(now, 1)
-		b.level = max(b.level-units, -b.rule.Burst)
+		b.level -= units
 	}
 }
 
@@ -85,10 +89,10 @@
 	return out
 }
 
-// Lapse is the time without word of the leader after which an instance spends
-// only its part of each rate, so that instances that are apart stay within the
-// limit together.
-const Lapse = 2 * time.Second
+// spread is how much more than its even part of a level one instance may spend
+// between two reports: callers are not spread evenly, but instances that all spend
+// the same level at once would exceed it many times.
+const spread = 3
 
 // Buckets is the side of one instance.
 type Buckets struct {
@@ -96,7 +100,6 @@
 	buckets map[string]*bucket
 	spent   map[string]float64 // not yet taken by Take
 	flying  map[string]float64 // taken, not yet confirmed
-	heard   time.Time
 	nodes   int
 }
 
@@ -121,21 +124,33 @@
 	if b == nil || b.rule.Rate <= 0 {
 		return true, 0
 	}
-	share := 1.0
-	if now.Sub(q.heard) > Lapse {
-		share = 1 / float64(max(q.nodes, 1))
-	}
-	b.advance(now, share)
+	b.advance(now, 1/float64(max(q.nodes, 1)))
 	// A request larger than the burst could never be covered; it needs a full bucket.
 	need := min(units, b.rule.Burst)
 	if b.level < need {
-		return false, time.Duration((need - b.level) / (b.rule.Rate * share) * float64(time.Second))
+		return false, time.Duration((need - b.level) / b.rule.Rate * float64(time.Second))
+	}
+	round := q.spent[name]
+	if most := spread * b.told / float64(max(q.nodes, 1)); round > 0 && round+units > most {
+		return false, time.Duration(units / b.rule.Rate * float64(time.Second))
 	}
 	b.level -= units
 	q.spent[name] += units
 	return true, 0
 }
 
+// Level returns what an organisation has left, for logs.
+func (q *Buckets) Level(name string, now time.Time) float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.buckets[name]
+	if b == nil {
+		return 0
+	}
+	b.advance(now, 1/float64(max(q.nodes, 1)))
+	return b.level
+}
+
 // Refund gives back the units of a request that did not run.
 func (q *Buckets) Refund(name string, units float64) {
 	q.mu.Lock()
@@ -170,10 +185,10 @@
 func (q *Buckets) Confirm(levels map[string]float64, nodes int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.flying, q.heard, q.nodes = map[string]float64{}, now, nodes
+	q.flying, q.nodes = map[string]float64{}, nodes
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
-			b.level, b.at = level-q.spent[name], now
+			b.level, b.told, b.at = level-q.spent[name], level, now
 		}
 	}
 }
