--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -82,7 +82,7 @@
 // Start starts the runner. Close ends it.
 func Start(cfg Config) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Runner{cfg: cfg, ctx: ctx, cancel: cancel, sent: map[int64]bool{}, sizer: sizer{places: map[placeKey]*placed{}, peaks: map[string]*[peakSeconds]int{}, holds: map[string]held{}}}
+	r := &Runner{cfg: cfg, ctx: ctx, cancel: cancel, sent: map[int64]bool{}, sizer: newSizer()}
 	r.wg.Go(func() {
 		t := time.NewTicker(interval)
 		defer t.Stop()
@@ -116,7 +116,7 @@
 
 func (r *Runner) step() {
 	if _, ok := r.holds(); !ok {
-		r.sizer.places = map[placeKey]*placed{} // another holder may have changed them
+		r.sizer = newSizer() // another holder may change what is ordered
 		return
 	}
 	if r.cfg.Sizes {
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -41,9 +41,16 @@
 	places map[placeKey]*placed
 	peaks  map[string]*[peakSeconds]int // most requests that ran in each of the last seconds, by service
 	holds  map[string]held
+	begun  map[string]begun
 	second int64 // of the last look
 }
 
+func newSizer() sizer {
+	return sizer{
+		places: map[placeKey]*placed{}, peaks: map[string]*[peakSeconds]int{}, holds: map[string]held{}, begun: map[string]begun{},
+	}
+}
+
 const (
 	// perEngine is how many requests one model engine runs without delaying their
 	// prompts much: each token step and prompt delays all others of the batch.
@@ -58,8 +65,11 @@
 	leastEngines = 3
 )
 
-// need returns how many engines a service needs for the requests that run.
-func (s *sizer) need(service string, running int, now time.Time) int {
+// need returns how many engines a service needs for the requests that run. A holder
+// that has not watched the load for long keeps the engines that are there, which
+// carry a load of carry: it may have begun before the traffic, or have taken over
+// from another one.
+func (s *sizer) need(service string, running, carry int, now time.Time) int {
 	m := s.peaks[service]
 	if m == nil {
 		m = &[peakSeconds]int{}
@@ -70,8 +80,25 @@
 	}
 	at := now.Unix() % peakSeconds
 	m[at] = max(m[at], running)
-	n := (slices.Max(m[:]) + perEngine - 1) / perEngine
-	return max(n, leastEngines)
+	n := max((slices.Max(m[:])+perEngine-1)/perEngine, leastEngines)
+	b := s.begun[service]
+	if b.loaded.IsZero() {
+		b.engines = max(b.engines, carry)
+		if running > 0 {
+			b.loaded = now
+		}
+		s.begun[service] = b
+	}
+	if b.loaded.IsZero() || now.Sub(b.loaded) < peakSeconds*time.Second {
+		return max(n, b.engines)
+	}
+	return n
+}
+
+// begun is what a holder found when it began.
+type begun struct {
+	engines int       // that carried the load, as far as is known
+	loaded  time.Time // when it first saw load
 }
 
 // hold returns the most engines that were missing in the last holdSeconds.
@@ -132,13 +159,20 @@
 		if svc.Scaling == nil {
 			continue
 		}
-		running := 0
+		running, steady, spare := 0, 0, 0
 		for _, x := range servers {
-			if x.Service == svc.Name {
-				running += loads[x.ID].Running
+			switch {
+			case x.Service != svc.Name:
+				continue
+			case x.Reclaimable:
+				spare++
+			default:
+				steady++
 			}
+			running += loads[x.ID].Running
 		}
-		need := r.sizer.need(svc.Name, running, now)
+		carry := max(steady, fleet.Carried(spare, len(svc.Scaling.Prices)))
+		need := r.sizer.need(svc.Name, running, carry, now)
 		v := r.sizer.view(svc, servers, need, now)
 		v.Hold = r.sizer.hold(svc.Name, v.Missing(), now)
 		for _, o := range fleet.Size(v) {
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -129,6 +129,12 @@
 	return (need + left - 1) / left
 }
 
+// Carried returns the load that engines in so many data centres were meant for, the
+// inverse of what Size orders for it.
+func Carried(engines, zones int) int {
+	return engines * max(zones-lostZones, 1) / max(zones, 1)
+}
+
 // placeSteady spreads engines that are not reclaimable over the data centres, the
 // cheapest first.
 func placeSteady(n, places int, want []Counts) {
