coord: Tell seeds who leads

Cause: with seeds that have no disk nobody knew the founder of the group and the deployment never came up. Found by TestFormsFromThreeSeeds, which failed first; the sites so far had a disk at each seed.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -132,6 +132,7 @@
 	cfg.Net.Handle(callPropose, c.handlePropose)
 	cfg.Net.Handle(callRead, c.handleRead)
 	cfg.Net.Handle(callFounder, c.handleFounder)
+	cfg.Net.Handle(callGreet, c.handleGreet)
 	c.wg.Go(c.report)
 	if cfg.Self.Durable {
 		c.wg.Go(c.runMember)
@@ -164,6 +165,7 @@
 	callPropose = "coord.propose"
 	callRead    = "coord.read"
 	callFounder = "coord.founder"
+	callGreet   = "coord.greet"
 )
 
 // The codes of errors of these calls.
@@ -221,7 +223,7 @@
 // FixUsage makes the counts of a window durable and returns those that hold, which
 // an earlier leader may have fixed.
 func (c *Coord) FixUsage(ctx context.Context, window int64, counts map[string]float64) (map[string]float64, error) {
-	s, err := c.propose(ctx, &coordpb.Command{Usage: &coordpb.Window{Number: window, Counts: countsOf(counts)}})
+	s, err := c.propose(ctx, &coordpb.Command{Usage: Window{window, counts}.proto()})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -39,6 +39,7 @@
 	numbers  uint64 // of the last change of the listed nodes
 	listed   []Node
 	lastTick time.Time
+	greeted  map[string]time.Time
 	held     []*coordpb.Held // the newest, in order
 	heldNext uint64          // number that follows the last of held
 }
@@ -65,7 +66,7 @@
 func newHub(term uint64, now time.Time) *hub {
 	return &hub{
 		term: term, since: now, roster: roster.New(), ledger: quota.NewLedger(),
-		nodes: map[nodeKey]*nodeState{}, lastTick: now,
+		nodes: map[nodeKey]*nodeState{}, lastTick: now, greeted: map[string]time.Time{},
 	}
 }
 
@@ -140,6 +141,25 @@
 	return slices.Compact(out)
 }
 
+// greetPause is how often a seed that does not report is told who leads.
+const greetPause = time.Second
+
+// toGreet reports whether a seed should be told who leads.
+func (h *hub) toGreet(id string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.listed {
+		if n.ID == id {
+			return false
+		}
+	}
+	if now.Sub(h.greeted[id]) < greetPause {
+		return false
+	}
+	h.greeted[id] = now
+	return true
+}
+
 // take counts the report of an instance.
 func (h *hub) take(req *coordpb.Sync, now time.Time) {
 	for _, p := range req.Servers {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -96,8 +96,11 @@
 	now := c.cfg.Clock()
 	c.lookHere(now)
 	c.mu.Lock()
-	v := c.view
+	v, h := c.view, c.hub
 	c.mu.Unlock()
+	if h != nil {
+		c.greet(h, now)
+	}
 	r := c.cfg.Local.Report(v.epoch == 0, now)
 	req := c.request(r, v, number, now)
 	asked := now
@@ -130,7 +133,7 @@
 		req.Servers = append(req.Servers, serverProto(s, now))
 	}
 	for _, w := range r.Windows {
-		req.Windows = append(req.Windows, &coordpb.Window{Number: w.Number, Counts: countsOf(w.Counts)})
+		req.Windows = append(req.Windows, w.proto())
 	}
 	for _, r := range r.Results {
 		req.Results = append(req.Results, &coordpb.Result{
@@ -288,6 +291,42 @@
 	}
 }
 
+// greet tells seeds that do not report to this leader who leads. They are the only
+// instances that others know at first, and need not be members themselves.
+func (c *Coord) greet(h *hub, now time.Time) {
+	for _, id := range c.cfg.Seeds() {
+		if id == c.cfg.Self.ID || !h.toGreet(id, now) {
+			continue
+		}
+		c.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
+			defer cancel()
+			ask := &coordpb.Ask{Id: c.cfg.Self.ID}
+			if err := c.cfg.Net.Call(ctx, id, callGreet, ask, &coordpb.Answer{}); err != nil {
+				c.cfg.Log.WithError(err).WithField("event", "seed.unreachable").WithField("seed", id).Debug("a seed does not answer")
+			}
+		})
+	}
+}
+
+// handleGreet takes the word of a leader, unless this instance has one already.
+func (c *Coord) handleGreet(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
+	var ask coordpb.Ask
+	if err := proto.Unmarshal(body, &ask); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if ask.Id != from.Node {
+		return nil, Error.New("%q greets as %q", from.Node, ask.Id)
+	}
+	c.mu.Lock()
+	if c.leader == "" {
+		c.leader = ask.Id
+	}
+	c.mu.Unlock()
+	c.Hurry()
+	return &coordpb.Answer{}, nil
+}
+
 // target returns whom to ask: the leader or, with try, another instance that may
 // know it.
 func (c *Coord) target(try bool) string {
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -21,6 +21,10 @@
 	Counts map[string]float64
 }
 
+func (w Window) proto() *coordpb.Window {
+	return &coordpb.Window{Number: w.Number, Counts: countsOf(w.Counts)}
+}
+
 // Result counts the answers of one version of a service since an instance's start.
 type Result struct {
 	Service, Version string
