--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -58,6 +58,9 @@
 	// peakSeconds is how long a peak of the load decides the size. Engines take
 	// several seconds to start and lose their caches when they stop.
 	peakSeconds = 20
+	// watchSeconds is how long a new holder watches the load before it gives up
+	// engines.
+	watchSeconds = 8
 	// holdSeconds is how long engines that are not reclaimable are kept after they
 	// were last missed: as long as one takes to start.
 	holdSeconds = 5
@@ -89,7 +92,7 @@
 		}
 		s.begun[service] = b
 	}
-	if b.loaded.IsZero() || now.Sub(b.loaded) < peakSeconds*time.Second {
+	if b.loaded.IsZero() || now.Sub(b.loaded) < watchSeconds*time.Second {
 		return max(n, b.engines)
 	}
 	return n
@@ -129,8 +132,6 @@
 				z.Spare++
 			case x.State == world.Ready:
 				z.Ready++
-			case x.Reclaimable && !x.LeaveBy.IsZero():
-				z.Leaving++
 			}
 		}
 		p := s.place(placeKey{svc.Name, dc})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,11 +17,13 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/metric"
 
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/duty"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/meter"
 	"cranberrypath.example/cranberrypath/internal/proxy"
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
@@ -67,6 +69,8 @@
 	AddressTime time.Duration
 	Clock       func() time.Time
 	Log         log.Interface
+	// Meters takes the metrics; nil for none.
+	Meters *meter.Meters
 }
 
 // Edge is a running instance. It is safe for concurrent use.
@@ -110,10 +114,21 @@
 			Control: cfg.Control, Durable: cfg.Dir != "", Started: now,
 		},
 	}
-	e.proxy = proxy.New(proxy.Config{
+	var m metric.Meter
+	if cfg.Meters != nil {
+		m = cfg.Meters
+	}
+	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Quota: e.quota, Retry: cfg.Retry, PerToken: prefillPerToken,
-		UsageWindow: cfg.Usage.Window, Clock: cfg.Clock, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.Peers),
+		UsageWindow: cfg.Usage.Window, Clock: cfg.Clock, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.Peers), Meter: m,
 	})
+	if err == nil && m != nil {
+		err = e.observe(m)
+	}
+	if err != nil {
+		_ = n.Close()
+		return nil, err
+	}
 	e.coord = coord.Start(coord.Config{
 		Self: e.self, Net: n, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.Dir, First: cfg.First,
 		MinVoters: 2*cfg.Losses + 1, Local: e, Rules: e.quotaRules, Heartbeat: cfg.Heartbeat, Clock: cfg.Clock, Log: cfg.Log,
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -14,7 +14,6 @@
 	Price      float64 // of an engine that is not reclaimable, a second
 	Ready      int     // engines that are not reclaimable
 	Spare      int     // reclaimable engines that are ready
-	Leaving    int     // reclaimable engines that are being taken away
 	Ordered    Counts  // last accepted order
 	OrderedAt  time.Time
 	// Refused is when a reclaimable engine was last refused here.
@@ -78,13 +77,9 @@
 			want[i].Reclaimable = z.Ordered.Reclaimable // to ask for fewer would give up those that run
 		}
 	}
-	placeSteady(max(v.Missing(), v.Hold), v.Max-each, want)
-	ready := v.ready()
+	placeSteady(max(v.Missing(), v.Hold, v.unreplaced()), v.Max-each, want)
 	var out []ZoneOrder
 	for i, z := range zones {
-		if ready < v.Need && z.OrderedAt.IsZero() {
-			want[i].Steady = max(want[i].Steady, min(z.Ready, v.Max-want[i].Reclaimable))
-		}
 		want[i].Steady = max(want[i].Steady, v.Min-want[i].Reclaimable)
 		if z.due(v, want[i]) {
 			out = append(out, ZoneOrder{z.DataCentre, want[i]})
@@ -93,33 +88,35 @@
 	return out
 }
 
-func (v ZoneView) ready() int {
-	n := 0
+// unreplaced returns how many of the running engines that are not reclaimable are
+// needed until their replacements are ready.
+func (v ZoneView) unreplaced() int {
+	steady, spares := 0, 0
 	for _, z := range v.Zones {
-		n += z.Spare
+		steady += z.Ready
+		spares += z.Spare
 	}
-	return n
+	return min(steady, max(v.Need-spares, 0))
 }
 
-// Missing returns how many engines the load needs beyond the reclaimable ones. While
-// reclaimable engines are being taken away or refused none of them counts: those
-// of the other data centres may be next, and others take several seconds to start.
+// Missing returns how many engines the load needs beyond the reclaimable ones that
+// are left when lostZones data centres lose theirs. Reclaims follow each other
+// faster than engines start, so the next ones are reckoned with at each.
 func (v ZoneView) Missing() int {
-	have, steady := 0, 0
+	var spares []int
 	for _, z := range v.Zones {
-		steady += z.Ready
-		if z.Leaving > 0 || z.blocked(v.Now) {
-			return v.Need
-		}
-		have += z.Spare
-		if v.Now.Sub(z.OrderedAt) < v.Boot+bootSlack {
-			have += max(z.Ordered.Reclaimable-z.Spare, 0)
+		n := z.Spare
+		if !z.blocked(v.Now) && v.Now.Sub(z.OrderedAt) < v.Boot+bootSlack {
+			n = max(n, z.Ordered.Reclaimable) // they come before a steady engine would
 		}
+		spares = append(spares, n)
 	}
-	if steady > 0 {
-		have = v.ready() // what runs is kept until its replacement does
+	slices.Sort(spares)
+	left := 0
+	for _, n := range spares[:max(len(spares)-lostZones, 1)] {
+		left += n
 	}
-	return max(v.Need-have, 0)
+	return max(v.Need-left, 0)
 }
 
 // perZone returns the reclaimable engines of each data centre such that need are
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,13 +13,13 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/metric"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/coord"
@@ -80,6 +80,7 @@
 	Clock       func() time.Time
 	Log         log.Interface
 	Seed        uint64
+	Meter       metric.Meter // nil for none
 }
 
 // RetryLimit bounds the requests that a service gets more than once, over all
@@ -92,8 +93,9 @@
 
 // Proxy is the request path of one instance. It is safe for concurrent use.
 type Proxy struct {
-	cfg   Config
-	table *route.Table
+	cfg    Config
+	table  *route.Table
+	meters *meters
 
 	config     atomic.Pointer[routes.Config]
 	configured chan struct{} // closed with the first configuration
@@ -107,27 +109,24 @@
 	rollouts map[string]coord.Rollout
 	windows  map[int64]map[string]float64
 	results  map[[2]string]*coord.Result
-	counts   Counts
 	told     map[heldKey]time.Time // when others were told
 	held     []coord.Held          // to tell
 }
 
-// Counts are the requests since the start, by outcome.
-type Counts struct {
-	Answered, Failed, Broken, Left uint64
-	Refused                        [Lost + 1]uint64 // by cause
-	Retries, Resumes               uint64
-}
-
-// New returns a proxy without configuration and servers.
-func New(cfg Config) *Proxy {
+// New returns a proxy without configuration and servers. It fails only if the
+// metrics cannot be created.
+func New(cfg Config) (*Proxy, error) {
+	m, err := newMeters(cfg.Meter)
+	if err != nil {
+		return nil, err
+	}
 	return &Proxy{
-		cfg: cfg, table: route.New(route.Config{Seed: cfg.Seed, PerToken: cfg.PerToken}),
+		cfg: cfg, meters: m, table: route.New(route.Config{Seed: cfg.Seed, PerToken: cfg.PerToken}),
 		configured: make(chan struct{}),
 		rnd:        rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
 		servers: map[string]roster.Server{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
 		windows: map[int64]map[string]float64{}, results: map[[2]string]*coord.Result{}, told: map[heldKey]time.Time{},
-	}
+	}, nil
 }
 
 // SetConfig puts a configuration in force.
@@ -297,63 +296,60 @@
 	return out
 }
 
-// Counts returns the requests by outcome.
-func (p *Proxy) Counts() Counts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts
-}
-
-func (p *Proxy) count(f func(*Counts)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f(&p.counts)
-}
-
 // Serve answers one request. It returns nil if the caller has a complete answer,
 // a *Refusal if nothing was written to w, or ErrBroken. The context ends when
 // the caller leaves.
 func (p *Proxy) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	x := &run{p: p, r: r, w: w}
 	err := x.serve(ctx)
-	now := p.cfg.Clock()
-	if ctx.Err() != nil && err != nil {
-		p.count(func(c *Counts) { c.Left++ })
-		x.log("left", now).Info("the caller left")
-		return err
-	}
+	outcome, reason := "answered", "answered"
 	var refusal *Refusal
 	switch {
 	case err == nil:
-		p.count(func(c *Counts) { c.Answered++ })
+	case ctx.Err() != nil:
+		outcome, reason = "left", "callerLeft"
 	case errors.As(err, &refusal):
-		p.count(func(c *Counts) { c.Refused[refusal.Cause]++ })
-		x.log(refusal.Cause.String(), now).Info("request refused")
+		outcome, reason = "refused", refusal.Cause.String()
+		if refusal.Cause >= TimedOut {
+			outcome = "failed"
+		}
 	default:
-		p.count(func(c *Counts) { c.Broken++ })
-		x.log("broken", now).Warn("answer broken off")
+		outcome, reason = "broken", "streamLost"
 	}
+	x.ended(outcome, reason, p.cfg.Clock())
 	return err
 }
 
-func (x *run) log(reason string, now time.Time) log.Interface {
+// ended writes the log line and the metrics of a request.
+func (x *run) ended(outcome, reason string, now time.Time) {
 	f := log.Fields{
-		"event": "request.ended", "reason": reason, "request": x.r.ID, "tookMs": now.Sub(x.r.Arrived).Milliseconds(),
-		"runs": x.runs, "sends": x.sends, "tried": strings.Join(x.tried, ","),
-	}
-	if x.route != nil {
-		f["route"], f["service"] = x.route.Name, x.service
+		"event": "request.ended", "outcome": outcome, "reason": reason, "request": x.r.ID,
+		"tookMs": now.Sub(x.r.Arrived).Milliseconds(), "runs": x.runs, "sends": x.sends,
 	}
+	name := ""
 	if x.cfg != nil {
 		f["config"] = x.cfg.Version
 	}
+	if x.route != nil {
+		name = x.route.Name
+		f["route"], f["service"] = name, x.service
+	}
 	if x.org != nil {
 		f["organisation"], f["cost"], f["level"] = x.org.Name, x.cost(), int(x.p.cfg.Quota.Level(x.org.Name, now))
 	}
+	if len(x.trials) > 0 {
+		f["tried"] = x.trials
+	}
 	if x.lastErr != nil {
 		f["error"] = x.lastErr.Error()
 	}
-	return x.p.cfg.Log.WithFields(f)
+	x.p.meters.request(name, outcome, reason, now.Sub(x.r.Arrived))
+	l := x.p.cfg.Log.WithFields(f)
+	if outcome == "failed" || outcome == "broken" {
+		l.Warn("request ended without its answer")
+		return
+	}
+	l.Info("request ended")
 }
 
 // notRun reports whether an attempt that failed surely did not run.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -94,10 +94,13 @@
 
 func newProxy(t *testing.T, s Sender, servers int) *Proxy {
 	t.Helper()
-	p := New(Config{
+	p, err := New(Config{
 		Sender: s, Quota: quota.NewBuckets(), Clock: time.Now, Log: &log.Logger{Handler: discard.New()},
 		Retry: RetryLimit{Window: 10 * time.Second, Share: 0.1, Slack: 100}, UsageWindow: time.Second,
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	now := time.Now()
 	p.SetConfig(testConfig(t), now)
 	var all []roster.Server
@@ -226,7 +229,10 @@
 // Guards against a request that waits for ever, or is refused at once, at an
 // instance that has just started.
 func TestWaitsForTheFirstConfiguration(t *testing.T) {
-	p := New(Config{Sender: &script{steps: []step{{status: 200}}}, Quota: quota.NewBuckets(), Clock: time.Now, Log: &log.Logger{Handler: discard.New()}})
+	p, err := New(Config{Sender: &script{steps: []step{{status: 200}}}, Quota: quota.NewBuckets(), Clock: time.Now, Log: &log.Logger{Handler: discard.New()}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	r := request("/safe/")
 	r.Patience = 30 * time.Millisecond
 	var refusal *Refusal
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/route"
@@ -50,6 +51,7 @@
 	sends   int
 	runs    int      // servers that may have run it
 	tried   []string // servers it was sent to
+	trials  []report // what came of it, for the log
 	lastErr error
 
 	begun     bool   // the caller has the header
@@ -163,12 +165,6 @@
 		if x.sends >= maxSends || x.runs > 0 && (!x.route.Repeatable() || x.runs >= x.route.Attempts) {
 			return x.giveUp(Full)
 		}
-		x.p.count(func(c *Counts) {
-			c.Retries++
-			if x.begun {
-				c.Resumes++
-			}
-		})
 	}
 }
 
@@ -255,6 +251,7 @@
 	}
 	resp, err := p.cfg.Sender.Send(ctx, x.r, a)
 	if err != nil {
+		t.err = err
 		if notRun(err) {
 			t.failed = ctx.Err() == nil
 			return false, err
@@ -267,7 +264,9 @@
 	if resp.NotRun || resp.Other {
 		t.failed = resp.Other
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, bufferBytes)) // so that the connection can be kept
-		return false, Error.New("server %q refused with status %d", server.ID, resp.Status)
+		err := &backnd.CallError{Outcome: backnd.NotRun, Status: resp.Status, Err: Error.New("refused by the server")}
+		t.err = err
+		return false, err
 	}
 	x.runs++
 	if resp.Events && resp.Status == http.StatusOK && x.route.Kind == routes.Stream {
@@ -313,7 +312,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferBytes+1))
 	if err != nil {
-		t.failed = true
+		t.failed, t.err = true, err
 		return x.lostAnswer(err)
 	}
 	t.first(resp.Status)
@@ -407,6 +406,23 @@
 	failed  bool
 	status  int
 	took    time.Duration // to the first byte
+	err     error
+	last    time.Time     // of the last events passed on
+	pause   time.Duration // longest between events
+}
+
+// report is one attempt in the log: the server, what was known of it when it was
+// chosen, and what came of it.
+type report struct {
+	Server     string `json:"server"`
+	ExpectedMs int64  `json:"expectedMs"` // to the first byte
+	FirstMs    int64  `json:"firstMs"`    // 0 without one
+	TookMs     int64  `json:"tookMs"`
+	PauseMs    int64  `json:"pauseMs,omitempty"`
+	Cached     int    `json:"cached,omitempty"`  // prompt tokens expected in its cache
+	Fetched    int    `json:"fetched,omitempty"` // prompt tokens to fetch from another server
+	Status     int    `json:"status,omitempty"`
+	Error      string `json:"error,omitempty"`
 }
 
 // first records that the answer has begun.
@@ -440,6 +456,18 @@
 // end records the result of the attempt.
 func (t *trial) end() {
 	p, now := t.x.p, t.x.p.cfg.Clock()
+	line := report{
+		Server: t.server.ID, ExpectedMs: t.choice.Expected.Milliseconds(), FirstMs: t.took.Milliseconds(),
+		TookMs: now.Sub(t.sent).Milliseconds(), PauseMs: t.pause.Milliseconds(), Cached: t.choice.CachedTokens,
+		Fetched: t.choice.FetchTokens, Status: t.status,
+	}
+	outcome := "answered"
+	if t.err != nil {
+		line.Error = t.err.Error()
+		outcome = backnd.OutcomeOf(t.err).String()
+	}
+	t.x.trials = append(t.x.trials, line)
+	p.meters.attempt(t, outcome)
 	waiting := 0
 	if t.waiting {
 		waiting = -1
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 )
@@ -123,6 +124,7 @@
 		b, err := e.next()
 		if len(b) > 0 {
 			t.first(resp.Status)
+			t.passed(x.p.cfg.Clock())
 			b = after(b, x.lastEvent)
 		}
 		if len(b) > 0 {
@@ -139,7 +141,7 @@
 			}
 			return true, nil
 		}
-		t.failed = ctx.Err() == nil
+		t.failed, t.err = ctx.Err() == nil, err
 		if ctx.Err() != nil {
 			x.lastErr = context.Cause(ctx)
 			return true, x.giveUp(TimedOut)
@@ -148,6 +150,14 @@
 	}
 }
 
+// passed records when events arrived.
+func (t *trial) passed(now time.Time) {
+	if !t.last.IsZero() {
+		t.pause = max(t.pause, now.Sub(t.last))
+	}
+	t.last = now
+}
+
 // pass writes events to the caller and flushes them.
 func (x *run) pass(resp *Response, b []byte) error {
 	if !x.begun {
