--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/fleet"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/routes"
@@ -33,7 +34,10 @@
 type placed struct {
 	ordered fleet.Counts
 	at      time.Time
+	spareAt time.Time // of the last order of reclaimable engines
+	seen    int       // most of them that were ready since
 	refused time.Time // a reclaimable engine
+	dry     bool      // and none was given since
 }
 
 // sizer orders engines.
@@ -98,6 +102,14 @@
 	return n
 }
 
+// demand is how many requests a backend server has to run at once. Those that wait
+// for it count at most twice as much as it runs: behind a server that is lost or
+// slow any number waits, and the callers of most have left before others start.
+func demand(l coord.Load) int {
+	runs := l.Running - l.Waiting
+	return runs + min(l.Waiting, 2*runs+perEngine)
+}
+
 // begun is what a holder found when it began.
 type begun struct {
 	engines int       // that carried the load, as far as is known
@@ -135,7 +147,12 @@
 			}
 		}
 		p := s.place(placeKey{svc.Name, dc})
-		z.Ordered, z.OrderedAt, z.Refused = p.ordered, p.at, p.refused
+		p.seen = max(p.seen, z.Spare)
+		z.Ordered, z.OrderedAt, z.SpareAt, z.Seen = p.ordered, p.at, p.spareAt, p.seen
+		z.Refused, z.Dry = p.refused, p.dry
+		if p.at.IsZero() {
+			z.Ordered = fleet.Counts{Steady: z.Ready, Reclaimable: z.Spare} // by an earlier holder
+		}
 		v.Zones = append(v.Zones, z)
 	}
 	return v
@@ -160,7 +177,7 @@
 		if svc.Scaling == nil {
 			continue
 		}
-		running, steady, spare := 0, 0, 0
+		load, steady, spare := 0, 0, 0
 		for _, x := range servers {
 			switch {
 			case x.Service != svc.Name:
@@ -170,14 +187,14 @@
 			default:
 				steady++
 			}
-			running += loads[x.ID].Running
+			load += demand(loads[x.ID])
 		}
 		carry := max(steady, fleet.Carried(spare, len(svc.Scaling.Prices)))
-		need := r.sizer.need(svc.Name, running, carry, now)
+		need := r.sizer.need(svc.Name, load, carry, now)
 		v := r.sizer.view(svc, servers, need, now)
 		v.Hold = r.sizer.hold(svc.Name, v.Missing(), now)
 		for _, o := range fleet.Size(v) {
-			r.order(svc.Name, o, need, running, now)
+			r.order(svc.Name, o, need, load, now)
 		}
 	}
 	r.sizer.second = now.Unix()
@@ -185,27 +202,28 @@
 
 // order sends the orders for one data centre, the reclaimable kind first so that
 // the sum never falls below what runs.
-func (r *Runner) order(service string, o fleet.ZoneOrder, need, running int, now time.Time) {
+func (r *Runner) order(service string, o fleet.ZoneOrder, need, load int, now time.Time) {
 	p := r.sizer.place(placeKey{service, o.DataCentre})
 	first := p.at.IsZero()
 	p.at = now
 	if first || o.Want.Reclaimable != p.ordered.Reclaimable || o.Want == p.ordered {
-		switch err := r.send(Order{service, o.DataCentre, true, o.Want.Reclaimable}, need, running); {
+		p.spareAt, p.seen = now, 0
+		switch err := r.send(Order{service, o.DataCentre, true, o.Want.Reclaimable}, need, load); {
 		case errors.Is(err, ErrNoneAvailable):
-			p.refused = now
+			p.refused, p.dry = now, true
 		case err == nil:
-			p.ordered.Reclaimable = o.Want.Reclaimable
+			p.ordered.Reclaimable, p.dry = o.Want.Reclaimable, false
 		}
 	}
 	if first || o.Want.Steady != p.ordered.Steady {
-		if r.send(Order{service, o.DataCentre, false, o.Want.Steady}, need, running) == nil {
+		if r.send(Order{service, o.DataCentre, false, o.Want.Steady}, need, load) == nil {
 			p.ordered.Steady = o.Want.Steady
 		}
 	}
 }
 
 // send makes one call to the platform and logs its outcome.
-func (r *Runner) send(o Order, need, running int) error {
+func (r *Runner) send(o Order, need, load int) error {
 	f, ok := r.holds()
 	if !ok {
 		return Error.New("this instance does not hold the duty any more")
@@ -215,7 +233,7 @@
 	err := r.cfg.Platform.Scale(ctx, f, o)
 	l := r.cfg.Log.WithFields(log.Fields{
 		"event": "duty.scale", "service": o.Service, "dataCentre": o.DataCentre, "reclaimable": o.Reclaimable, "count": o.Count,
-		"need": need, "running": running, "token": f.Token,
+		"need": need, "load": load, "token": f.Token,
 	})
 	switch {
 	case errors.Is(err, ErrNoneAvailable):
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -16,8 +16,12 @@
 	Spare      int     // reclaimable engines that are ready
 	Ordered    Counts  // last accepted order
 	OrderedAt  time.Time
-	// Refused is when a reclaimable engine was last refused here.
+	SpareAt    time.Time // when reclaimable engines were last ordered
+	Seen       int       // most reclaimable engines that were ready since then
+	// Refused is when a reclaimable engine was last refused here; Dry is set until an
+	// order was taken again.
 	Refused time.Time
+	Dry     bool
 }
 
 // Counts are numbers of engines by kind.
@@ -45,8 +49,7 @@
 	// reclaims follow each other within seconds, and new engines are not to be had
 	// for a while after each.
 	lostZones = 2
-	// steadyPlaces is how many places of each data centre are left for engines that
-	// are not reclaimable.
+	// steadyPlaces is how many places of each data centre one kind leaves to the other.
 	steadyPlaces = 2
 	// refusedPause is the wait before a data centre that had no reclaimable engines is
 	// asked again.
@@ -77,10 +80,13 @@
 			want[i].Reclaimable = z.Ordered.Reclaimable // to ask for fewer would give up those that run
 		}
 	}
-	placeSteady(max(v.Missing(), v.Hold, v.unreplaced()), v.Max-each, want)
+	v.placeSteady(max(v.Missing(), v.Hold, v.unreplaced()), each, zones, want)
 	var out []ZoneOrder
 	for i, z := range zones {
 		want[i].Steady = max(want[i].Steady, v.Min-want[i].Reclaimable)
+		if !z.blocked(v.Now) {
+			want[i].Reclaimable = min(want[i].Reclaimable, v.Max-want[i].Steady)
+		}
 		if z.due(v, want[i]) {
 			out = append(out, ZoneOrder{z.DataCentre, want[i]})
 		}
@@ -99,21 +105,25 @@
 	return min(steady, max(v.Need-spares, 0))
 }
 
-// Missing returns how many engines the load needs beyond the reclaimable ones that
-// are left when lostZones data centres lose theirs. Reclaims follow each other
-// faster than engines start, so the next ones are reckoned with at each.
+// Missing returns how many engines the load needs beyond the reclaimable ones. While
+// these are refused somewhere, only those count that are left when lostZones further
+// data centres lose theirs: reclaims follow each other faster than engines start.
 func (v ZoneView) Missing() int {
 	var spares []int
+	lost := 0
 	for _, z := range v.Zones {
 		n := z.Spare
-		if !z.blocked(v.Now) && v.Now.Sub(z.OrderedAt) < v.Boot+bootSlack {
+		if z.Dry {
+			lost = lostZones
+		}
+		if !z.blocked(v.Now) && !z.lost() && v.Now.Sub(z.SpareAt) < v.Boot+bootSlack {
 			n = max(n, z.Ordered.Reclaimable) // they come before a steady engine would
 		}
 		spares = append(spares, n)
 	}
 	slices.Sort(spares)
 	left := 0
-	for _, n := range spares[:max(len(spares)-lostZones, 1)] {
+	for _, n := range spares[:max(len(spares)-lost, 1)] {
 		left += n
 	}
 	return max(v.Need-left, 0)
@@ -132,27 +142,47 @@
 	return engines * max(zones-lostZones, 1) / max(zones, 1)
 }
 
-// placeSteady spreads engines that are not reclaimable over the data centres, the
-// cheapest first.
-func placeSteady(n, places int, want []Counts) {
-	for range places {
-		for i := range want {
-			if n > 0 {
+// placeSteady spreads engines that are not reclaimable over the data centres: where
+// they were ordered before, so that none is given up to start another elsewhere,
+// then the cheapest first.
+func (v ZoneView) placeSteady(n, each int, zones []ZoneEngines, want []Counts) {
+	for i, z := range zones {
+		want[i].Steady = min(n, z.Ordered.Steady, v.places(z, each))
+		n -= want[i].Steady
+	}
+	for placed := true; n > 0 && placed; {
+		placed = false
+		for i, z := range zones {
+			if n > 0 && want[i].Steady < v.places(z, each) {
 				want[i].Steady++
 				n--
+				placed = true
 			}
 		}
 	}
 }
 
+// places returns how many engines that are not reclaimable a data centre may have.
+// Where reclaimable ones are not to be had they take their places, but for a few
+// with which the platform is asked again.
+func (v ZoneView) places(z ZoneEngines, each int) int {
+	if z.Dry {
+		return v.Max - max(z.Spare, steadyPlaces)
+	}
+	return max(v.Max-each, min(z.Ordered.Steady, v.Max-steadyPlaces))
+}
+
 // blocked reports whether a data centre gives no reclaimable engines now.
 func (z ZoneEngines) blocked(now time.Time) bool {
 	return !z.Refused.IsZero() && now.Sub(z.Refused) < refusedPause
 }
 
+// lost reports whether reclaimable engines were taken away since they were ordered.
+func (z ZoneEngines) lost() bool { return z.Spare < min(z.Seen, z.Ordered.Reclaimable) }
+
 // due reports whether an order is new, or has not had its effect in time.
 func (z ZoneEngines) due(v ZoneView, want Counts) bool {
-	if z.OrderedAt.IsZero() || want != z.Ordered {
+	if z.OrderedAt.IsZero() || want != z.Ordered || z.lost() && !z.blocked(v.Now) {
 		return true
 	}
 	missing := z.Ready < want.Steady || z.Spare < want.Reclaimable
