--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -247,7 +247,7 @@
 		}
 		for _, l := range n.loads {
 			s := sum[l.Server]
-			sum[l.Server] = Load{l.Server, s.Running + l.Running, s.Waiting + l.Waiting}
+			sum[l.Server] = Load{l.Server, s.Running + l.Running, s.Waiting + l.Waiting, s.Tokens + l.Tokens}
 		}
 	}
 	out := make([]Load, 0, len(sum))
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -13,6 +13,7 @@
 	Server  string
 	Running int
 	Waiting int // of Running, those without a first byte
+	Tokens  int // prompt tokens that the waiting ones have to read
 }
 
 // Window holds how many requests began to run in one window, by organisation.
@@ -138,7 +139,7 @@
 func loadsProto(loads []Load) []*coordpb.Load {
 	out := make([]*coordpb.Load, len(loads))
 	for i, l := range loads {
-		out[i] = &coordpb.Load{Id: l.Server, Running: uint32(l.Running), Waiting: uint32(l.Waiting)}
+		out[i] = &coordpb.Load{Id: l.Server, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Tokens: uint32(max(l.Tokens, 0))}
 	}
 	return out
 }
@@ -146,7 +147,7 @@
 func loadsOf(loads []*coordpb.Load) []Load {
 	out := make([]Load, len(loads))
 	for i, l := range loads {
-		out[i] = Load{Server: l.Id, Running: int(l.Running), Waiting: int(l.Waiting)}
+		out[i] = Load{Server: l.Id, Running: int(l.Running), Waiting: int(l.Waiting), Tokens: int(l.Tokens)}
 	}
 	return out
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -206,10 +206,10 @@
 		load := world.Load{At: at}
 		for _, l := range all {
 			if l.Server == id {
-				load.Running, load.Waiting = l.Running, l.Waiting
+				load.Running, load.WaitingTokens = l.Running, l.Tokens
 				if own := p.loads[id]; own != nil {
 					// The table knows the prefills of this instance itself.
-					load.Waiting = max(load.Waiting-own.Waiting, 0)
+					load.WaitingTokens = max(load.WaitingTokens-own.Tokens, 0)
 				}
 			}
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -240,7 +240,7 @@
 	x.sends++
 	x.tried = append(x.tried, server.ID)
 	p.table.Started(server.ID, choice.Cost, sent)
-	p.work(server.ID, 1, 1)
+	p.work(coord.Load{Server: server.ID, Running: 1, Waiting: 1, Tokens: choice.Cost.UncachedTokens})
 	t := &trial{x: x, server: server, choice: choice, sent: sent, waiting: true}
 	defer t.end()
 	ctx, cancel := context.WithCancel(ctx)
@@ -384,16 +384,17 @@
 }
 
 // work counts this instance's outstanding requests at a server.
-func (p *Proxy) work(id string, running, waiting int) {
+func (p *Proxy) work(change coord.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.loads[id]
+	l := p.loads[change.Server]
 	if l == nil {
-		l = &coord.Load{Server: id}
-		p.loads[id] = l
+		l = &coord.Load{Server: change.Server}
+		p.loads[change.Server] = l
 	}
-	l.Running += running
-	l.Waiting += waiting
+	l.Running += change.Running
+	l.Waiting += change.Waiting
+	l.Tokens += change.Tokens
 }
 
 // trial is one attempt at one server.
@@ -432,7 +433,7 @@
 	}
 	p, now := t.x.p, t.x.p.cfg.Clock()
 	t.waiting, t.status, t.took = false, status, now.Sub(t.sent)
-	p.work(t.server.ID, 0, -1)
+	p.work(coord.Load{Server: t.server.ID, Waiting: -1, Tokens: -t.choice.Cost.UncachedTokens})
 	if shared := len(t.x.parts) - 1; shared > 0 {
 		p.noteHeld(t.server.ID, t.x.parts[:shared], now)
 	}
@@ -468,11 +469,11 @@
 	}
 	t.x.trials = append(t.x.trials, line)
 	p.meters.attempt(t, outcome)
-	waiting := 0
+	change := coord.Load{Server: t.server.ID, Running: -1}
 	if t.waiting {
-		waiting = -1
+		change.Waiting, change.Tokens = -1, -t.choice.Cost.UncachedTokens
 	}
-	p.work(t.server.ID, -1, waiting)
+	p.work(change)
 	p.table.Ended(t.server.ID, route.Result{Cost: t.choice.Cost, Failed: t.failed, Took: now.Sub(t.sent)}, now)
 	if t.status == 0 && !t.failed {
 		return
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -288,6 +288,7 @@
 	if s.busy.After(now) {
 		d += s.busy.Sub(now).Seconds()
 	}
+	d += float64(s.load.WaitingTokens) * s.perToken().Seconds() * s.trust(now)
 	if s.group != nil && s.load.Waiting > 0 {
 		d += float64(s.load.Waiting) * s.group.prompt * s.perToken().Seconds() * s.trust(now)
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -97,6 +97,7 @@
 type Load struct {
 	Running         int
 	Waiting         int
+	WaitingTokens   int     // prompt tokens that waiting requests have to read; 0 if it is not known
 	CacheUsed       float64 // 0 to 1
 	TokensPerSecond float64 // generated, over the last second
 	PrefillPerToken time.Duration
