--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -415,16 +415,20 @@
 	return h.usage(window), fixed
 }
 
-// Results returns the answers by service and version, summed over all instances.
-// They are known at the leader only.
-func (c *Coord) Results() []Result {
+// TakeJudged returns the results of versions on trial that arrived since the last
+// call. They come to the leader only.
+func (c *Coord) TakeJudged() [][]byte {
 	c.mu.Lock()
 	h := c.hub
 	c.mu.Unlock()
 	if h == nil {
 		return nil
 	}
-	return h.results()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := h.judged
+	h.judged = nil
+	return out
 }
 
 // Rollouts returns the recorded rollouts. They are known on members only.
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,21 +91,20 @@
 	all   []*instance
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
+// addresses counts the loopback addresses given out. Each instance has its own IP
+// address, so that no other test or connection takes its port while it is stopped.
+var addresses atomic.Uint32
+
+func freeAddress() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.77.%d.%d:7600", n/250, n%250+1)
 }
 
 func deploy(t *testing.T, disks, others int) *deployment {
 	t.Helper()
 	d := &deployment{t: t}
 	for range disks + others {
-		d.all = append(d.all, &instance{addr: freeAddress(t)})
+		d.all = append(d.all, &instance{addr: freeAddress()})
 	}
 	for i := range 3 {
 		d.seeds = append(d.seeds, d.all[(i+others)%len(d.all)].addr)
@@ -237,7 +236,7 @@
 	eventually(t, "all disks vote", func() bool { return len(d.voters()) == 4 })
 	gone := d.all[1]
 	d.stop(gone)
-	fresh := &instance{addr: freeAddress(t), fs: disk.NewFake(99)}
+	fresh := &instance{addr: freeAddress(), fs: disk.NewFake(99)}
 	d.all = append(d.all, fresh)
 	d.start(fresh, false)
 	eventually(t, "the new member votes and the lost one does not", func() bool {
--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -40,6 +40,7 @@
 	listed   []Node
 	lastTick time.Time
 	greeted  map[string]time.Time
+	judged   [][]byte        // reports that the controller of rollouts has not taken
 	held     []*coordpb.Held // the newest, in order
 	heldNext uint64          // number that follows the last of held
 }
@@ -47,6 +48,9 @@
 // keepHeld is how many records of prompts are kept for instances that missed some.
 const keepHeld = 1024
 
+// keepJudged bounds the reports that wait for the controller of rollouts.
+const keepJudged = 4096
+
 // nodeKey names one process; a restarted one counts anew.
 type nodeKey struct {
 	id      string
@@ -60,7 +64,6 @@
 	version uint64
 	loads   []Load
 	windows []Window
-	results []Result
 }
 
 func newHub(term uint64, now time.Time) *hub {
@@ -182,12 +185,12 @@
 	}
 	n.node, n.heard, n.version = node, now, req.Node.ConfigVersion
 	n.loads = loadsOf(req.Loads)
-	n.windows, n.results = nil, nil
+	n.windows = nil
 	for _, w := range req.Windows {
 		n.windows = append(n.windows, Window{w.Number, amounts(w.Counts)})
 	}
-	for _, r := range req.Results {
-		n.results = append(n.results, Result{r.Service, r.Version, r.Good, r.Bad, r.Seconds})
+	if len(req.Judged) > 0 && len(h.judged) < keepJudged {
+		h.judged = append(h.judged, req.Judged)
 	}
 	h.held = append(h.held, req.Held...)
 	h.heldNext += uint64(len(req.Held))
@@ -274,23 +277,3 @@
 	}
 	return out
 }
-
-// results sums the answers by service and version.
-func (h *hub) results() []Result {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []Result
-	for _, n := range h.nodes {
-		for _, r := range n.results {
-			i := slices.IndexFunc(out, func(o Result) bool { return o.Service == r.Service && o.Version == r.Version })
-			if i < 0 {
-				out = append(out, r)
-				continue
-			}
-			out[i].Good += r.Good
-			out[i].Bad += r.Bad
-			out[i].Seconds += r.Seconds
-		}
-	}
-	return out
-}
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -33,16 +33,17 @@
 	Duration        time.Duration
 	Phase           Phase
 	Share           float64 // of the new requests that may go to the target
-	Reason          string  // why the phase or share is what it is
-	Serial          uint64  // number of the order; a later order has a higher one
+	ShareAt         time.Time
+	Reason          string // why the phase or share is what it is
+	Serial          uint64 // number of the order; a later order has a higher one
 }
 
 // Ends returns the deadline.
 func (r Rollout) Ends() time.Time { return r.Started.Add(r.Duration) }
 
 // WithShare returns a copy with another share.
-func (r Rollout) WithShare(share float64, reason string) Rollout {
-	r.Share, r.Reason = share, reason
+func (r Rollout) WithShare(share float64, at time.Time, reason string) Rollout {
+	r.Share, r.ShareAt, r.Reason = share, at, reason
 	return r
 }
 
@@ -56,14 +57,16 @@
 	return Rollout{
 		Service: p.Service, Target: p.Target, Started: time.UnixMilli(p.StartedMs),
 		Duration: time.Duration(p.DurationMs) * time.Millisecond,
-		Phase:    Phase(p.State), Share: p.Share, Reason: p.Reason, Serial: p.Serial,
+		Phase:    Phase(p.State), Share: p.Share, ShareAt: time.UnixMilli(p.ShareAtMs), Reason: p.Reason,
+		Serial: p.Serial,
 	}
 }
 
 func (r Rollout) proto() *coordpb.Rollout {
 	return &coordpb.Rollout{
 		Service: r.Service, Target: r.Target, StartedMs: r.Started.UnixMilli(), DurationMs: r.Duration.Milliseconds(),
-		State: uint32(r.Phase), Share: r.Share, Reason: r.Reason, Serial: r.Serial,
+		State: uint32(r.Phase), Share: r.Share, ShareAtMs: r.ShareAt.UnixMilli(), Reason: r.Reason,
+		Serial: r.Serial,
 	}
 }
 
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -125,7 +125,7 @@
 	self := c.cfg.Self
 	self.Ready = r.Ready
 	req := &coordpb.Sync{
-		Node: self.proto(), Epoch: v.epoch, ServersSeen: v.servers, NodesSeen: v.nodes, RolloutsSeen: v.rollouts, Held: heldProto(r.Held), HeldSeen: v.held,
+		Node: self.proto(), Epoch: v.epoch, ServersSeen: v.servers, NodesSeen: v.nodes, RolloutsSeen: v.rollouts, Held: heldProto(r.Held), HeldSeen: v.held, Judged: r.Judged,
 		Spent: countsOf(r.Spent), SpentNumber: number, Loads: loadsProto(r.Loads),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
@@ -135,11 +135,6 @@
 	for _, w := range r.Windows {
 		req.Windows = append(req.Windows, w.proto())
 	}
-	for _, r := range r.Results {
-		req.Results = append(req.Results, &coordpb.Result{
-			Service: r.Service, Version: r.Version, Good: r.Good, Bad: r.Bad, Seconds: r.Seconds,
-		})
-	}
 	return req
 }
 
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -26,13 +26,6 @@
 	return &coordpb.Window{Number: w.Number, Counts: countsOf(w.Counts)}
 }
 
-// Result counts the answers of one version of a service since an instance's start.
-type Result struct {
-	Service, Version string
-	Good, Bad        uint64
-	Seconds          float64 // sum of the times to the first byte of the good ones
-}
-
 // Part is one part of a prompt that other prompts may share.
 type Part struct {
 	Hash   uint64 // of it and all parts before it
@@ -53,8 +46,8 @@
 	Spent         map[string]float64 // of each organisation's rate since the last report
 	Loads         []Load
 	Windows       []Window // all counts of recent windows
-	Results       []Result
-	Held          []Held // since the last report
+	Held          []Held   // since the last report
+	Judged        []byte   // results of versions on trial, as package judge encodes them
 }
 
 // View is what an instance learns from the leader. Nil fields have not changed.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/duty"
+	"cranberrypath.example/cranberrypath/internal/judge"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/meter"
 	"cranberrypath.example/cranberrypath/internal/proxy"
@@ -82,6 +83,8 @@
 	quota  *quota.Buckets
 	roster *roster.Roster
 	duties *duty.Runner
+	judged *judge.Recorder
+	trials *trials
 	self   coord.Node
 
 	draining atomic.Bool
@@ -114,13 +117,14 @@
 			Control: cfg.Control, Durable: cfg.Dir != "", Started: now,
 		},
 	}
+	e.judged = judge.NewRecorder(cfg.Peers, uint64(now.UnixNano()))
 	var m metric.Meter
 	if cfg.Meters != nil {
 		m = cfg.Meters
 	}
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Quota: e.quota, Retry: cfg.Retry, PerToken: prefillPerToken,
-		UsageWindow: cfg.Usage.Window, Clock: cfg.Clock, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.Peers), Meter: m,
+		UsageWindow: cfg.Usage.Window, Clock: cfg.Clock, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.Peers), Meter: m, Judged: e.judged,
 	})
 	if err == nil && m != nil {
 		err = e.observe(m)
@@ -133,6 +137,9 @@
 		Self: e.self, Net: n, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.Dir, First: cfg.First,
 		MinVoters: 2*cfg.Losses + 1, Local: e, Rules: e.quotaRules, Heartbeat: cfg.Heartbeat, Clock: cfg.Clock, Log: cfg.Log,
 	})
+	if e.self.Durable {
+		e.trials = startTrials(e)
+	}
 	if cfg.Duties != nil && e.self.Durable {
 		e.duties = duty.Start(duty.Config{
 			Name: cfg.Name, Coord: e.coord, Platform: cfg.Duties, Timing: cfg.Usage, Organisations: e.organisations,
@@ -148,6 +155,9 @@
 	if e.duties != nil {
 		e.duties.Close()
 	}
+	if e.trials != nil {
+		e.trials.close()
+	}
 	err := e.coord.Close()
 	if nerr := e.net.Close(); err == nil {
 		err = nerr
@@ -257,7 +267,7 @@
 // OrderRollout accepts an order to move a service to a version within d.
 func (e *Edge) OrderRollout(ctx context.Context, service, target string, d time.Duration) error {
 	return e.coord.OrderRollout(ctx, coord.Rollout{
-		Service: service, Target: target, Started: e.cfg.Clock(), Duration: d, Reason: "ordered",
+		Service: service, Target: target, Started: e.cfg.Clock(), ShareAt: e.cfg.Clock(), Duration: d, Reason: "ordered",
 	})
 }
 
@@ -301,12 +311,13 @@
 // Report implements coord.Local.
 func (e *Edge) Report(full bool, now time.Time) coord.Report {
 	r := coord.Report{
-		Ready: e.Ready(), Spent: e.quota.Take(), Loads: e.proxy.Loads(), Windows: e.proxy.Windows(now), Results: e.proxy.Results(),
+		Ready: e.Ready(), Spent: e.quota.Take(), Loads: e.proxy.Loads(), Windows: e.proxy.Windows(now),
 		Held: e.proxy.TakeHeld(now),
 	}
 	if c := e.proxy.Config(); c != nil {
 		r.ConfigVersion = c.Version
 	}
+	r.Judged = e.takeJudged(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.flying, e.heard = e.heard, map[string]roster.Server{}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/judge"
 	"cranberrypath.example/cranberrypath/internal/limit"
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
@@ -81,6 +82,8 @@
 	Log         log.Interface
 	Seed        uint64
 	Meter       metric.Meter // nil for none
+	// Judged takes the results of services whose versions are on trial.
+	Judged *judge.Recorder
 }
 
 // RetryLimit bounds the requests that a service gets more than once, over all
@@ -108,7 +111,6 @@
 	loads    map[string]*coord.Load // this instance's outstanding work
 	rollouts map[string]coord.Rollout
 	windows  map[int64]map[string]float64
-	results  map[[2]string]*coord.Result
 	told     map[heldKey]time.Time // when others were told
 	held     []coord.Held          // to tell
 }
@@ -125,7 +127,7 @@
 		configured: make(chan struct{}),
 		rnd:        rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
 		servers: map[string]roster.Server{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
-		windows: map[int64]map[string]float64{}, results: map[[2]string]*coord.Result{}, told: map[heldKey]time.Time{},
+		windows: map[int64]map[string]float64{}, told: map[heldKey]time.Time{},
 	}, nil
 }
 
@@ -187,6 +189,33 @@
 	p.table.Set(backends, now)
 }
 
+// EarlierVersions stands for all versions of a service but the one on trial, in
+// what Judged gets.
+const EarlierVersions = "earlier"
+
+// judged records the result of an attempt if a version of its service is on trial.
+func (p *Proxy) judged(t *trial, now time.Time) {
+	p.mu.Lock()
+	r, ok := p.rollouts[t.server.Service]
+	running := 0
+	if l := p.loads[t.server.ID]; l != nil {
+		running = l.Running
+	}
+	p.mu.Unlock()
+	if !ok || r.Phase != coord.Running || p.cfg.Judged == nil || t.status == 0 && !t.failed {
+		return
+	}
+	version := EarlierVersions
+	if t.server.Version == r.Target {
+		version = r.Target
+	}
+	res := judge.Result{
+		Service: t.server.Service, Version: version, Route: t.x.route.Name, Server: t.server.ID, Failed: t.failed,
+		First: t.took, Tokens: t.x.r.Output, Load: float64(running) / float64(max(t.server.Slots, 1)),
+	}
+	p.cfg.Judged.Add(res, now)
+}
+
 // SetRollouts replaces the rollouts that decide which version a request may meet.
 func (p *Proxy) SetRollouts(all []coord.Rollout) {
 	p.mu.Lock()
@@ -285,17 +314,6 @@
 	return now.UnixMilli() / max(p.cfg.UsageWindow.Milliseconds(), 1)
 }
 
-// Results returns the answers by service and version since the start.
-func (p *Proxy) Results() []coord.Result {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]coord.Result, 0, len(p.results))
-	for _, r := range p.results {
-		out = append(out, *r)
-	}
-	return out
-}
-
 // Serve answers one request. It returns nil if the caller has a complete answer,
 // a *Refusal if nothing was written to w, or ErrBroken. The context ends when
 // the caller leaves.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -475,23 +475,7 @@
 	}
 	p.work(change)
 	p.table.Ended(t.server.ID, route.Result{Cost: t.choice.Cost, Failed: t.failed, Took: now.Sub(t.sent)}, now)
-	if t.status == 0 && !t.failed {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	key := [2]string{t.server.Service, t.server.Version}
-	r := p.results[key]
-	if r == nil {
-		r = &coord.Result{Service: t.server.Service, Version: t.server.Version}
-		p.results[key] = r
-	}
-	if t.failed {
-		r.Bad++
-		return
-	}
-	r.Good++
-	r.Seconds += t.took.Seconds()
+	p.judged(t, now)
 }
 
 // heldPause is how long this instance does not tell again that a server holds the
