--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -347,9 +347,6 @@
 func (e *Edge) Learn(v coord.View, now time.Time) {
 	e.quota.Confirm(v.Levels, v.Fronts, now)
 	e.proxy.SetNodes(v.Fronts)
-	if v.Config != nil {
-		e.applyConfig(v, now)
-	}
 	changed := v.Config != nil
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
@@ -361,6 +358,11 @@
 	if changed {
 		e.serversChanged(now)
 	}
+	if v.Config != nil {
+		// Requests that wait for the first configuration need the servers with it.
+		e.applyConfig(v, now)
+		e.serversChanged(now)
+	}
 	e.proxy.SetLoads(v.Loads, v.Asked)
 	e.proxy.Learn(v.Held)
 	e.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -111,6 +111,7 @@
 	loads    map[string]*coord.Load // this instance's outstanding work
 	rollouts map[string]coord.Rollout
 	windows  map[int64]map[string]float64
+	begun    time.Time             // when the first configuration came
 	told     map[heldKey]time.Time // when others were told
 	held     []coord.Held          // to tell
 }
@@ -141,6 +142,9 @@
 	}
 	p.cfg.Quota.Configure(rules, now)
 	if p.config.Swap(c) == nil {
+		p.mu.Lock()
+		p.begun = now
+		p.mu.Unlock()
 		close(p.configured)
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -103,6 +103,9 @@
 	}
 	now := time.Now()
 	p.SetConfig(testConfig(t), now)
+	if servers == 0 {
+		p.begun = now.Add(-startTime) // it knows that there are none
+	}
 	var all []roster.Server
 	for i := range servers {
 		all = append(all, roster.Server{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 8, State: world.Ready})
@@ -249,6 +252,20 @@
 	}
 }
 
+// Guards against refusals at an instance that has just started and has not heard of
+// the backend servers yet.
+func TestWaitsForTheFirstServer(t *testing.T) {
+	p := newProxy(t, &script{steps: []step{{status: 200}}}, 0)
+	p.begun = time.Now()
+	done := make(chan error, 1)
+	go func() { done <- p.Serve(context.Background(), httptest.NewRecorder(), request("/safe/")) }()
+	time.Sleep(2 * serverPause)
+	p.SetServers([]roster.Server{{ID: "e", Service: "s", Slots: 1, State: world.Ready}}, time.Now())
+	if err := <-done; err != nil {
+		t.Errorf("with a server after a moment: %v", err)
+	}
+}
+
 // Guards against retries that multiply the load when a service fails as a whole.
 func TestRetryBudget(t *testing.T) {
 	steps := make([]step, 400)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -89,6 +90,37 @@
 	}
 }
 
+const (
+	// startTime is how long after its first configuration an instance may not have
+	// heard of all backend servers, which announce themselves about once a second.
+	startTime = 3 * time.Second
+	// serverPause is the pause between two looks for a server.
+	serverPause = 25 * time.Millisecond
+)
+
+// starting reports whether this instance may not know the backend servers yet.
+func (p *Proxy) starting(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.begun) < startTime
+}
+
+// awaitServer waits a moment for a server, unless the request has waited for as
+// long as it may.
+func (x *run) awaitServer(ctx context.Context) bool {
+	if x.p.cfg.Clock().Sub(x.r.Arrived) >= configPatience(x.r.Patience) {
+		return false
+	}
+	t := time.NewTimer(serverPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // admit decides whether the request may be served at all.
 func (x *run) admit(now time.Time) error {
 	if x.cfg = x.p.Config(); x.cfg == nil {
@@ -146,6 +178,9 @@
 			return x.giveUp(NoTime)
 		}
 		choice, err := x.p.table.Pick(x.query(now), now)
+		if errors.Is(err, route.ErrNoServer) && x.p.starting(now) && x.awaitServer(ctx) {
+			continue
+		}
 		if err != nil {
 			x.lastErr = err
 			if refused {
