--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 GOFILES = $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build test demo format check-format lint proto capacity fuzz
+.PHONY: build test soak demo format check-format lint proto capacity fuzz
 
 build:
 	$(GO) build -o bin/cranberrypath ./cmd/cranberrypath
@@ -47,3 +47,9 @@
 		-benchtime 300ms ./internal/link ./internal/member ./internal/watch ./internal/store ./internal/claim \
 		./internal/stream ./internal/judge ./internal/limit ./internal/fleet ./internal/moves ./internal/route \
 		./internal/backnd ./internal/disk ./internal/cells
+
+# Runs the program as separate processes and disturbs them from outside.
+SEED ?= 1
+SECONDS ?= 60
+soak:
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -timeout 60m -v -run TestSoak ./internal/soak
