quota: Admit what the level covers

Debts alone keep the rate over time. TestLargeRequestsWithinTheLevel failed first; TestFloodOverManyInstances still holds.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -21,7 +21,6 @@
 type bucket struct {
 	rule  Rule
 	level float64
-	told  float64 // level by the leader's last word
 	at    time.Time
 }
 
@@ -89,11 +88,6 @@
 	return out
 }
 
-// spread is how much more than its even part of a level one instance may spend
-// between two reports: callers are not spread evenly, but instances that all spend
-// the same level at once would exceed it many times.
-const spread = 3
-
 // Buckets is the side of one instance.
 type Buckets struct {
 	mu      sync.Mutex
@@ -130,10 +124,6 @@
 	if b.level < need {
 		return false, time.Duration((need - b.level) / b.rule.Rate * float64(time.Second))
 	}
-	round := q.spent[name]
-	if most := spread * b.told / float64(max(q.nodes, 1)); round > 0 && round+units > most {
-		return false, time.Duration(units / b.rule.Rate * float64(time.Second))
-	}
 	b.level -= units
 	q.spent[name] += units
 	return true, 0
@@ -188,7 +178,7 @@
 	q.flying, q.nodes = map[string]float64{}, nodes
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
-			b.level, b.told, b.at = level-q.spent[name], level, now
+			b.level, b.at = level-q.spent[name], now
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// Guards against refusals of requests that the level covers: an instance may get
+// most of an organisation's large requests between two reports.
+func TestLargeRequestsWithinTheLevel(t *testing.T) {
+	s := newSite(11, map[string]Rule{"o": {165_000, 165_000}})
+	for i, units := range []float64{14_575, 17_000, 30_000, 9_000} {
+		if ok, _ := s.nodes[3].Admit("o", units, start); !ok {
+			t.Errorf("request %d of %v units was refused", i, units)
+		}
+	}
+}
+
 // Guards against instances that spend the whole rate each while they hear nothing
 // of each other.
 func TestApartInstancesStayWithinTheRate(t *testing.T) {
