--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -73,13 +73,12 @@
 // state is the replicated state machine: what must survive any loss that the
 // deployment bears.
 type state struct {
-	mu     sync.Mutex
-	s      *coordpb.State
-	change chan struct{} // closed and replaced at each change
+	mu sync.Mutex
+	s  *coordpb.State
 }
 
 func newState() *state {
-	return &state{s: &coordpb.State{Config: &coordpb.Configure{}}, change: make(chan struct{})}
+	return &state{s: &coordpb.State{Config: &coordpb.Configure{}}}
 }
 
 // Apply implements raft.Machine. It answers with the state that the command
@@ -103,8 +102,6 @@
 	case c.Usage != nil:
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
 	}
-	close(m.change)
-	m.change = make(chan struct{})
 	b, err := proto.Marshal(out)
 	if err != nil {
 		return nil
@@ -177,8 +174,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.s = s
-	close(m.change)
-	m.change = make(chan struct{})
 	return nil
 }
 
@@ -210,12 +205,6 @@
 	return nil, false
 }
 
-func (m *state) changed() <-chan struct{} {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.change
-}
-
 func amounts(counts []*coordpb.Count) map[string]float64 {
 	out := make(map[string]float64, len(counts))
 	for _, c := range counts {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -283,6 +283,22 @@
 	}
 }
 
+// Guards against requests that are refused because many servers have crashed, although
+// none of the sends before reached one.
+func TestUnreachedServersCostNoRetries(t *testing.T) {
+	var steps []step
+	for range 50 {
+		steps = append(steps, step{err: errNotSent}, step{status: 200})
+	}
+	p := newProxy(t, &script{steps: steps}, 8)
+	p.cfg.Retry = RetryLimit{Window: 10 * time.Second, Share: 0.01, Slack: 0}
+	for i := range 50 {
+		if err := p.Serve(context.Background(), httptest.NewRecorder(), request("/unsafe/")); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
+
 // Guards against parts that are taken for the same although what stands before
 // them differs.
 func TestChain(t *testing.T) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -50,6 +50,7 @@
 	prefix []uint64
 
 	sends   int
+	arrived int      // sends that reached a server
 	runs    int      // servers that may have run it
 	tried   []string // servers it was sent to
 	trials  []report // what came of it, for the log
@@ -188,7 +189,8 @@
 			}
 			return x.giveUp(NoServer)
 		}
-		if x.sends > 0 && !x.p.budget(x.service).Retry(now) {
+		// A server that was not reached has got nothing, so the next send repeats nothing.
+		if x.arrived > 0 && !x.p.budget(x.service).Retry(now) {
 			return x.giveUp(Full)
 		}
 		ended, err := x.attempt(ctx, choice)
@@ -289,13 +291,16 @@
 		t.err = err
 		if notRun(err) {
 			t.failed = ctx.Err() == nil
+			t.unreached = t.failed
 			return false, err
 		}
+		x.arrived++
 		x.runs++
 		t.failed = ctx.Err() == nil
 		return x.lostAnswer(err)
 	}
 	defer resp.Body.Close()
+	x.arrived++
 	if resp.NotRun || resp.Other {
 		t.failed = resp.Other
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, bufferBytes)) // so that the connection can be kept
@@ -440,11 +445,13 @@
 	sent    time.Time
 	waiting bool // no first byte yet
 	failed  bool
-	status  int
-	took    time.Duration // to the first byte
-	err     error
-	last    time.Time     // of the last events passed on
-	pause   time.Duration // longest between events
+	// unreached means that the server did not take the connection.
+	unreached bool
+	status    int
+	took      time.Duration // to the first byte
+	err       error
+	last      time.Time     // of the last events passed on
+	pause     time.Duration // longest between events
 }
 
 // report is one attempt in the log: the server, what was known of it when it was
@@ -509,7 +516,7 @@
 		change.Waiting, change.Tokens = -1, -t.choice.Cost.UncachedTokens
 	}
 	p.work(change)
-	p.table.Ended(t.server.ID, route.Result{Cost: t.choice.Cost, Failed: t.failed, Took: now.Sub(t.sent)}, now)
+	p.table.Ended(t.server.ID, route.Result{Cost: t.choice.Cost, Failed: t.failed, Unreached: t.unreached, Took: now.Sub(t.sent)}, now)
 	p.judged(t, now)
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -70,8 +70,11 @@
 // Result tells how a request ended on a backend server.
 type Result struct {
 	Cost   Cost
-	Failed bool          // by the server's fault; not refusals and cancellations
-	Took   time.Duration // from start to end
+	Failed bool // by the server's fault; not refusals and cancellations
+	// Unreached means that the server took no connection. It is ejected at once: the
+	// next request would not reach it either.
+	Unreached bool
+	Took      time.Duration // from start to end
 }
 
 // Config of a Table. Zero fields take the defaults.
@@ -320,7 +323,7 @@
 	if res.Cost.Class == world.Review && s.ownRev > 0 {
 		s.ownRev--
 	}
-	if s.health.result(res.Failed) {
+	if s.health.result(res.Failed) || res.Unreached {
 		t.eject(s, now)
 	}
 	if res.Failed {
