--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -61,7 +61,6 @@
 	node    Node
 	heard   time.Time
 	spent   uint64 // number of the last report of spending
-	version uint64
 	loads   []Load
 	windows []Window
 }
@@ -183,7 +182,7 @@
 			}
 		}
 	}
-	n.node, n.heard, n.version = node, now, req.Node.ConfigVersion
+	n.node, n.heard = node, now
 	n.loads = loadsOf(req.Loads)
 	n.windows = nil
 	for _, w := range req.Windows {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -394,16 +394,17 @@
 	if old := e.proxy.Config(); old != nil && old.Version >= c.Version {
 		return
 	}
-	e.proxy.SetConfig(c, now)
 	rules := map[string]quota.Rule{}
 	for _, o := range c.Organisations {
 		if o.Rate > 0 {
 			rules[o.Name] = quota.Rule{Rate: o.Rate, Burst: max(o.Burst, 1)}
 		}
 	}
+	e.quota.Configure(rules, now)
 	e.mu.Lock()
 	e.rules = rules
 	e.mu.Unlock()
+	e.proxy.SetConfig(c, now)
 	e.cfg.Log.WithFields(log.Fields{"event": "config.applied", "config": c.Version, "leader": v.Leader}).Info("configuration is in force here")
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -134,13 +134,6 @@
 
 // SetConfig puts a configuration in force.
 func (p *Proxy) SetConfig(c *routes.Config, now time.Time) {
-	rules := map[string]quota.Rule{}
-	for _, o := range c.Organisations {
-		if o.Rate > 0 {
-			rules[o.Name] = quota.Rule{Rate: o.Rate, Burst: max(o.Burst, 1)}
-		}
-	}
-	p.cfg.Quota.Configure(rules, now)
 	if p.config.Swap(c) == nil {
 		p.mu.Lock()
 		p.begun = now
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -230,7 +230,7 @@
 
 func (x *run) query(now time.Time) route.Query {
 	q := route.Query{
-		Service: x.service, Version: x.p.version(x.service, now), DataCenter: x.p.cfg.DataCentre, Class: world.Call,
+		Service: x.service, Version: x.p.version(x.service), DataCenter: x.p.cfg.DataCentre, Class: world.Call,
 		Prefix: x.prefix, PromptTokens: x.r.Prompt, MaxTokens: x.r.Output, Exclude: x.tried,
 	}
 	if shared := len(x.parts) - 1; shared > 0 {
@@ -250,7 +250,7 @@
 
 // version draws the group of servers for a new request. While a rollout runs, its
 // share goes to the target; after it was taken back nothing does.
-func (p *Proxy) version(service string, _ time.Time) string {
+func (p *Proxy) version(service string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r, ok := p.rollouts[service]
@@ -312,7 +312,7 @@
 	if resp.Events && resp.Status == http.StatusOK && x.route.Kind == routes.Stream {
 		return x.relay(ctx, t, resp)
 	}
-	return x.answer(ctx, t, resp)
+	return x.answer(t, resp)
 }
 
 func (x *run) attemptTo(s roster.Server, now time.Time) Attempt {
@@ -344,7 +344,7 @@
 }
 
 // answer passes a response on that is not a series of events.
-func (x *run) answer(_ context.Context, t *trial, resp *Response) (bool, error) {
+func (x *run) answer(t *trial, resp *Response) (bool, error) {
 	if x.begun {
 		// A stream cannot go on with this.
 		t.failed = true
