--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -35,6 +35,18 @@
 	Scale(ctx context.Context, f Fence, o Order) error
 }
 
+// Coord is what a runner needs of the coordination with other instances.
+type Coord interface {
+	// Leads returns the lease of this instance, or false if it does not lead.
+	Leads(now time.Time) (coord.Lead, bool)
+	// Usage returns what began to run in a window, and the counts that are fixed.
+	Usage(window int64) (sum, fixed map[string]float64)
+	// FixUsage makes counts durable and returns those that hold.
+	FixUsage(ctx context.Context, window int64, counts map[string]float64) (map[string]float64, error)
+	// Loads returns the outstanding work at each backend server.
+	Loads() map[string]coord.Load
+}
+
 // Timing of the reports of usage.
 type Timing struct {
 	Window time.Duration // length; window k begins at k windows after 1970
@@ -45,7 +57,7 @@
 // Config sets up a Runner.
 type Config struct {
 	Name     string
-	Coord    *coord.Coord
+	Coord    Coord
 	Platform Platform
 	Timing   Timing
 	// Reports and Sizes tell which duties there are.
