--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -21,7 +20,6 @@
 // stage is the durable state that several holders share and the platform that they
 // call.
 type stage struct {
-	mu     sync.Mutex
 	now    time.Time
 	leader string
 	lead   coord.Lead
