--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -133,10 +133,10 @@
 }
 
 // view collects what the size of one service depends on.
-func (s *sizer) view(svc *routes.Service, servers []roster.Server, need int, now time.Time) fleet.ZoneView {
-	v := fleet.ZoneView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, Boot: svc.Scaling.Boot, Need: need, Now: now}
+func (s *sizer) view(svc *routes.Service, servers []roster.Server, need int, now time.Time) fleet.CentreView {
+	v := fleet.CentreView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, Boot: svc.Scaling.Boot, Need: need}
 	for dc, price := range svc.Scaling.Prices {
-		z := fleet.ZoneEngines{DataCentre: dc, Price: price}
+		z := fleet.CentreEngines{DataCentre: dc, Price: price}
 		for _, x := range servers {
 			switch {
 			case x.Service != svc.Name || x.DataCentre != dc:
@@ -153,7 +153,7 @@
 		if p.at.IsZero() {
 			z.Ordered = fleet.Counts{Steady: z.Ready, Reclaimable: z.Spare} // by an earlier holder
 		}
-		v.Zones = append(v.Zones, z)
+		v.Centres = append(v.Centres, z)
 	}
 	return v
 }
@@ -192,8 +192,8 @@
 		carry := max(steady, fleet.Carried(spare, len(svc.Scaling.Prices)))
 		need := r.sizer.need(svc.Name, load, carry, now)
 		v := r.sizer.view(svc, servers, need, now)
-		v.Hold = r.sizer.hold(svc.Name, v.Missing(), now)
-		for _, o := range fleet.Size(v) {
+		v.Hold = r.sizer.hold(svc.Name, v.Missing(now), now)
+		for _, o := range fleet.Size(now, v) {
 			r.order(svc.Name, o, need, load, now)
 		}
 	}
@@ -202,7 +202,7 @@
 
 // order sends the orders for one data centre, the reclaimable kind first so that
 // the sum never falls below what runs.
-func (r *Runner) order(service string, o fleet.ZoneOrder, need, load int, now time.Time) {
+func (r *Runner) order(service string, o fleet.CentreOrder, need, load int, now time.Time) {
 	p := r.sizer.place(placeKey{service, o.DataCentre})
 	first := p.at.IsZero()
 	p.at = now
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/centre_test.go
@@ -9,11 +9,11 @@
 // market plays the platform: reclaimable engines that can be taken away and
 // refused, and engines that take a while to start.
 type market struct {
-	boot  time.Duration
-	max   int
-	zones []ZoneEngines
-	boots []booting
-	dry   time.Time // no reclaimable engines are to be had until then
+	boot    time.Duration
+	max     int
+	centres []CentreEngines
+	boots   []booting
+	dry     time.Time // no reclaimable engines are to be had until then
 	// leaving engines run on until the end of their notice.
 	leaving []notice
 }
@@ -24,15 +24,15 @@
 }
 
 type booting struct {
-	zone  int
-	spare bool
-	at    time.Time
+	centre int
+	spare  bool
+	at     time.Time
 }
 
-func newMarket(zones, steady, most int) *market {
+func newMarket(centres, steady, most int) *market {
 	m := &market{boot: 4 * time.Second, max: most}
-	for i := range zones {
-		m.zones = append(m.zones, ZoneEngines{DataCentre: fmt.Sprint("z", i), Price: 1, Ready: steady})
+	for i := range centres {
+		m.centres = append(m.centres, CentreEngines{DataCentre: fmt.Sprint("z", i), Price: 1, Ready: steady})
 	}
 	return m
 }
@@ -41,7 +41,7 @@
 func (m *market) step(need, hold int, now time.Time) int {
 	var left []booting
 	for _, b := range m.boots {
-		z := &m.zones[b.zone]
+		z := &m.centres[b.centre]
 		switch {
 		case b.at.After(now):
 			left = append(left, b)
@@ -52,14 +52,14 @@
 		}
 	}
 	m.boots = left
-	for i := range m.zones {
-		m.zones[i].Seen = max(m.zones[i].Seen, m.zones[i].Spare)
-	}
-	v := ZoneView{Min: 1, Max: m.max, Boot: m.boot, Need: need, Hold: hold, Now: now, Zones: m.zones}
-	missing := v.Missing()
-	for _, o := range Size(v) {
-		for i := range m.zones {
-			if m.zones[i].DataCentre == o.DataCentre {
+	for i := range m.centres {
+		m.centres[i].Seen = max(m.centres[i].Seen, m.centres[i].Spare)
+	}
+	v := CentreView{Min: 1, Max: m.max, Boot: m.boot, Need: need, Hold: hold, Centres: m.centres}
+	missing := v.Missing(now)
+	for _, o := range Size(now, v) {
+		for i := range m.centres {
+			if m.centres[i].DataCentre == o.DataCentre {
 				m.order(i, o.Want, now)
 			}
 		}
@@ -67,28 +67,28 @@
 	return missing
 }
 
-func (m *market) order(zone int, want Counts, now time.Time) {
-	z := &m.zones[zone]
+func (m *market) order(centre int, want Counts, now time.Time) {
+	z := &m.centres[centre]
 	z.OrderedAt, z.SpareAt, z.Seen = now, now, z.Spare
 	if now.Before(m.dry) && want.Reclaimable > z.Spare {
 		z.Refused, z.Dry = now, true
 	} else {
 		z.Dry, z.Ordered.Reclaimable = false, want.Reclaimable
-		z.Spare = m.adjust(zone, true, z.Spare, want.Reclaimable, now)
+		z.Spare = m.adjust(centre, true, z.Spare, want.Reclaimable, now)
 	}
 	z.Ordered.Steady = want.Steady
-	z.Ready = m.adjust(zone, false, z.Ready, want.Steady, now)
+	z.Ready = m.adjust(centre, false, z.Ready, want.Steady, now)
 }
 
-func (m *market) adjust(zone int, spare bool, have, want int, now time.Time) int {
+func (m *market) adjust(centre int, spare bool, have, want int, now time.Time) int {
 	coming := 0
 	for _, b := range m.boots {
-		if b.zone == zone && b.spare == spare {
+		if b.centre == centre && b.spare == spare {
 			coming++
 		}
 	}
 	for ; have+coming < want; coming++ {
-		m.boots = append(m.boots, booting{zone, spare, now.Add(m.boot)})
+		m.boots = append(m.boots, booting{centre, spare, now.Add(m.boot)})
 	}
 	return min(have, want)
 }
@@ -96,9 +96,9 @@
 // shortestNotice is the least time between the notice of a reclaim and its end.
 const shortestNotice = 2 * time.Second
 
-func (m *market) reclaim(zone int, now time.Time) {
-	m.leaving = append(m.leaving, notice{m.zones[zone].Spare, now.Add(shortestNotice)})
-	m.zones[zone].Spare = 0
+func (m *market) reclaim(centre int, now time.Time) {
+	m.leaving = append(m.leaving, notice{m.centres[centre].Spare, now.Add(shortestNotice)})
+	m.centres[centre].Spare = 0
 }
 
 func (m *market) ready(now time.Time) (n int) {
@@ -107,14 +107,14 @@
 			n += x.engines
 		}
 	}
-	for _, z := range m.zones {
+	for _, z := range m.centres {
 		n += z.Ready + z.Spare
 	}
 	return n
 }
 
 func (m *market) cost() (c float64) {
-	for _, z := range m.zones {
+	for _, z := range m.centres {
 		c += float64(z.Ready) + 0.15*float64(z.Spare)
 	}
 	return c
@@ -129,7 +129,7 @@
 		steady, need, max int
 	}{{"small", 2, 6, 6}, {"large", 22, 120, 46}} {
 		m := newMarket(4, c.steady, c.max)
-		m.zones[0].Ready++
+		m.centres[0].Ready++
 		begin := time.Unix(1_000_000, 0)
 		hold := 0
 		var held time.Time
@@ -169,7 +169,7 @@
 			t.Fatalf("%d engines after %d ms, want 8", m.ready(now), ms)
 		}
 	}
-	if m.zones[0].Ready > 0 {
+	if m.centres[0].Ready > 0 {
 		t.Error("engines at the full price were kept")
 	}
 }
@@ -181,8 +181,8 @@
 		m.dry = time.Unix(1_000_000+int64(need%3), 0)
 		for s := range 20 {
 			now := time.Unix(1_000_000+int64(s), 0)
-			v := ZoneView{Min: 1, Max: 6, Boot: m.boot, Need: need, Now: now, Zones: m.zones}
-			for _, o := range Size(v) {
+			v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: need, Centres: m.centres}
+			for _, o := range Size(now, v) {
 				if sum := o.Want.Steady + o.Want.Reclaimable; sum < 1 || o.Want.Steady > 6 || o.Want.Reclaimable > 6 {
 					t.Fatalf("need %d: order %+v", need, o)
 				}
@@ -199,8 +199,8 @@
 	for ms := 0; ms < 30_000; ms += 250 {
 		m.step(6, 0, begin.Add(time.Duration(ms)*time.Millisecond))
 	}
-	v := ZoneView{Min: 1, Max: 6, Boot: m.boot, Need: 6, Now: begin.Add(30 * time.Second), Zones: m.zones}
-	if got := Size(v); len(got) > 0 {
+	v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: 6, Centres: m.centres}
+	if got := Size(begin.Add(30*time.Second), v); len(got) > 0 {
 		t.Errorf("orders %+v", got)
 	}
 }
