coord: Keep the counts of usage when the leader is killed

Instances that may lead next now get these counts with each answer. Ruled out: counts taken twice, which the test shows too.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -113,7 +113,8 @@
 	founder  string    // of a group that is forming, as this instance decided
 	asked    time.Time // first question who founds
 	askers   []string
-	view     view // of the last answer
+	view     view               // of the last answer
+	counted  []*coordpb.Counted // of the last answer
 	lastSync time.Time
 }
 
--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -28,6 +28,7 @@
 
 // hub is what the leader sums of one term.
 type hub struct {
+	self  string // id of this instance
 	term  uint64
 	since time.Time
 
@@ -65,11 +66,37 @@
 	windows []Window
 }
 
-func newHub(term uint64, now time.Time) *hub {
-	return &hub{
-		term: term, since: now, roster: roster.New(), ledger: quota.NewLedger(),
+// newHub returns the hub of a new term. It begins with what the leader before knew
+// of processes that cannot report it again.
+func newHub(self string, term uint64, counted []*coordpb.Counted, now time.Time) *hub {
+	h := &hub{
+		self: self, term: term, since: now, roster: roster.New(), ledger: quota.NewLedger(),
 		nodes: map[nodeKey]*nodeState{}, lastTick: now, greeted: map[string]time.Time{},
 	}
+	for _, c := range counted {
+		n := &nodeState{node: Node{ID: c.Id}, heard: now.Add(-nodeSilence - 1)}
+		for _, w := range c.Windows {
+			n.windows = append(n.windows, Window{w.Number, amounts(w.Counts)})
+		}
+		h.nodes[nodeKey{c.Id, c.StartedMs}] = n
+	}
+	return h
+}
+
+// counted returns what would be lost with this leader. mu is held.
+func (h *hub) counted(now time.Time) []*coordpb.Counted {
+	var out []*coordpb.Counted
+	for key, n := range h.nodes {
+		if len(n.windows) == 0 || key.id != h.self && now.Sub(n.heard) <= nodeSilence {
+			continue
+		}
+		c := &coordpb.Counted{Id: key.id, StartedMs: key.started}
+		for _, w := range n.windows {
+			c.Windows = append(c.Windows, w.proto())
+		}
+		out = append(out, c)
+	}
+	return out
 }
 
 // setRules follows the configuration. Buckets of a new term start half full,
@@ -232,6 +259,9 @@
 		}
 	}
 	out.Loads = loadsProto(h.loads(now))
+	if req.Node.Durable {
+		out.Counted = h.counted(now)
+	}
 	out.HeldSeen = h.heldNext
 	if seen := req.HeldSeen; req.Epoch == h.term && seen < h.heldNext {
 		missed := min(h.heldNext-seen, uint64(len(h.held)))
--- /dev/null
+++ b/internal/coord/hub_test.go
@@ -0,0 +1,47 @@
+package coord
+
+import (
+	"testing"
+	"time"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+)
+
+// report lets a process report what it has counted in window 7.
+func report(h *hub, id string, started int64, count float64, now time.Time) *coordpb.SyncReply {
+	req := &coordpb.Sync{
+		Node:    &coordpb.Node{Id: id, StartedMs: started, Durable: true},
+		Windows: []*coordpb.Window{Window{7, map[string]float64{"o": count}}.proto()},
+	}
+	h.take(req, now)
+	return h.reply(req, now)
+}
+
+// Guards against counts that are lost when the leader is killed after another
+// instance, and against ones that count twice because both report again.
+func TestUsageSurvivesTheLeader(t *testing.T) {
+	h := newHub("a", 1, nil, start)
+	report(h, "a", 1, 5, start)
+	report(h, "b", 1, 3, start)
+	report(h, "c", 1, 2, start)
+	// The process of c is killed and starts again.
+	now := start.Add(2 * time.Second)
+	report(h, "a", 1, 5, now)
+	report(h, "c", 2, 1, now)
+	last := report(h, "b", 1, 3, now)
+	if got := h.usage(7)["o"]; got != 11 {
+		t.Fatalf("usage %v before the change, want 11", got)
+	}
+	// The leader a is killed; b leads next.
+	next := newHub("b", 2, last.Counted, now)
+	report(next, "b", 1, 3, now)
+	report(next, "c", 2, 1, now)
+	if got := next.usage(7)["o"]; got != 11 {
+		t.Errorf("usage %v at the next leader, want 11", got)
+	}
+	// It was not killed after all and reports again.
+	report(next, "a", 1, 6, now)
+	if got := next.usage(7)["o"]; got != 12 {
+		t.Errorf("usage %v after the report of the former leader, want 12", got)
+	}
+}
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -189,6 +189,7 @@
 		c.cfg.Log.WithField("event", "leader.found").WithField("leader", reply.Leader).WithField("term", reply.Epoch).Info("reports go to a leader")
 	}
 	c.leader, c.members, c.lastSync, c.suspect = reply.Leader, reply.Members, now, ""
+	c.counted = reply.Counted
 	c.view = view{
 		epoch: reply.Epoch, servers: reply.ServersSeen, nodes: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		held: reply.HeldSeen,
@@ -268,7 +269,7 @@
 		}
 		c.hub = nil
 	case ok && (c.hub == nil || c.hub.term != l.Term):
-		c.hub = newHub(l.Term, now)
+		c.hub = newHub(c.cfg.Self.ID, l.Term, c.counted, now)
 		c.cfg.Log.WithField("event", "leader.began").WithField("term", l.Term).Info("this instance leads")
 	}
 	if st.Leader != "" && st.Role != raft.Leader {
