--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -26,8 +26,9 @@
 	// answerMargin is how long before its end a request's time is taken as over, so
 	// that the final answer still reaches the caller in time.
 	answerMargin = 20 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the time to come back: longer than a
-	// report takes to reach all instances, shorter than half of the shortest deadlines.
+	// minRetryAfter and maxRetryAfter bound the time to come back: a report takes about
+	// as long to reach all instances, and callers wait a third of their time at most.
+	// A random part of minRetryAfter on top spreads those that return.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = time.Second
 	// lookupTokens is the largest prompt of a short question; longer ones are reviews,
@@ -219,7 +220,11 @@
 	if x.org != nil {
 		x.p.cfg.Quota.Refund(x.org.Name, x.cost())
 	}
-	return &Refusal{Cause: c, RetryAfter: minRetryAfter + time.Duration(x.rand()*float64(maxRetryAfter-minRetryAfter)/4)}
+	after := minRetryAfter
+	if c == NoServer {
+		after = maxRetryAfter // servers take seconds to start
+	}
+	return &Refusal{Cause: c, RetryAfter: after + time.Duration(x.rand()*float64(minRetryAfter))}
 }
 
 func (x *run) rand() float64 {
