quota, coord: Keep a flood within its rate on 86 instances and over leaders

Now each has a part of the level and a new leader goes on with the levels of the one before. TestFloodWithoutALeader failed first; TestNewLeaderKeepsTheLevels is new.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -68,9 +68,9 @@
 	MinVoters int
 	// Local is what this instance reports and learns.
 	Local Local
-	// Rules returns the rates of the organisations and the version of the
-	// configuration that sets them.
-	Rules func() (uint64, map[string]quota.Rule)
+	// Rules returns the version of the configuration, the rates of the organisations
+	// that it sets, and their levels by the last word of a leader.
+	Rules func() (version uint64, rules map[string]quota.Rule, told map[string]float64)
 	// Heartbeat is how often backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -134,7 +134,9 @@
 	cfg := Config{
 		Self: Node{ID: x.addr, Name: x.addr, Callers: x.addr, Durable: x.fs != nil, Started: time.Now()},
 		Net:  x.net, Seeds: func() []string { return d.seeds }, First: first, MinVoters: 3, Local: x.local,
-		Rules:     func() (uint64, map[string]quota.Rule) { return 1, map[string]quota.Rule{"o": {Rate: 1, Burst: 100}} },
+		Rules: func() (uint64, map[string]quota.Rule, map[string]float64) {
+			return 1, map[string]quota.Rule{"o": {Rate: 1, Burst: 100}}, nil
+		},
 		Heartbeat: time.Second, Clock: time.Now, Log: &log.Logger{Handler: discard.New()},
 	}
 	if x.fs != nil {
--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -99,9 +99,10 @@
 	return out
 }
 
-// setRules follows the configuration. Buckets of a new term start half full,
-// because a predecessor may just have spent them.
-func (h *hub) setRules(version uint64, rules map[string]quota.Rule, now time.Time) {
+// setRules follows the configuration. The buckets of a new term begin at the levels
+// that the leader before told this instance: full ones would give a flood another
+// burst at each change of the leader. In the first term they begin full.
+func (h *hub) setRules(version uint64, rules map[string]quota.Rule, told map[string]float64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if version == h.rules {
@@ -110,10 +111,11 @@
 	first := h.rules == 0
 	h.rules = version
 	h.ledger.Configure(rules, now)
-	if first && h.term > 1 {
-		for name, r := range rules {
-			h.ledger.Spend(name, r.Burst/2, now)
-		}
+	if !first || h.term == 1 {
+		return
+	}
+	for name, r := range rules {
+		h.ledger.Spend(name, r.Burst-min(told[name], r.Burst), now)
 	}
 }
 
--- a/internal/coord/hub_test.go
+++ b/internal/coord/hub_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/quota"
 )
 
 // report lets a process report what it has counted in window 7.
@@ -45,3 +46,25 @@
 		t.Errorf("usage %v after the report of the former leader, want 12", got)
 	}
 }
+
+// Guards against a flood that gets another burst with each change of the leader.
+func TestNewLeaderKeepsTheLevels(t *testing.T) {
+	rules := map[string]quota.Rule{"o": {Rate: 10, Burst: 100}}
+	for _, c := range []struct {
+		name string
+		term uint64
+		told map[string]float64
+		want float64
+	}{
+		{"first term", 1, nil, 100},
+		{"spent", 2, map[string]float64{"o": 3}, 3},
+		{"in debt", 2, map[string]float64{"o": -50}, -50},
+		{"after a restart of all", 2, nil, 0},
+	} {
+		h := newHub("a", c.term, nil, start)
+		h.setRules(1, rules, c.told, start)
+		if got := h.ledger.Levels(start)["o"]; got != c.want {
+			t.Errorf("%s: level %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -280,8 +280,8 @@
 	if h == nil {
 		return
 	}
-	version, rules := c.cfg.Rules()
-	h.setRules(version, rules, now)
+	version, rules, told := c.cfg.Rules()
+	h.setRules(version, rules, told, now)
 	for _, s := range h.tick(c.cfg.Heartbeat, now) {
 		c.cfg.Log.WithField("event", "server.silent").WithField("server", s.ID).WithField("service", s.Service).Warn("backend server is taken out: it stopped announcing itself")
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -408,14 +408,14 @@
 	e.cfg.Log.WithFields(log.Fields{"event": "config.applied", "config": c.Version, "leader": v.Leader}).Info("configuration is in force here")
 }
 
-func (e *Edge) quotaRules() (uint64, map[string]quota.Rule) {
+func (e *Edge) quotaRules() (uint64, map[string]quota.Rule, map[string]float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.proxy.Config()
 	if c == nil {
-		return 0, nil
+		return 0, nil, nil
 	}
-	return c.Version, e.rules
+	return c.Version, e.rules, e.quota.Told()
 }
 
 func (e *Edge) organisations() []string {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -8,6 +8,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -21,6 +22,7 @@
 type bucket struct {
 	rule  Rule
 	level float64
+	told  float64 // level by the leader's last word
 	at    time.Time
 }
 
@@ -88,6 +90,14 @@
 	return out
 }
 
+// fresh is how old the leader's word may be until an instance keeps to its part of a
+// level: two reports and a half.
+const fresh = 500 * time.Millisecond
+
+// spread is how much more than its even part of a level one instance may spend while
+// reports are answered: callers are not spread evenly.
+const spread = 5
+
 // Buckets is the side of one instance.
 type Buckets struct {
 	mu      sync.Mutex
@@ -95,6 +105,10 @@
 	spent   map[string]float64 // not yet taken by Take
 	flying  map[string]float64 // taken, not yet confirmed
 	nodes   int
+	heard   time.Time // the leader's last word
+	// rounding is drawn at each word of the leader, from 0 to 1: the share of a request
+	// that must fit into this instance's part.
+	rounding float64
 }
 
 // NewBuckets returns buckets without rules.
@@ -124,11 +138,27 @@
 	if b.level < need {
 		return false, time.Duration((need - b.level) / b.rule.Rate * float64(time.Second))
 	}
+	if !q.mayGoOn(b, q.spent[name]+q.flying[name], units, now) {
+		return false, time.Duration(units / b.rule.Rate * float64(time.Second))
+	}
 	b.level -= units
 	q.spent[name] += units
 	return true, 0
 }
 
+// mayGoOn reports whether an instance may spend units on top of what the leader has
+// not confirmed. Each instance has a part of the level, or all would spend the same
+// one; a request larger than the part is admitted at as many instances as the parts
+// add up to. mu is held.
+func (q *Buckets) mayGoOn(b *bucket, unconfirmed, units float64, now time.Time) bool {
+	part := max(b.told, 0) * spread
+	if silent := now.Sub(q.heard); silent >= fresh {
+		part = max(b.told, 0) + b.rule.Rate*silent.Seconds()
+	}
+	part /= float64(max(q.nodes, 1))
+	return unconfirmed+units*q.rounding <= part
+}
+
 // Level returns what an organisation has left, for logs.
 func (q *Buckets) Level(name string, now time.Time) float64 {
 	q.mu.Lock()
@@ -141,6 +171,18 @@
 	return b.level
 }
 
+// Told returns the levels by the leader's last word, 0 without one, from which a next
+// leader goes on.
+func (q *Buckets) Told() map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make(map[string]float64, len(q.buckets))
+	for name, b := range q.buckets {
+		out[name] = b.told
+	}
+	return out
+}
+
 // Refund gives back the units of a request that did not run.
 func (q *Buckets) Refund(name string, units float64) {
 	q.mu.Lock()
@@ -175,10 +217,10 @@
 func (q *Buckets) Confirm(levels map[string]float64, nodes int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.flying, q.nodes = map[string]float64{}, nodes
+	q.flying, q.nodes, q.heard, q.rounding = map[string]float64{}, nodes, now, rand.Float64()
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
-			b.level, b.at = level-q.spent[name], now
+			b.level, b.told, b.at = level-q.spent[name], level, now
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -61,6 +61,43 @@
 	}
 }
 
+// Guards against a flood that every one of many instances admits from the same level
+// while there is no leader: in no 8 s may an organisation get more than a tenth
+// above its rate and burst, and one burst more.
+func TestFloodWithoutALeader(t *testing.T) {
+	const rate, burst, cost, window = 1000.0, 1000.0, 90.0, 8000
+	for _, nodes := range []int{11, 86} {
+		for seed := range uint64(10) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			s := newSite(nodes, map[string]Rule{"o": {rate, burst}})
+			gap := 3000 + rnd.IntN(4000)
+			var spent []float64
+			for ms := range 16_000 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				if ms%200 == 0 && (ms < gap || ms > gap+4000) {
+					s.report(now)
+				}
+				got := 0.0
+				if rnd.Float64() < 4*rate/1000/cost { // four times the rate
+					if ok, _ := s.nodes[rnd.IntN(nodes)].Admit("o", cost, now); ok {
+						got = cost
+					}
+				}
+				spent = append(spent, got)
+			}
+			sum := 0.0
+			for ms, got := range spent {
+				if sum += got; ms >= window {
+					sum -= spent[ms-window]
+				}
+				if most := 1.1*(rate*window/1000+burst) + burst; sum > most {
+					t.Fatalf("%d instances, seed %d: %v units in 8 s, want at most %v", nodes, seed, sum, most)
+				}
+			}
+		}
+	}
+}
+
 // Guards against refusals of requests that the level covers: an instance may get
 // most of an organisation's large requests between two reports.
 func TestLargeRequestsWithinTheLevel(t *testing.T) {
