--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -264,9 +264,7 @@
 	if _, err := m.group.Barrier(ctx); err != nil {
 		return nil, err
 	}
-	m.state.mu.Lock()
-	defer m.state.mu.Unlock()
-	return &coordpb.State{Config: m.state.s.Config, Rollouts: m.state.s.Rollouts}, nil
+	return m.state.copy(), nil
 }
 
 func (c *Coord) propose(ctx context.Context, cmd *coordpb.Command) (*coordpb.State, error) {
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -12,7 +12,9 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/quota"
@@ -402,3 +404,25 @@
 		t.Errorf("phase %d after a step that came late, want %d", got, TakenBack)
 	}
 }
+
+// Guards against reads that change, or race with the log, while a step of a rollout
+// is applied: CI found the race between a read and a step.
+func TestReadsKeepTheirRollouts(t *testing.T) {
+	m := newState()
+	step := func(r Rollout) {
+		b, err := proto.Marshal(&coordpb.Command{Rollout: r.proto()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Apply(1, b)
+	}
+	step(Rollout{Service: "s", Target: "v2", Phase: Running})
+	read := m.copy()
+	step(Rollout{Service: "s", Target: "v2", Phase: Done, Serial: 1})
+	if got := Phase(read.Rollouts[0].State); got != Running {
+		t.Errorf("a read of before the step shows phase %d, want %d", got, Running)
+	}
+	if got := Phase(m.copy().Rollouts[0].State); got != Done {
+		t.Errorf("a read of after the step shows phase %d, want %d", got, Done)
+	}
+}
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -177,6 +177,14 @@
 	return nil
 }
 
+// copy returns what operators may read. Apply replaces the elements of the list of
+// rollouts, so the copy has a list of its own.
+func (m *state) copy() *coordpb.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &coordpb.State{Config: m.s.Config, Rollouts: slices.Clone(m.s.Rollouts)}
+}
+
 func (m *state) config() *coordpb.Configure {
 	m.mu.Lock()
 	defer m.mu.Unlock()
