quota, coord: The leader lends what an instance's part of a rate does not cover

Cause: each of 86 instances admitted only its part of an organisation's level (five times a 86th); a prompt of 17,000 tokens is larger than that for most organisations. Ruled out: levels that lag, since they stood at the full burst.

Now small requests are admitted from a part of the level, larger ones are put to the leader, which holds the lease and answers for all. Without a leader the parts hold as before.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -134,6 +134,7 @@
 	cfg.Net.Handle(callRead, c.handleRead)
 	cfg.Net.Handle(callFounder, c.handleFounder)
 	cfg.Net.Handle(callGreet, c.handleGreet)
+	cfg.Net.Handle(callBorrow, c.handleBorrow)
 	c.wg.Go(c.report)
 	if cfg.Self.Durable {
 		c.wg.Go(c.runMember)
@@ -167,6 +168,7 @@
 	callRead    = "coord.read"
 	callFounder = "coord.founder"
 	callGreet   = "coord.greet"
+	callBorrow  = "coord.borrow"
 )
 
 // The codes of errors of these calls.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,13 +114,14 @@
 		return nil, Error.Wrap(err)
 	}
 	e := &Edge{
-		cfg: cfg, net: n, quota: quota.NewBuckets(), roster: roster.New(),
+		cfg: cfg, net: n, roster: roster.New(),
 		heard: map[string]roster.Server{}, flying: map[string]roster.Server{},
 		self: coord.Node{
 			ID: cfg.Peers, Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, Callers: cfg.Callers,
 			Control: cfg.Control, Durable: cfg.Dir != "", Started: now,
 		},
 	}
+	e.quota = quota.NewBuckets(lender{e})
 	e.judged = judge.NewRecorder(cfg.Peers, uint64(now.UnixNano()))
 	var m metric.Meter
 	if cfg.Meters != nil {
@@ -418,6 +419,15 @@
 	return c.Version, e.rules, e.quota.Told()
 }
 
+// lender reaches the leader's ledger through the coordination, which starts after
+// the request path.
+type lender struct{ e *Edge }
+
+// Borrow implements quota.Lender.
+func (l lender) Borrow(ctx context.Context, name string, units float64) (bool, float64, error) {
+	return l.e.coord.Borrow(ctx, name, units)
+}
+
 func (e *Edge) organisations() []string {
 	c := e.proxy.Config()
 	if c == nil {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -65,7 +65,7 @@
 func (x *run) serve(ctx context.Context) error {
 	x.p.awaitConfig(ctx, configPatience(x.r.Patience))
 	now := x.p.cfg.Clock()
-	if err := x.admit(now); err != nil {
+	if err := x.admit(ctx, now); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.end)
@@ -124,7 +124,7 @@
 }
 
 // admit decides whether the request may be served at all.
-func (x *run) admit(now time.Time) error {
+func (x *run) admit(ctx context.Context, now time.Time) error {
 	if x.cfg = x.p.Config(); x.cfg == nil {
 		return &Refusal{Cause: NoConfig, RetryAfter: maxRetryAfter}
 	}
@@ -151,7 +151,7 @@
 	x.prefix = blocks(x.parts)
 	x.lastEvent = x.r.LastEvent
 	if x.org != nil {
-		if ok, wait := x.p.cfg.Quota.Admit(x.org.Name, x.cost(), now); !ok {
+		if ok, wait := x.p.cfg.Quota.Admit(ctx, x.org.Name, x.cost(), now); !ok {
 			return &Refusal{Cause: OverQuota, RetryAfter: max(wait, minRetryAfter)}
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,29 +1,64 @@
 // Package quota holds the request rate of each organisation over all instances
-// together. Every instance keeps a copy of one token bucket per organisation,
-// admits from it without asking anyone, and tells the leader what it spent. The
-// leader sums the spending and returns the level, so copies differ only by what
-// was spent within one round trip. Between two answers a copy is refilled with the
-// instance's part of the rate, so that instances which hear nothing of each other
-// stay within the limit together.
+// together. The leader keeps one token bucket per organisation. Every instance
+// spends a part of each level without asking anyone and reports what it spent; a
+// request beyond that part is put to the leader, which answers for all. Small
+// requests therefore cost no round trip, and large ones are refused only if the
+// bucket is empty. Without the leader's word the parts grow with the instance's
+// share of the rate, so that instances which hear nothing of each other stay within
+// the limit together.
 package quota
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("quota")
+
 // Rule is the bucket of one organisation.
 type Rule struct {
 	Rate  float64 // units a second
 	Burst float64 // units
 }
 
+const (
+	// smallShare is the largest part of a burst that a small request takes, and
+	// reserveShare the part of a burst below zero that only small ones may use: when
+	// an organisation sends more than its rate, plain calls of a few hundred tokens
+	// would else be refused with prompts of many thousand.
+	smallShare   = 1.0 / 64
+	reserveShare = 1.0 / 8
+)
+
+// floor is the level that a request needs more than. It may take the level further
+// down: if a large one had to be covered whole, small ones would never leave enough
+// for it. One that is larger than the burst needs a full bucket.
+func (r Rule) floor(units float64) float64 {
+	switch {
+	case units <= r.Burst*smallShare:
+		return -r.Burst * reserveShare
+	case units > r.Burst:
+		return r.Burst * (1 - smallShare)
+	}
+	return 0
+}
+
+// wait returns how long a level takes to admit a request.
+func (r Rule) wait(level, units float64) time.Duration {
+	return time.Duration(max(r.floor(units)-level, 0) / r.Rate * float64(time.Second))
+}
+
 type bucket struct {
-	rule  Rule
-	level float64
-	told  float64 // level by the leader's last word
-	at    time.Time
+	rule   Rule
+	level  float64
+	at     time.Time // of level
+	told   float64   // level by the leader's last word
+	toldAt time.Time
 }
 
 func (b *bucket) advance(now time.Time, share float64) {
@@ -90,16 +125,47 @@
 	return out
 }
 
-// fresh is how old the leader's word may be until an instance keeps to its part of a
-// level: two reports and a half.
-const fresh = 500 * time.Millisecond
+// Borrow spends units if the level admits them. It returns the level after that, or
+// an error if there is no rule for the organisation.
+func (l *Ledger) Borrow(name string, units float64, now time.Time) (ok bool, level float64, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[name]
+	if b == nil {
+		return false, 0, Error.New("no rate for organisation %q", name)
+	}
+	b.advance(now, 1)
+	if b.level <= b.rule.floor(units) {
+		return false, b.level, nil
+	}
+	b.level -= units
+	return true, b.level, nil
+}
 
-// spread is how much more than its even part of a level one instance may spend while
-// reports are answered: callers are not spread evenly.
-const spread = 5
+// Lender is the leader's ledger as an instance reaches it.
+type Lender interface {
+	// Borrow spends units if the level of the organisation admits them and returns the
+	// level after that. After an error they may have been spent.
+	Borrow(ctx context.Context, name string, units float64) (ok bool, level float64, err error)
+}
+
+const (
+	// fresh is how old the leader's word may be until an instance decides alone: two
+	// reports and a half.
+	fresh = 500 * time.Millisecond
+	// askTime bounds a question to the leader: many round trips within a region, and
+	// little of the time of a request that waits for the answer.
+	askTime = 150 * time.Millisecond
+	// freeShare is the part of a level that all instances together may spend without
+	// asking between two reports. The leader lends the rest at the same time, so both
+	// together exceed the level by this part at most.
+	freeShare = 0.5
+)
 
 // Buckets is the side of one instance.
 type Buckets struct {
+	lender Lender
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	spent   map[string]float64 // not yet taken by Take
@@ -107,13 +173,13 @@
 	nodes   int
 	heard   time.Time // the leader's last word
 	// rounding is drawn at each word of the leader, from 0 to 1: the share of a request
-	// that must fit into this instance's part.
+	// that must fit into this instance's part when it decides alone.
 	rounding float64
 }
 
-// NewBuckets returns buckets without rules.
-func NewBuckets() *Buckets {
-	return &Buckets{buckets: map[string]*bucket{}, spent: map[string]float64{}, flying: map[string]float64{}, nodes: 1}
+// NewBuckets returns buckets without rules. Without a lender they decide alone.
+func NewBuckets(l Lender) *Buckets {
+	return &Buckets{lender: l, buckets: map[string]*bucket{}, spent: map[string]float64{}, flying: map[string]float64{}, nodes: 1}
 }
 
 // Configure replaces the rules.
@@ -123,22 +189,90 @@
 	configure(q.buckets, rules, now)
 }
 
-// Admit spends units of an organisation. If the level does not cover them it
-// returns how long it takes to recover.
-func (q *Buckets) Admit(name string, units float64, now time.Time) (ok bool, wait time.Duration) {
+// Admit spends units of an organisation, or returns how long its level takes to
+// recover. It waits for the leader's answer if it must ask, at most for askTime.
+func (q *Buckets) Admit(ctx context.Context, name string, units float64, now time.Time) (ok bool, wait time.Duration) {
+	ok, wait, sure := q.decide(name, units, now)
+	if sure {
+		return ok, wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	ok, level, err := q.lender.Borrow(ctx, name, units)
+	if err != nil {
+		return q.alone(name, units, now)
+	}
+	return ok, q.lent(name, units, ok, level, now)
+}
+
+// decide admits or refuses what this instance can tell by itself; sure is false if
+// only the leader can.
+func (q *Buckets) decide(name string, units float64, now time.Time) (ok bool, wait time.Duration, sure bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	b := q.buckets[name]
 	if b == nil || b.rule.Rate <= 0 {
-		return true, 0
+		return true, 0, true
 	}
 	b.advance(now, 1/float64(max(q.nodes, 1)))
-	// A request larger than the burst could never be covered; it needs a full bucket.
-	need := min(units, b.rule.Burst)
-	if b.level < need {
-		return false, time.Duration((need - b.level) / b.rule.Rate * float64(time.Second))
+	if q.lender == nil || now.Sub(q.heard) >= fresh {
+		ok, wait = q.admitAlone(b, name, units, now)
+		return ok, wait, true
+	}
+	unconfirmed := q.spent[name] + q.flying[name]
+	if unconfirmed+units <= freeShare*max(b.told, 0)/float64(max(q.nodes, 1)) {
+		b.level -= units
+		q.spent[name] += units
+		return true, 0, true
+	}
+	// The level has grown by the whole rate at most since the leader's word.
+	most := b.told + b.rule.Rate*now.Sub(b.toldAt).Seconds() - unconfirmed
+	if floor := b.rule.floor(units); most <= floor {
+		return false, b.rule.wait(most, units), true
+	}
+	return false, 0, false
+}
+
+// lent records the leader's answer and returns how long a refused request waits.
+func (q *Buckets) lent(name string, units float64, ok bool, level float64, now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.buckets[name]
+	if b == nil {
+		return 0
 	}
-	if !q.mayGoOn(b, q.spent[name]+q.flying[name], units, now) {
+	b.told, b.toldAt = level, now
+	b.level, b.at = level-q.spent[name]-q.flying[name], now
+	if ok {
+		return 0
+	}
+	return b.rule.wait(level, units)
+}
+
+// alone decides after a question without an answer. Further requests do not ask
+// until the leader has answered a report.
+func (q *Buckets) alone(name string, units float64, now time.Time) (bool, time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.buckets[name]
+	if b == nil {
+		return true, 0
+	}
+	if silentSince := now.Add(-fresh); q.heard.After(silentSince) {
+		q.heard = silentSince
+	}
+	return q.admitAlone(b, name, units, now)
+}
+
+// admitAlone decides without the leader. Each instance has a part of the level, or
+// all would spend the same one; a request larger than the part is admitted at as
+// many instances as the parts add up to. mu is held.
+func (q *Buckets) admitAlone(b *bucket, name string, units float64, now time.Time) (bool, time.Duration) {
+	if b.level <= b.rule.floor(units) {
+		return false, b.rule.wait(b.level, units)
+	}
+	part := (max(b.told, 0) + b.rule.Rate*now.Sub(q.heard).Seconds()) / float64(max(q.nodes, 1))
+	if q.spent[name]+q.flying[name]+units*q.rounding > part {
 		return false, time.Duration(units / b.rule.Rate * float64(time.Second))
 	}
 	b.level -= units
@@ -146,19 +280,6 @@
 	return true, 0
 }
 
-// mayGoOn reports whether an instance may spend units on top of what the leader has
-// not confirmed. Each instance has a part of the level, or all would spend the same
-// one; a request larger than the part is admitted at as many instances as the parts
-// add up to. mu is held.
-func (q *Buckets) mayGoOn(b *bucket, unconfirmed, units float64, now time.Time) bool {
-	part := max(b.told, 0) * spread
-	if silent := now.Sub(q.heard); silent >= fresh {
-		part = max(b.told, 0) + b.rule.Rate*silent.Seconds()
-	}
-	part /= float64(max(q.nodes, 1))
-	return unconfirmed+units*q.rounding <= part
-}
-
 // Level returns what an organisation has left, for logs.
 func (q *Buckets) Level(name string, now time.Time) float64 {
 	q.mu.Lock()
@@ -220,7 +341,8 @@
 	q.flying, q.nodes, q.heard, q.rounding = map[string]float64{}, nodes, now, rand.Float64()
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
-			b.level, b.told, b.at = level-q.spent[name], level, now
+			b.level, b.at = level-q.spent[name], now
+			b.told, b.toldAt = level, now
 		}
 	}
 }
