route: Fetch caches of prompts from servers that are leaving

The servers that start in their place read every shared prompt again (1.09 million tokens), waits grew to 2 s and the load to four times what it was, although the reclaimed servers were still there for 3.6 s with the caches. Ruled out: too late orders (0.7 s after the notice, 4.0 s to start) and refusals (64, all at an organisation's rate).

Leaving servers stay in the route table as sources until their time to leave, or 1.5 s without one; they take no requests.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -230,7 +230,7 @@
 	return e.coord.Flush(ctx)
 }
 
-func (e *Edge) serversChanged(now time.Time) { e.proxy.SetServers(e.roster.Usable(), now) }
+func (e *Edge) serversChanged(now time.Time) { e.proxy.SetServers(e.roster.Present(), now) }
 
 // Configure accepts a configuration. It returns nil once it is durable, or
 // overtaken by a higher version.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -153,7 +153,8 @@
 	otherPrefix   = "not:"
 )
 
-// SetServers replaces the servers that may get new requests.
+// SetServers replaces the servers. Those that are ready get new requests, leaving
+// ones give the caches of their prompts to others.
 func (p *Proxy) SetServers(servers []roster.Server, now time.Time) {
 	p.mu.Lock()
 	targets := map[string]string{}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -275,7 +275,7 @@
 	p.mu.Lock()
 	server, ok := p.servers[choice.Backend.ID]
 	p.mu.Unlock()
-	if !ok {
+	if !ok || server.State != world.Ready {
 		return false, Error.New("server %q has left", choice.Backend.ID)
 	}
 	sent := p.cfg.Clock()
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -62,6 +62,9 @@
 	// transfers take link and memory of two servers. Prices of today's deployments
 	// make it two thirds of a token read again.
 	fetchWeight = 0.65
+	// leavingServes is how long a server without a time to leave gives its cache to
+	// others after it was seen leaving; servers go on for 2 s or more then.
+	leavingServes = 1500 * time.Millisecond
 	// homeBlock is the first block that may give a prompt its home; see homeOf.
 	homeBlock = 32
 	// homeShare is the part of the prefill time that a server may be slower and
@@ -193,19 +196,22 @@
 // best.
 func (t *Table) best(list *shortlist, q *Query, now time.Time) Choice {
 	var hits [finalists + indexed]int
-	holder := 0 // the finalist with most of the prompt
+	holder, held := (*server)(nil), 0 // the server with most of the prompt
 	for i := range list.n {
-		if hits[i] = list.c[i].s.cachedTokens(q); hits[i] > hits[holder] {
-			holder = i
+		if hits[i] = list.c[i].s.cachedTokens(q); hits[i] > held {
+			holder, held = list.c[i].s, hits[i]
 		}
 	}
+	if q.FetchPerToken > 0 {
+		holder, held = t.leavingHolder(q, holder, held, now)
+	}
 	var out Choice
 	var s *server
 	least, prefill := math.Inf(1), 0.0
 	for i := range list.n {
 		c := list.c[i]
 		hit, fetch := hits[i], 0
-		if gain := hits[holder] - hit; q.FetchPerToken > 0 && gain >= fetchLeast {
+		if gain := held - hit; q.FetchPerToken > 0 && gain >= fetchLeast {
 			fetch = gain
 		}
 		p := float64(q.PromptTokens-hit-fetch) * c.s.perToken().Seconds()
@@ -217,7 +223,7 @@
 		least, prefill, s = score, p+f, c.s
 		out = Choice{Backend: s.b, CachedTokens: hit, FetchTokens: fetch}
 		if fetch > 0 {
-			out.Source = list.c[holder].s.b
+			out.Source = holder.b
 		}
 	}
 	out.Expected = time.Duration((s.delay(now, t.distance(s, q)) + prefill) * float64(time.Second))
@@ -228,6 +234,25 @@
 	return out
 }
 
+// leavingHolder returns a leaving server that holds more of the prompt than the best
+// other one, or that one. When a data centre is reclaimed its caches are needed by
+// the servers that start in its place, and they are there until it is gone.
+func (t *Table) leavingHolder(q *Query, holder *server, held int, now time.Time) (*server, int) {
+	for _, s := range t.leaving[q.Service] {
+		until := s.b.LeaveBy
+		if until.IsZero() {
+			until = s.leftAt.Add(leavingServes)
+		}
+		if !now.Before(until) || !s.b.Runs(q.Version) || slices.Contains(q.Exclude, s.b.ID) {
+			continue
+		}
+		if hit := s.cachedTokens(q); hit > held {
+			holder, held = s, hit
+		}
+	}
+	return holder, held
+}
+
 func (s *server) cachedTokens(q *Query) int {
 	if len(q.Prefix) == 0 {
 		return 0
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -105,6 +105,7 @@
 	rnd     *rand.Rand
 	servers map[string]*server
 	groups  map[groupKey]*group
+	leaving map[string][]*server // by service; they take no requests but still give caches
 	index   *blockIndex
 	nextNum uint32
 	nums    map[uint32]*server // by number, for the block index
@@ -145,6 +146,7 @@
 	took   float64 // smoothed duration of a request, s
 	cache  cache
 	health health
+	leftAt time.Time // when it was first seen leaving
 }
 
 // step is one start (+1) or end (-1) of a request.
@@ -181,7 +183,7 @@
 
 // Set replaces the backend servers. What is known about a server is kept unless
 // it has restarted, which shows in its incarnation.
-func (t *Table) Set(backends []world.Backend, _ time.Time) {
+func (t *Table) Set(backends []world.Backend, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.servers
@@ -194,6 +196,9 @@
 		if s.b.Incarnation == b.Incarnation {
 			s.b = b
 		}
+		if s.b.State == world.Leaving && s.leftAt.IsZero() {
+			s.leftAt = now
+		}
 		t.servers[b.ID] = s
 	}
 	for id, s := range old {
@@ -218,9 +223,12 @@
 
 func (t *Table) regroup() {
 	old := t.groups
-	t.groups = map[groupKey]*group{}
+	t.groups, t.leaving = map[groupKey]*group{}, map[string][]*server{}
 	for _, s := range t.servers {
 		s.group = nil
+		if s.b.State == world.Leaving {
+			t.leaving[s.b.Service] = append(t.leaving[s.b.Service], s)
+		}
 		if s.b.State != world.Ready {
 			continue
 		}
