fleet: Ask again for reclaimable engines a second after a refusal

Cause: a data centre that had none was asked again only after the boot time and 3 s, or when its other order changed, so engines at the full price ran on. The simulated market of the tests asked for both kinds with each order, which hid this; it now asks as the holder of the duty does, and the new test fails without the change (5.75 s).

--- a/internal/fleet/centre.go
+++ b/internal/fleet/centre.go
@@ -51,8 +51,8 @@
 	// steadyPlaces is how many places of each data centre one kind leaves to the other.
 	steadyPlaces = 2
 	// refusedPause is the wait before a data centre that had no reclaimable engines is
-	// asked again.
-	refusedPause = 2 * time.Second
+	// asked again: a question costs little against engines at the full price.
+	refusedPause = time.Second
 	// bootSlack is added to the boot time before an engine counts as not coming.
 	bootSlack = 2 * time.Second
 	// repeatPause is the wait before an order that has not had its effect is repeated.
@@ -181,7 +181,7 @@
 
 // due reports whether an order is new, or has not had its effect in time.
 func (z CentreEngines) due(now time.Time, v CentreView, want Counts) bool {
-	if z.OrderedAt.IsZero() || want != z.Ordered || z.lost() && !z.blocked(now) {
+	if z.OrderedAt.IsZero() || want != z.Ordered || (z.lost() || z.Dry) && !z.blocked(now) {
 		return true
 	}
 	missing := z.Ready < want.Steady || z.Spare < want.Reclaimable
--- a/internal/fleet/centre_test.go
+++ b/internal/fleet/centre_test.go
@@ -69,10 +69,16 @@
 
 func (m *market) order(centre int, want Counts, now time.Time) {
 	z := &m.centres[centre]
-	z.OrderedAt, z.SpareAt, z.Seen = now, now, z.Spare
-	if now.Before(m.dry) && want.Reclaimable > z.Spare {
+	asks := z.OrderedAt.IsZero() || want.Reclaimable != z.Ordered.Reclaimable || want == z.Ordered
+	z.OrderedAt = now
+	if asks {
+		z.SpareAt, z.Seen = now, z.Spare
+	}
+	switch {
+	case !asks: // a change of the other kind alone
+	case now.Before(m.dry) && want.Reclaimable > z.Spare:
 		z.Refused, z.Dry = now, true
-	} else {
+	default:
 		z.Dry, z.Ordered.Reclaimable = false, want.Reclaimable
 		z.Spare = m.adjust(centre, true, z.Spare, want.Reclaimable, now)
 	}
@@ -204,3 +210,27 @@
 		t.Errorf("orders %+v", got)
 	}
 }
+
+// Guards against engines at the full price that run on although reclaimable ones are
+// to be had again: a data centre that had none was asked again after 7 s only.
+func TestReclaimableEnginesReturnSoon(t *testing.T) {
+	for _, lasting := range []time.Duration{5 * time.Second, 9 * time.Second, 12 * time.Second} {
+		m := newMarket(4, 0, 6)
+		begin := time.Unix(1_000_000, 0)
+		at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+		const taken = 10_000 // ms
+		end := at(taken).Add(lasting)
+		for ms := 0; ms < 40_000; ms += 250 {
+			if ms == taken {
+				m.reclaim(0, at(ms))
+				m.reclaim(1, at(ms))
+				m.dry = end
+			}
+			m.step(6, 0, at(ms))
+			// A pause between two questions, a look, and a start.
+			if back := at(ms).Sub(end); back > 1500*time.Millisecond+m.boot && (m.centres[0].Spare < 3 || m.centres[1].Spare < 3) {
+				t.Fatalf("without reclaimable engines for %v: %d and %d of 3 are ready %v after they could be had", lasting, m.centres[0].Spare, m.centres[1].Spare, back)
+			}
+		}
+	}
+}
