quota: Use half of the tolerated excess; leave out what cut off instances spend

Ruled out: refusals below the level (none since the leader lends).

The rate of an organisation is raised so that a window admits its limit and half of the tolerated excess. The other half stays for instances that are cut off; what their parts admit is now taken out of what the leader's buckets get.

--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -132,6 +132,7 @@
 		}
 	}
 	h.list(now)
+	h.ledger.Reserve(h.apart(now), now)
 	h.mu.Unlock()
 	if gap > stallGap {
 		h.roster.Touch(now)
@@ -158,6 +159,28 @@
 	}
 }
 
+// apart returns the share of instances that took requests and are silent. They may be
+// cut off and admit requests by their part of the rates. mu is held.
+func (h *hub) apart(now time.Time) float64 {
+	latest := map[string]*nodeState{}
+	for key, n := range h.nodes {
+		if o := latest[key.id]; o == nil || n.heard.After(o.heard) {
+			latest[key.id] = n
+		}
+	}
+	silent, all := 0, 0
+	for _, n := range latest {
+		if !n.node.Ready {
+			continue
+		}
+		all++
+		if now.Sub(n.heard) > nodeSilence {
+			silent++
+		}
+	}
+	return float64(silent) / float64(max(all, 1))
+}
+
 // durable returns the instances with a disk that report.
 func (h *hub) durable(now time.Time) []string {
 	h.mu.Lock()
--- a/internal/coord/hub_test.go
+++ b/internal/coord/hub_test.go
@@ -68,3 +68,25 @@
 		}
 	}
 }
+
+// Guards against rates that are spent twice while instances are cut off: what their
+// parts admit must be left out of what the leader lends. Stopped instances and
+// earlier processes of one that runs spend nothing.
+func TestShareOfInstancesApart(t *testing.T) {
+	h := newHub("a", 1, nil, start)
+	report := func(id string, ready bool, started, now time.Time) {
+		h.take(&coordpb.Sync{Node: Node{ID: id, Ready: ready, Started: started}.proto()}, now)
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		report(id, true, start, start)
+	}
+	report("e", false, start, start)
+	later := start.Add(2 * time.Second)
+	for _, id := range []string{"a", "b"} {
+		report(id, true, start, later)
+	}
+	report("c", true, later, later)
+	if got := h.apart(later); got != 0.25 {
+		t.Errorf("share %v of the instances is apart, want a quarter", got)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,8 @@
 	// Heartbeat is how often backend servers announce themselves.
 	Heartbeat time.Duration
 	Retry     proxy.RetryLimit
+	// Tolerance is how far organisations may exceed their limits.
+	Tolerance quota.Tolerance
 	// Duties are the calls that one instance makes for all; nil without any.
 	Duties duty.Platform
 	// Reports and Sizes tell which duties there are.
@@ -398,7 +400,7 @@
 	rules := map[string]quota.Rule{}
 	for _, o := range c.Organisations {
 		if o.Rate > 0 {
-			rules[o.Name] = quota.Rule{Rate: o.Rate, Burst: max(o.Burst, 1)}
+			rules[o.Name] = quota.Rule{Rate: o.Rate, Burst: max(o.Burst, 1)}.WithTolerance(e.cfg.Tolerance)
 		}
 	}
 	e.quota.Configure(rules, now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -26,6 +26,31 @@
 	Burst float64 // units
 }
 
+// Tolerance is how far an organisation may exceed its limit in each window before its
+// operator takes the limit for broken.
+type Tolerance struct {
+	Window time.Duration
+	Share  float64 // of rate x window + burst
+	Units  float64 // besides
+}
+
+// toleranceShare is the part of a tolerance that organisations may use: to refuse what
+// the operator accepts helps nobody. The rest is kept for instances that are cut off
+// and spend their parts without the leader, and for reports that are under way.
+const toleranceShare = 0.5
+
+// WithTolerance returns the rule whose rate makes use of a tolerance: in each window
+// it admits the limit and a part of the tolerance.
+func (r Rule) WithTolerance(t Tolerance) Rule {
+	w := t.Window.Seconds()
+	if w <= 0 {
+		return r
+	}
+	extra := t.Share*(r.Rate*w+r.Burst) + t.Units
+	r.Rate += toleranceShare * extra / w
+	return r
+}
+
 const (
 	// smallShare is the largest part of a burst that a small request takes, and
 	// reserveShare the part of a burst below zero that only small ones may use: when
@@ -72,10 +97,25 @@
 type Ledger struct {
 	mu      sync.Mutex
 	buckets map[string]*bucket
+	share   float64 // of the rates that fills the buckets
 }
 
 // NewLedger returns a ledger without rules.
-func NewLedger() *Ledger { return &Ledger{buckets: map[string]*bucket{}} }
+func NewLedger() *Ledger { return &Ledger{buckets: map[string]*bucket{}, share: 1} }
+
+// Reserve leaves a share of the rates to instances that may be cut off, which spend
+// their parts without asking.
+func (l *Ledger) Reserve(share float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if 1-share == l.share {
+		return
+	}
+	for _, b := range l.buckets {
+		b.advance(now, l.share)
+	}
+	l.share = 1 - share
+}
 
 // Configure replaces the rules; new buckets start full.
 func (l *Ledger) Configure(rules map[string]Rule, now time.Time) {
@@ -108,7 +148,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if b := l.buckets[name]; b != nil {
-		b.advance(now, 1)
+		b.advance(now, l.share)
 		b.level -= units
 	}
 }
@@ -119,7 +159,7 @@
 	defer l.mu.Unlock()
 	out := make(map[string]float64, len(l.buckets))
 	for name, b := range l.buckets {
-		b.advance(now, 1)
+		b.advance(now, l.share)
 		out[name] = b.level
 	}
 	return out
@@ -134,7 +174,7 @@
 	if b == nil {
 		return false, 0, Error.New("no rate for organisation %q", name)
 	}
-	b.advance(now, 1)
+	b.advance(now, l.share)
 	if b.level <= b.rule.floor(units) {
 		return false, b.level, nil
 	}
