roster: The end of a server that is not known here ends it everywhere

Servers that start and are taken away at once announce themselves to one instance and say 40 ms later to another that they end. That one did not know the server, acknowledged and told nobody; the announcement spread after it. Ruled out: lost contact (both senders applied configurations at 46.6 and 47.4 s) and the change of the route table (the leader itself took the server out for its silence only, at 52.3 s).

The word that a server ends now ends all incarnations of its id that have started by then, known or not. The new test fails without that (the word had no effect to test before).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,10 +220,7 @@
 // Leave takes the word of a backend server that it ends.
 func (e *Edge) Leave(ctx context.Context, id string) error {
 	now := e.cfg.Clock()
-	s, ok := e.roster.Leave(id, now)
-	if !ok {
-		return nil // nobody sends it anything
-	}
+	s := e.roster.Leave(id, now)
 	e.mu.Lock()
 	e.heard[id] = s
 	e.mu.Unlock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -126,20 +126,27 @@
 	return out
 }
 
-// Leave marks a server as ended by its own word and returns it, or false if it is
-// not known.
-func (r *Roster) Leave(id string, now time.Time) (Server, bool) {
+// leaveSkew is how far the clocks of a server and an instance may differ for the
+// word that it ends.
+const leaveSkew = time.Second
+
+// Leave records the word of a server that it ends. The word names no incarnation, so
+// it ends all that have started by now: the server may have announced itself to
+// another instance a moment ago, and that announcement must not revive it here.
+func (r *Roster) Leave(id string, now time.Time) Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.servers[id]
 	if e == nil {
-		return Server{}, false
+		e = &entry{s: Server{ID: id}}
+		r.servers[id] = e
 	}
 	if !e.s.ended() {
 		r.change++
 		e.s.State, e.s.Silent, e.heard, e.changed = world.Gone, false, now, r.change
+		e.s.Born = max(e.s.Born, now.Add(leaveSkew).UnixMilli())
 	}
-	return e.s, true
+	return e.s
 }
 
 // Touch counts all servers as heard at now, after a time in which announcements
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -110,3 +110,33 @@
 		t.Errorf("changed: %v", all)
 	}
 }
+
+// Guards against requests to a server that has said it ends, because its last
+// announcement reached another instance and came here later: such a server got
+// requests for 3.7 s (lechner-sortwerk-grown scale-2).
+func TestEndOfAnUnknownServer(t *testing.T) {
+	now := time.UnixMilli(50_000)
+	for _, c := range []struct {
+		name   string
+		before []Server
+		after  Server
+		want   int // usable servers
+	}{
+		{"unknown", nil, server("a", 49_990, 1, world.Ready), 0},
+		{"known by an earlier incarnation", []Server{server("a", 10_000, 9, world.Ready)}, server("a", 49_990, 1, world.Ready), 0},
+		{"its clock is ahead", nil, server("a", 50_400, 1, world.Ready), 0},
+		{"started again later", nil, server("a", 54_000, 1, world.Ready), 1},
+	} {
+		r, other := New(), New()
+		for _, s := range c.before {
+			r.Put(s, now)
+		}
+		other.Put(r.Leave("a", now), now)
+		for _, x := range []*Roster{r, other} {
+			x.Put(c.after, now)
+			if got := len(x.Usable()); got != c.want {
+				t.Errorf("%s: %d usable servers, want %d", c.name, got, c.want)
+			}
+		}
+	}
+}
