--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -163,25 +163,27 @@
 // that never gives them up.
 func TestNeed(t *testing.T) {
 	s := newSizer()
-	at := func(second int, load, carry int) int {
+	at := func(second int, load, carry int) (int, int) {
 		now := start.Add(time.Duration(second) * time.Second)
-		n := s.need("s", load, carry, now)
+		peak, recent := s.need("s", load, carry, now)
 		s.second = now.Unix()
-		return n
+		return peak, recent
 	}
 	for _, c := range []struct {
-		second, load, carry, want int
+		second, load, carry, peak, recent int
 	}{
-		{0, 0, 90, 90},            // nothing runs before the traffic
-		{10, 0, 94, 94},           // more have announced themselves
-		{11, 50, 10, 94},          // the load has just begun
-		{25, 50, 10, 10},          // watched for long enough
-		{26, 100, 10, 20},         // grows at once
-		{40, 50, 10, 20},          // a peak is remembered
-		{61, 0, 10, leastEngines}, // forgotten
+		{0, 0, 90, 90, 90},                      // nothing runs before the traffic
+		{10, 0, 94, 94, 94},                     // more have announced themselves
+		{11, 50, 10, 94, 94},                    // the load has just begun
+		{25, 50, 10, 10, 10},                    // watched for long enough
+		{26, 100, 10, 20, 20},                   // grows at once
+		{29, 50, 10, 20, 20},                    // remembered
+		{31, 50, 10, 20, 10},                    // no reason for engines at the full price any more
+		{40, 50, 10, 20, 10},                    // remembered still
+		{61, 0, 10, leastEngines, leastEngines}, // forgotten
 	} {
-		if got := at(c.second, c.load, c.carry); got != c.want {
-			t.Errorf("second %d: need %d, want %d", c.second, got, c.want)
+		if peak, recent := at(c.second, c.load, c.carry); peak != c.peak || recent != c.recent {
+			t.Errorf("second %d: need %d and %d, want %d and %d", c.second, peak, recent, c.peak, c.recent)
 		}
 	}
 }
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -62,6 +62,10 @@
 	// peakSeconds is how long a peak of the load decides the size. Engines take
 	// several seconds to start and lose their caches when they stop.
 	peakSeconds = 20
+	// recentSeconds is the same for engines at the full price, several times that of
+	// reclaimable ones: requests that pile up while engines are missing make a peak
+	// that is over before further engines have started.
+	recentSeconds = 5
 	// watchSeconds is how long a new holder watches the load before it gives up
 	// engines.
 	watchSeconds = 8
@@ -72,11 +76,11 @@
 	leastEngines = 3
 )
 
-// need returns how many engines a service needs for the requests that run. A holder
-// that has not watched the load for long keeps the engines that are there, which
+// need returns how many engines a service needs for the requests that ran in the last
+// peakSeconds, and in the last recentSeconds. A holder that has not watched the load for long keeps the engines that are there, which
 // carry a load of carry: it may have begun before the traffic, or have taken over
 // from another one.
-func (s *sizer) need(service string, running, carry int, now time.Time) int {
+func (s *sizer) need(service string, running, carry int, now time.Time) (peak, recent int) {
 	m := s.peaks[service]
 	if m == nil {
 		m = &[peakSeconds]int{}
@@ -87,7 +91,11 @@
 	}
 	at := now.Unix() % peakSeconds
 	m[at] = max(m[at], running)
-	n := max((slices.Max(m[:])+perEngine-1)/perEngine, leastEngines)
+	most := 0
+	for second := now.Unix() - recentSeconds + 1; second <= now.Unix(); second++ {
+		most = max(most, m[second%peakSeconds])
+	}
+	peak, recent = enginesFor(slices.Max(m[:])), enginesFor(most)
 	b := s.begun[service]
 	if b.loaded.IsZero() {
 		b.engines = max(b.engines, carry)
@@ -97,9 +105,13 @@
 		s.begun[service] = b
 	}
 	if b.loaded.IsZero() || now.Sub(b.loaded) < watchSeconds*time.Second {
-		return max(n, b.engines)
+		return max(peak, b.engines), max(recent, b.engines)
 	}
-	return n
+	return peak, recent
+}
+
+func enginesFor(running int) int {
+	return max((running+perEngine-1)/perEngine, leastEngines)
 }
 
 // demand is how many requests a backend server has to run at once. Those that wait
@@ -133,8 +145,8 @@
 }
 
 // view collects what the size of one service depends on.
-func (s *sizer) view(svc *routes.Service, servers []roster.Server, need int, now time.Time) fleet.CentreView {
-	v := fleet.CentreView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, Boot: svc.Scaling.Boot, Need: need}
+func (s *sizer) view(svc *routes.Service, servers []roster.Server, need, recent int, now time.Time) fleet.CentreView {
+	v := fleet.CentreView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, Boot: svc.Scaling.Boot, Need: need, Recent: recent}
 	for dc, price := range svc.Scaling.Prices {
 		z := fleet.CentreEngines{DataCentre: dc, Price: price}
 		for _, x := range servers {
@@ -190,8 +202,8 @@
 			load += demand(loads[x.ID])
 		}
 		carry := max(steady, fleet.Carried(spare, len(svc.Scaling.Prices)))
-		need := r.sizer.need(svc.Name, load, carry, now)
-		v := r.sizer.view(svc, servers, need, now)
+		need, recent := r.sizer.need(svc.Name, load, carry, now)
+		v := r.sizer.view(svc, servers, need, recent, now)
 		v.Hold = r.sizer.hold(svc.Name, v.Missing(now), now)
 		for _, o := range fleet.Size(now, v) {
 			r.order(svc.Name, o, need, load, now)
--- a/internal/fleet/centre.go
+++ b/internal/fleet/centre.go
@@ -31,7 +31,8 @@
 type CentreView struct {
 	Min, Max int // engines of both kinds in each data centre
 	Boot     time.Duration
-	Need     int // engines that carry the load
+	Need     int // engines that carry the highest load of a while, for reclaimable ones
+	Recent   int // the same for the last seconds, for the others
 	// Hold is how many engines that are not reclaimable were needed a moment ago.
 	Hold    int
 	Centres []CentreEngines
@@ -101,7 +102,7 @@
 		steady += z.Ready
 		spares += z.Spare
 	}
-	return min(steady, max(v.Need-spares, 0))
+	return min(steady, max(v.Recent-spares, 0))
 }
 
 // Missing returns how many engines the load needs beyond the reclaimable ones. While
@@ -125,7 +126,7 @@
 	for _, n := range spares[:max(len(spares)-lost, 1)] {
 		left += n
 	}
-	return max(v.Need-left, 0)
+	return max(v.Recent-left, 0)
 }
 
 // perCentre returns the reclaimable engines of each data centre such that need are
--- a/internal/fleet/centre_test.go
+++ b/internal/fleet/centre_test.go
@@ -55,7 +55,7 @@
 	for i := range m.centres {
 		m.centres[i].Seen = max(m.centres[i].Seen, m.centres[i].Spare)
 	}
-	v := CentreView{Min: 1, Max: m.max, Boot: m.boot, Need: need, Hold: hold, Centres: m.centres}
+	v := CentreView{Min: 1, Max: m.max, Boot: m.boot, Need: need, Recent: need, Hold: hold, Centres: m.centres}
 	missing := v.Missing(now)
 	for _, o := range Size(now, v) {
 		for i := range m.centres {
@@ -187,7 +187,7 @@
 		m.dry = time.Unix(1_000_000+int64(need%3), 0)
 		for s := range 20 {
 			now := time.Unix(1_000_000+int64(s), 0)
-			v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: need, Centres: m.centres}
+			v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: need, Recent: need, Centres: m.centres}
 			for _, o := range Size(now, v) {
 				if sum := o.Want.Steady + o.Want.Reclaimable; sum < 1 || o.Want.Steady > 6 || o.Want.Reclaimable > 6 {
 					t.Fatalf("need %d: order %+v", need, o)
@@ -205,7 +205,7 @@
 	for ms := 0; ms < 30_000; ms += 250 {
 		m.step(6, 0, begin.Add(time.Duration(ms)*time.Millisecond))
 	}
-	v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: 6, Centres: m.centres}
+	v := CentreView{Min: 1, Max: 6, Boot: m.boot, Need: 6, Recent: 6, Centres: m.centres}
 	if got := Size(begin.Add(30*time.Second), v); len(got) > 0 {
 		t.Errorf("orders %+v", got)
 	}
