duty: The first holder waits for the engines to announce themselves

Ruled out: placement (expected 0.15 s, waited 0.4 to 1.1 s on most engines) and requests that read a prompt twice (8,300 tokens a request, 620 of them cached).

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -65,11 +65,16 @@
 	Organisations  func() []string
 	// Services returns the services and the backend servers that are there.
 	Services func() ([]routes.Service, []roster.Server)
-	Clock    func() time.Time
-	Log      log.Interface
+	// Heartbeat is how often backend servers announce themselves.
+	Heartbeat time.Duration
+	Clock     func() time.Time
+	Log       log.Interface
 }
 
 const (
+	// announceBeats is how many heartbeats a new holder waits before it orders engines.
+	// One that counts those that have announced themselves so far gives up the rest.
+	announceBeats = 2
 	// interval is how often the holder looks for work.
 	interval = 250 * time.Millisecond
 	// settle is how long after its end a window is reported: clocks differ a little
@@ -131,7 +136,7 @@
 		r.sizer = newSizer() // another holder may change what is ordered
 		return
 	}
-	if r.cfg.Sizes {
+	if r.cfg.Sizes && r.knowsEngines() {
 		r.size()
 	}
 	if !r.cfg.Reports {
@@ -144,6 +149,14 @@
 	}
 }
 
+// knowsEngines reports whether all engines have had the time to announce themselves
+// since this instance was elected.
+func (r *Runner) knowsEngines() bool {
+	now := r.cfg.Clock()
+	l, ok := r.cfg.Coord.Leads(now)
+	return ok && now.Sub(l.Since) >= announceBeats*r.cfg.Heartbeat
+}
+
 // due returns the windows that have ended and whose reports still count.
 func due(t Timing, now time.Time) []int64 {
 	w := max(t.Window.Milliseconds(), 1)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -197,3 +197,33 @@
 		}
 	}
 }
+
+// Guards against a first holder that gives up engines which have not announced
+// themselves yet: it took 57 of 140 for all, and the traffic met 95 instead of 130.
+func TestFirstHolderKnowsTheEngines(t *testing.T) {
+	w := newStage()
+	w.leader, w.lead = "a", coord.Lead{Term: 1, Since: start}
+	r := w.runner("a")
+	r.cfg.Sizes, r.cfg.Reports, r.cfg.Heartbeat = true, false, 1200*time.Millisecond
+	looks := 0
+	r.cfg.Services = func() ([]routes.Service, []roster.Server) { looks++; return nil, nil }
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {2399 * time.Millisecond, 0}, {2400 * time.Millisecond, 1}} {
+		w.now = start.Add(c.after)
+		if r.step(); looks != c.want {
+			t.Errorf("sized %d times after %v, want %d", looks, c.after, c.want)
+		}
+	}
+}
+
+// Guards against a first holder that doubles the fleet a deployment starts with, and
+// against a later one that gives up engines which replaced reclaimed ones.
+func TestCarried(t *testing.T) {
+	for _, c := range []struct{ steady, spare, want int }{{140, 0, 84}, {57, 50, 57}, {0, 140, 84}} {
+		if got := carried(c.steady, c.spare, 5); got != c.want {
+			t.Errorf("%d and %d reclaimable engines carry %d, want %d", c.steady, c.spare, got, c.want)
+		}
+	}
+}
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -122,6 +122,15 @@
 	return runs + min(l.Waiting, 2*runs+perEngine)
 }
 
+// carried returns the load that the engines are meant for. A fleet without reclaimable
+// engines is the one that a deployment starts with, which has room to lose some.
+func carried(steady, spare, centres int) int {
+	if spare == 0 {
+		return fleet.Carried(steady, centres)
+	}
+	return max(steady, fleet.Carried(spare, centres))
+}
+
 // begun is what a holder found when it began.
 type begun struct {
 	engines int       // that carried the load, as far as is known
@@ -201,7 +210,7 @@
 			}
 			load += demand(loads[x.ID])
 		}
-		carry := max(steady, fleet.Carried(spare, len(svc.Scaling.Prices)))
+		carry := carried(steady, spare, len(svc.Scaling.Prices))
 		need, recent := r.sizer.need(svc.Name, load, carry, now)
 		v := r.sizer.view(svc, servers, need, recent, now)
 		v.Hold = r.sizer.hold(svc.Name, v.Missing(now), now)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -150,7 +150,7 @@
 	if cfg.Duties != nil && e.self.Durable {
 		e.duties = duty.Start(duty.Config{
 			Name: cfg.Name, Coord: e.coord, Platform: cfg.Duties, Timing: cfg.Usage, Organisations: e.organisations,
-			Reports: cfg.Reports, Sizes: cfg.Sizes, Services: e.services,
+			Reports: cfg.Reports, Sizes: cfg.Sizes, Services: e.services, Heartbeat: cfg.Heartbeat,
 			Clock: cfg.Clock, Log: cfg.Log,
 		})
 	}
