coord: A repeated order of a rollout does not begin it again after its end

Cause, by reading: an operator repeats an order whose answer was lost for up to 5 s. If the version was taken back in that time, the repetition began the rollout anew and gave the bad version its share once more. Ruled out as a way to tell them apart: the phase alone, which an order given anew later shares.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -426,3 +426,26 @@
 		t.Errorf("a read of after the step shows phase %d, want %d", got, Done)
 	}
 }
+
+// Guards against a bad version that is brought in again because the operator sends the
+// order again, after an answer was lost, when the version has been taken back already.
+func TestRepeatedOrderAfterTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		again Rollout
+		want  Phase
+	}{
+		{"repeated", Rollout{Started: start.Add(4 * time.Second), Duration: time.Minute, Target: "v2"}, TakenBack},
+		{"ordered anew later", Rollout{Started: start.Add(20 * time.Second), Duration: time.Minute, Target: "v2"}, Running},
+		{"another target", Rollout{Started: start.Add(4 * time.Second), Duration: time.Minute, Target: "v3"}, Running},
+	} {
+		s := newState()
+		first := s.applyRollout(Rollout{Service: "s", Target: "v2", Phase: Running, Started: start, Duration: time.Minute}.proto())
+		s.applyRollout(rolloutOf(first).WithPhase(TakenBack, "bad").proto())
+		c.again.Service, c.again.Phase = "s", Running
+		s.applyRollout(c.again.proto())
+		if got := s.rollouts()[0].Phase; got != c.want {
+			t.Errorf("%s: phase %d, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -109,13 +109,26 @@
 	return b
 }
 
-// applyRollout records an order or a step. An order (serial 0) for a target that
-// is running already is a repeated one; a step applies to its own order only, and
-// never to one that has ended.
+// repeatTime is how long after an order the same one is taken for a repetition whose
+// first answer was lost: operators send orders again for 5 s at most.
+const repeatTime = 5 * time.Second
+
+// repeats reports whether r is the order o again. A bad version may have been taken
+// back by then, and the repetition must not bring it in once more.
+func repeats(r, o *coordpb.Rollout) bool {
+	if r.Target != o.Target {
+		return false
+	}
+	apart := time.Duration(r.StartedMs-o.StartedMs) * time.Millisecond
+	return Phase(o.State) == Running || r.DurationMs == o.DurationMs && apart.Abs() <= repeatTime
+}
+
+// applyRollout records an order (serial 0) unless it repeats the last one, or a step.
+// A step applies to its own order only, and never to one that has ended.
 func (m *state) applyRollout(r *coordpb.Rollout) *coordpb.Rollout {
 	i := slices.IndexFunc(m.s.Rollouts, func(o *coordpb.Rollout) bool { return o.Service == r.Service })
 	if r.Serial == 0 {
-		if i >= 0 && m.s.Rollouts[i].Target == r.Target && Phase(m.s.Rollouts[i].State) == Running {
+		if i >= 0 && repeats(r, m.s.Rollouts[i]) {
 			return m.s.Rollouts[i]
 		}
 		m.s.Serial++
