--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
@@ -24,6 +25,8 @@
 	}
 	out := &coordpb.Lent{}
 	if err := c.cfg.Net.Call(ctx, to, callBorrow, ask, out); err != nil {
+		c.cfg.Log.WithError(err).WithFields(log.Fields{"event": "quota.alone", "leader": to, "organisation": organisation}).
+			Warn("the leader lends nothing; this instance keeps to its part of the rates until a report is answered")
 		return false, 0, errors.Join(ErrUnavailable, err)
 	}
 	return out.Admitted, out.Level, nil
