proxy, route: Avoid servers that answer nothing and move requests that may run twice

It ejects the server, and a request that may run twice goes to another one within its attempts and the retry budget.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,7 +108,8 @@
 	budgets  map[string]*limit.Budget // by service
 	nodes    int
 	servers  map[string]roster.Server
-	loads    map[string]*coord.Load // this instance's outstanding work
+	heard    map[string]*atomic.Int64 // when servers last gave a byte, ns since 1970
+	loads    map[string]*coord.Load   // this instance's outstanding work
 	rollouts map[string]coord.Rollout
 	windows  map[int64]map[string]float64
 	begun    time.Time             // when the first configuration came
@@ -127,7 +128,7 @@
 		cfg: cfg, meters: m, table: route.New(route.Config{Seed: cfg.Seed, PerToken: cfg.PerToken}),
 		configured: make(chan struct{}),
 		rnd:        rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, nodes: 1,
-		servers: map[string]roster.Server{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
+		servers: map[string]roster.Server{}, heard: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
 		windows: map[int64]map[string]float64{}, told: map[heldKey]time.Time{},
 	}, nil
 }
@@ -165,6 +166,11 @@
 	for _, s := range servers {
 		p.servers[s.ID] = s
 	}
+	for id := range p.heard {
+		if _, ok := p.servers[id]; !ok {
+			delete(p.heard, id)
+		}
+	}
 	p.mu.Unlock()
 	cfg := p.Config()
 	backends := make([]world.Backend, 0, len(servers))
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -31,6 +31,7 @@
 	events bool
 	body   string
 	cut    bool // the body ends with an error instead of its end
+	hang   bool // nothing comes until the attempt is cancelled
 }
 
 var (
@@ -45,7 +46,7 @@
 	sent  []Attempt
 }
 
-func (s *script) Send(_ context.Context, _ *Request, a Attempt) (*Response, error) {
+func (s *script) Send(ctx context.Context, _ *Request, a Attempt) (*Response, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.sent) == len(s.steps) {
@@ -56,6 +57,10 @@
 	if x.err != nil {
 		return nil, x.err
 	}
+	if x.hang {
+		<-ctx.Done()
+		return nil, &backnd.CallError{Outcome: backnd.Unknown, Err: ctx.Err()}
+	}
 	body := io.Reader(strings.NewReader(x.body))
 	if x.cut {
 		body = io.MultiReader(body, broken{})
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
@@ -57,9 +58,10 @@
 	trials  []report // what came of it, for the log
 	lastErr error
 
-	begun     bool   // the caller has the header
-	lastEvent string // that the caller has
-	counted   bool   // in the usage of its organisation
+	begun     bool        // the caller has the header
+	lastEvent string      // that the caller has
+	counted   bool        // in the usage of its organisation
+	paid      atomic.Bool // the retry budget was drawn on for the next send
 }
 
 func (x *run) serve(ctx context.Context) error {
@@ -191,7 +193,7 @@
 			return x.giveUp(NoServer)
 		}
 		// A server that was not reached has got nothing, so the next send repeats nothing.
-		if x.arrived > 0 && !x.p.budget(x.service).Retry(now) {
+		if x.arrived > 0 && !x.paid.Swap(false) && !x.p.budget(x.service).Retry(now) {
 			return x.giveUp(Full)
 		}
 		ended, err := x.attempt(ctx, choice)
@@ -283,10 +285,11 @@
 	x.tried = append(x.tried, server.ID)
 	p.table.Started(server.ID, choice.Cost, sent)
 	p.work(coord.Load{Server: server.ID, Running: 1, Waiting: 1, Tokens: choice.Cost.UncachedTokens})
-	t := &trial{x: x, server: server, choice: choice, sent: sent, waiting: true}
+	t := &trial{x: x, server: server, choice: choice, sent: sent, waiting: true, heard: p.heardOf(server.ID)}
 	defer t.end()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t.watch(ctx, cancel)
 	a := x.attemptTo(server, sent)
 	if choice.FetchTokens > 0 {
 		a.FetchFrom = choice.Source.Address
@@ -295,13 +298,13 @@
 	if err != nil {
 		t.err = err
 		if notRun(err) {
-			t.failed = ctx.Err() == nil
+			t.failed = !givenUp(ctx)
 			t.unreached = t.failed
 			return false, err
 		}
 		x.arrived++
 		x.runs++
-		t.failed = ctx.Err() == nil
+		t.failed = !givenUp(ctx)
 		return x.lostAnswer(err)
 	}
 	defer resp.Body.Close()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -141,8 +141,8 @@
 			}
 			return true, nil
 		}
-		t.failed, t.err = ctx.Err() == nil, err
-		if ctx.Err() != nil {
+		t.failed, t.err = !givenUp(ctx), err
+		if givenUp(ctx) {
 			x.lastErr = context.Cause(ctx)
 			return true, x.giveUp(TimedOut)
 		}
--- a/internal/proxy/trial.go
+++ b/internal/proxy/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
@@ -39,6 +40,7 @@
 	err       error
 	last      time.Time     // of the last events passed on
 	pause     time.Duration // longest between events
+	heard     *atomic.Int64 // when the server last gave a byte to any request, ns since 1970
 }
 
 // report is one attempt in the log: the server, what was known of it when it was
@@ -57,10 +59,11 @@
 
 // first records that the answer has begun.
 func (t *trial) first(status int) {
+	p, now := t.x.p, t.x.p.cfg.Clock()
+	t.heard.Store(now.UnixNano())
 	if !t.waiting {
 		return
 	}
-	p, now := t.x.p, t.x.p.cfg.Clock()
 	t.waiting, t.status, t.took = false, status, now.Sub(t.sent)
 	p.work(coord.Load{Server: t.server.ID, Waiting: -1, Tokens: -t.choice.Cost.UncachedTokens})
 	if shared := len(t.x.parts) - 1; shared > 0 {
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -89,6 +89,22 @@
 	h.until, h.probe, h.samples, h.failures = now.Add(h.length), time.Time{}, 0, 0
 }
 
+// Silent ejects a server that gives no answers at all, and reports whether it did. An
+// ejection that lasts is not prolonged: many requests wait for the same server.
+func (t *Table) Silent(id string, cost Cost, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[id]
+	if s == nil || s.num != cost.server {
+		return false
+	}
+	if h := &s.health; h.ejected() && (now.Before(h.until) || h.probe.IsZero()) {
+		return false
+	}
+	t.eject(s, now)
+	return s.health.ejected()
+}
+
 // maxEjected is how many servers of a group may be ejected; one of two or three.
 func maxEjected(servers int) int {
 	if servers < 2 {
