quota, duty: A caller that leaves says nothing about the leader; log what sized an order

Cause, by reading: a question to the leader ends with its caller, and the instance then took the leader for lost and kept to its part of the rates until the next report. The new test fails without the change (no question for the next request). The line of an order names the engines for the last seconds beside those for the peak.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -25,8 +25,10 @@
 	}
 	out := &coordpb.Lent{}
 	if err := c.cfg.Net.Call(ctx, to, callBorrow, ask, out); err != nil {
-		c.cfg.Log.WithError(err).WithFields(log.Fields{"event": "quota.alone", "leader": to, "organisation": organisation}).
-			Warn("the leader lends nothing; this instance keeps to its part of the rates until a report is answered")
+		if !errors.Is(ctx.Err(), context.Canceled) { // the caller of the request has left then
+			c.cfg.Log.WithError(err).WithFields(log.Fields{"event": "quota.alone", "leader": to, "organisation": organisation}).
+				Warn("the leader lends nothing; this instance keeps to its part of the rates until a report is answered")
+		}
 		return false, 0, errors.Join(ErrUnavailable, err)
 	}
 	return out.Admitted, out.Level, nil
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -77,9 +77,9 @@
 )
 
 // need returns how many engines a service needs for the requests that ran in the last
-// peakSeconds, and in the last recentSeconds. A holder that has not watched the load for long keeps the engines that are there, which
-// carry a load of carry: it may have begun before the traffic, or have taken over
-// from another one.
+// peakSeconds, and in the last recentSeconds. A holder that has not watched the load
+// for long keeps the engines that are there, which carry a load of carry: it may have
+// begun before the traffic, or have taken over from another one.
 func (s *sizer) need(service string, running, carry int, now time.Time) (peak, recent int) {
 	m := s.peaks[service]
 	if m == nil {
@@ -131,6 +131,12 @@
 	return max(steady, fleet.Carried(spare, centres))
 }
 
+// basis is what an order was decided by, for the log.
+type basis struct {
+	need, recent int // engines for the peak and for the load of the last seconds
+	load         int // requests that run or count as such
+}
+
 // begun is what a holder found when it began.
 type begun struct {
 	engines int       // that carried the load, as far as is known
@@ -215,7 +221,7 @@
 		v := r.sizer.view(svc, servers, need, recent, now)
 		v.Hold = r.sizer.hold(svc.Name, v.Missing(now), now)
 		for _, o := range fleet.Size(now, v) {
-			r.order(svc.Name, o, need, load, now)
+			r.order(svc.Name, o, basis{need, recent, load}, now)
 		}
 	}
 	r.sizer.second = now.Unix()
@@ -223,13 +229,13 @@
 
 // order sends the orders for one data centre, the reclaimable kind first so that
 // the sum never falls below what runs.
-func (r *Runner) order(service string, o fleet.CentreOrder, need, load int, now time.Time) {
+func (r *Runner) order(service string, o fleet.CentreOrder, by basis, now time.Time) {
 	p := r.sizer.place(placeKey{service, o.DataCentre})
 	first := p.at.IsZero()
 	p.at = now
 	if first || o.Want.Reclaimable != p.ordered.Reclaimable || o.Want == p.ordered {
 		p.spareAt, p.seen = now, 0
-		switch err := r.send(Order{service, o.DataCentre, true, o.Want.Reclaimable}, need, load); {
+		switch err := r.send(Order{service, o.DataCentre, true, o.Want.Reclaimable}, by); {
 		case errors.Is(err, ErrNoneAvailable):
 			p.refused, p.dry = now, true
 		case err == nil:
@@ -237,14 +243,14 @@
 		}
 	}
 	if first || o.Want.Steady != p.ordered.Steady {
-		if r.send(Order{service, o.DataCentre, false, o.Want.Steady}, need, load) == nil {
+		if r.send(Order{service, o.DataCentre, false, o.Want.Steady}, by) == nil {
 			p.ordered.Steady = o.Want.Steady
 		}
 	}
 }
 
 // send makes one call to the platform and logs its outcome.
-func (r *Runner) send(o Order, need, load int) error {
+func (r *Runner) send(o Order, by basis) error {
 	f, ok := r.holds()
 	if !ok {
 		return Error.New("this instance does not hold the duty any more")
@@ -254,7 +260,7 @@
 	err := r.cfg.Platform.Scale(ctx, f, o)
 	l := r.cfg.Log.WithFields(log.Fields{
 		"event": "duty.scale", "service": o.Service, "dataCentre": o.DataCentre, "reclaimable": o.Reclaimable, "count": o.Count,
-		"need": need, "load": load, "token": f.Token,
+		"need": by.need, "recent": by.recent, "load": by.load, "token": f.Token,
 	})
 	switch {
 	case errors.Is(err, ErrNoneAvailable):
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -236,13 +236,16 @@
 	if sure {
 		return ok, wait
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	askCtx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	ok, level, err := q.lender.Borrow(ctx, name, units)
-	if err != nil {
-		return q.alone(name, units, now)
+	ok, level, err := q.lender.Borrow(askCtx, name, units)
+	switch {
+	case err == nil:
+		return ok, q.lent(name, units, ok, level, now)
+	case ctx.Err() != nil:
+		return false, 0 // the caller has left, which says nothing about the leader
 	}
-	return ok, q.lent(name, units, ok, level, now)
+	return q.alone(name, units, now)
 }
 
 // decide admits or refuses what this instance can tell by itself; sure is false if
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -334,3 +334,21 @@
 		}
 	}
 }
+
+// Guards against an instance that takes the leader for lost because a caller has left
+// while its request was being asked for.
+func TestCallerLeavesWhileAsking(t *testing.T) {
+	s := newSite(10, map[string]Rule{"o": {1000, 1000}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.gone = true // the question of a caller that has left fails
+	if ok, _ := s.nodes[0].Admit(ctx, "o", 500, start); ok {
+		t.Error("a request was admitted whose caller has left")
+	}
+	s.gone = false
+	c := &counter{Lender: s}
+	s.nodes[0].lender = c
+	if !s.admit(0, 500, start) || c.asked != 1 {
+		t.Errorf("%d questions to the leader for the next request, want 1", c.asked)
+	}
+}
