proxy: An instance that stood still does not take its servers for silent

Cause, by reading: after a freeze of seconds the timers of all requests fire before the bytes that have arrived are read, so an instance would eject up to a third of its servers and send its requests again. A look that comes later than 250 ms after its time decides nothing. The test holds the three cases of a look.

--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -20,6 +20,9 @@
 	// silentMost: callers of a stream leave after a gap of 2 s.
 	silentTargets = 2
 	silentMost    = 1500 * time.Millisecond
+	// lateLook is how late a look may be; after a longer delay this process itself has
+	// stood still, and answers that have arrived wait to be read.
+	lateLook = 250 * time.Millisecond
 )
 
 var errSilent = errors.New("the server is silent")
@@ -29,12 +32,25 @@
 	return max(min(silentTargets*target, silentMost), silentFactor*expected)
 }
 
+// look decides about a server at now, in a look that was due at a time: whether it is
+// silent, and how long until the next look.
+func look(heard, due, now time.Time, after time.Duration) (silent bool, next time.Duration) {
+	if now.Sub(due) > lateLook {
+		return false, after
+	}
+	if quiet := now.Sub(heard); quiet < after {
+		return false, after - quiet
+	}
+	return true, after
+}
+
 // watch ejects the server of an attempt if it is silent. If the request may go to
 // another server, the attempt is cancelled, which tells this one to stop.
 func (t *trial) watch(ctx context.Context, cancel context.CancelCauseFunc) {
 	p, after := t.x.p, silentAfter(t.x.route.Target, t.choice.Expected)
 	mayMove := t.x.route.Repeatable() && t.x.runs+1 < t.x.route.Attempts && t.x.sends < maxSends
 	go func() {
+		due := t.sent.Add(after)
 		timer := time.NewTimer(after)
 		defer timer.Stop()
 		for {
@@ -44,8 +60,10 @@
 			case <-timer.C:
 			}
 			now := p.cfg.Clock()
-			if quiet := now.Sub(t.lastHeard()); quiet < after {
-				timer.Reset(after - quiet)
+			silent, next := look(t.lastHeard(), due, now, after)
+			due = now.Add(next)
+			timer.Reset(next)
+			if !silent {
 				continue
 			}
 			if p.table.Silent(t.server.ID, t.choice.Cost, now) {
@@ -58,7 +76,6 @@
 				cancel(errSilent)
 				return
 			}
-			timer.Reset(after)
 		}
 	}()
 }
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// Guards against servers that are taken for silent because one long prompt waits,
-// while others of this instance are answered, and while it waits within reason.
+// Guards against servers that are taken for silent because one long prompt waits while
+// others of this instance are answered, or because this process was frozen.
 func TestSilentAfter(t *testing.T) {
 	for _, c := range []struct{ target, expected, want time.Duration }{
 		{100 * time.Millisecond, 0, 200 * time.Millisecond},
@@ -56,11 +56,27 @@
 			t.Errorf("target %v, expected %v: silent after %v, want %v", c.target, c.expected, got, c.want)
 		}
 	}
+	const after = time.Second
+	sent := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return sent.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name            string
+		heard, due, now int // ms after the request was sent
+		silent          bool
+		next            time.Duration
+	}{
+		{"nothing came", 0, 1000, 1000, true, after},
+		{"another request was answered", 700, 1000, 1010, false, 690 * time.Millisecond},
+		{"this process stood still", 0, 1000, 7000, false, after},
+	} {
+		if silent, next := look(at(c.heard), at(c.due), at(c.now), after); silent != c.silent || next != c.next {
+			t.Errorf("%s: silent %v, next look after %v, want %v and %v", c.name, silent, next, c.silent, c.next)
+		}
+	}
 	p := newProxy(t, &script{}, 1)
-	sent := time.Now()
 	tr := &trial{sent: sent, heard: p.heardOf("e0")}
-	p.heardOf("e0").Store(sent.Add(time.Second).UnixNano())
-	if got := tr.lastHeard(); !got.Equal(sent.Add(time.Second)) {
+	p.heardOf("e0").Store(at(1000).UnixNano())
+	if got := tr.lastHeard(); !got.Equal(at(1000)) {
 		t.Errorf("last heard %v after the request, want 1s", got.Sub(sent))
 	}
 }
