--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -112,7 +112,7 @@
 }
 
 // FirstToken implements entry.Router; the policy does not use it.
-func (*naive) FirstToken(string, time.Duration, time.Duration, time.Time) {}
+func (*naive) FirstToken(route.Choice, time.Duration, time.Time) {}
 
 // Report implements entry.Router; the policy does not use it.
 func (*naive) Report(string, world.Load, time.Time) {}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -115,7 +115,7 @@
 		if first.IsZero() {
 			first = now
 			res.First = now.Sub(began)
-			e.table.FirstToken(c.Backend.ID, c.Expected, res.First, now)
+			e.table.FirstToken(c, res.First, now)
 		}
 		last = now
 		if err := r.append(n, ev); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,7 +50,7 @@
 	Pick(q route.Query, now time.Time) (route.Choice, error)
 	Started(id string, cost route.Cost, now time.Time)
 	Ended(id string, res route.Result, now time.Time)
-	FirstToken(id string, expected, took time.Duration, now time.Time)
+	FirstToken(c route.Choice, took time.Duration, now time.Time)
 	Report(id string, load world.Load, now time.Time)
 	Set(backends []world.Backend, now time.Time)
 	Cache(id string, ev world.CacheEvents, now time.Time)
--- a/internal/proxy/trial.go
+++ b/internal/proxy/trial.go
@@ -70,7 +70,7 @@
 		p.noteHeld(t.server.ID, t.x.parts[:shared], now)
 	}
 	if status < http.StatusInternalServerError {
-		p.table.FirstToken(t.server.ID, t.choice.Expected, t.took, now)
+		p.table.FirstToken(t.choice, t.took, now)
 	}
 	if x := t.x; !x.counted {
 		x.counted = true
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -146,7 +146,7 @@
 			waiting[e]--
 			running[e]++
 			if choice.Backend.ID != "" {
-				tables[node].FirstToken(choice.Backend.ID, choice.Expected, first.Sub(now), first)
+				tables[node].FirstToken(choice, first.Sub(now), first)
 			}
 		})
 		at(end, func() {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -295,16 +295,17 @@
 	}
 }
 
-// FirstToken records how long a request took to its first token and how long
-// Pick had expected. Late first tokens show load that reports do not show yet.
-func (t *Table) FirstToken(id string, expected, took time.Duration, now time.Time) {
+// FirstToken records how long a request took to its first token. Late first tokens
+// show load that reports do not show yet. It has no effect if the server has restarted
+// or left since Pick.
+func (t *Table) FirstToken(c Choice, took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[id]
-	if s == nil {
+	s := t.servers[c.Backend.ID]
+	if s == nil || s.num != c.Cost.server {
 		return
 	}
-	miss := min(max((took-expected).Seconds(), -biasMax), biasMax)
+	miss := min(max((took-c.Expected).Seconds(), -biasMax), biasMax)
 	s.bias, s.biasAt = smooth(s.biasNow(now), miss, biasWeight), now
 	g := s.group
 	if g == nil {
