--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/flate"
 	"context"
 	"io"
@@ -44,8 +45,11 @@
 	DataCentre string
 	Region     string
 	Peers      string // address that other instances connect to
-	Callers    string // address for callers
-	Control    string // address for backend servers and operators
+	// PeersListen is where this instance listens for them if it is not Peers, for
+	// example behind a proxy or address translation.
+	PeersListen string
+	Callers     string // address for callers
+	Control     string // address for backend servers and operators
 	// Seeds returns the peer addresses of some instances.
 	Seeds func() []string
 	// Dir is the folder for durable state, or "" without a disk.
@@ -111,7 +115,7 @@
 // Start starts the instance. Close ends it.
 func Start(cfg Config) (*Edge, error) {
 	now := cfg.Clock()
-	n, err := link.Listen(link.Config{Node: cfg.Peers, DataCenter: cfg.DataCentre, Listen: cfg.Peers, AnyPeer: true, DialTimeout: dialTimeout})
+	n, err := link.Listen(link.Config{Node: cfg.Peers, DataCenter: cfg.DataCentre, Listen: cmp.Or(cfg.PeersListen, cfg.Peers), AnyPeer: true, DialTimeout: dialTimeout})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
