cause, event: Explain failed requests from the logs

Cause: from a request's id an engineer had to follow docs/OPERATIONS.md by hand, and timeline did not read the log lines that processes write on the platform, so no failed request had been explained by a program.

Package cause does the lookups: what decided at the instance, what became of the server within 6 s, whether other requests failed there, whether one instance or all servers were in trouble. explain prints the nearest cause first with its lines. Ruled out: a second store of events; log lines become events of the existing time line instead.

New tests need the new package; TestReadLogLines fails before the change of Merge (6 events of 4).

--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -70,6 +70,7 @@
 		{"demo", "", "run a whole deployment in one process and check its promises", runDemo},
 		{"stand", "", "run simulated backend servers, for a first try", runStand},
 		{"timeline", "[FILE...]", "merge the events of all processes into one list", timeline},
+		{"explain", "-request ID LOG...", "tell from the logs of all processes why a request failed", explain},
 		{"bench", "-scenario NAME", "run load and experiments against simulated backend servers", experiment},
 	}
 }
--- /dev/null
+++ b/internal/comand/explain.go
@@ -0,0 +1,88 @@
+package comand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+
+	"cranberrypath.example/cranberrypath/internal/cause"
+	"cranberrypath.example/cranberrypath/internal/event"
+)
+
+// explain tells why requests failed, from the logs of all processes.
+func explain(_ context.Context, t terminal, args []string) error {
+	fs := flags(t, "explain")
+	request := fs.String("request", "", "the request to explain")
+	some := fs.Int("some", 0, "explain this many failed requests, chosen at random")
+	seed := fs.Uint64("seed", 1, "of the choice of -some")
+	asJSON := fs.Bool("json", false, "print JSON lines")
+	if err := parse(fs, args, 1<<16); err != nil {
+		return err
+	}
+	if (*request == "") == (*some < 1) {
+		return usageError("explain: want -request or -some, and at least one log")
+	}
+	if fs.NArg() == 0 {
+		return usageError("explain: want the logs of the processes, or - for standard input")
+	}
+	all, err := readEvents(t, fs.Args(), event.Filter{})
+	if err != nil {
+		return err
+	}
+	l, err := cause.New(all)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	ids := []string{*request}
+	if *some > 0 {
+		ids = l.Failed()
+		rand.New(rand.NewPCG(*seed, 0)).Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		ids = ids[:min(*some, len(ids))]
+	}
+	explained := 0
+	for _, id := range ids {
+		list := l.Explain(id)
+		if len(list) == 0 {
+			return Error.New("request %s: no failed end in these logs; the caller reached no instance, or the line was left out (see log.dropped)", id)
+		}
+		if err := printExplanations(t, *asJSON, list); err != nil {
+			return err
+		}
+		if list[len(list)-1].Explained() {
+			explained++
+		}
+	}
+	if *some > 0 && !*asJSON {
+		fmt.Fprintf(t.out, "%d of %d explained\n", explained, len(ids))
+	}
+	return nil
+}
+
+func printExplanations(t terminal, asJSON bool, list []cause.Explanation) error {
+	for _, x := range list {
+		if asJSON {
+			if err := json.NewEncoder(t.out).Encode(x); err != nil {
+				return Error.Wrap(err)
+			}
+			continue
+		}
+		d := x.End.Detail
+		fmt.Fprintf(t.out, "%s %s request %s: %s, %s after %s ms\n", x.End.Time.Format(timeFormat), x.End.Node, x.End.Request, d["outcome"], d["reason"], d["tookMs"])
+		for _, f := range x.Findings {
+			fmt.Fprintf(t.out, "  %s: %s\n", f.Code, f.Text)
+			for _, e := range f.Evidence {
+				fmt.Fprintf(t.out, "    %s\n", eventText(e))
+			}
+		}
+	}
+	return nil
+}
+
+// nodeOf names the process of a log by the file's name.
+func nodeOf(file string) string {
+	base := filepath.Base(file)
+	return strings.TrimSuffix(base, filepath.Ext(base))
+}
--- a/internal/comand/timeline.go
+++ b/internal/comand/timeline.go
@@ -14,7 +14,7 @@
 	"cranberrypath.example/cranberrypath/internal/oprcli"
 )
 
-// timeline merges the event files of processes, or asks the running ones.
+// timeline merges the event files or logs of processes, or asks the running ones.
 func timeline(ctx context.Context, t terminal, args []string) error {
 	fs := flags(t, "timeline")
 	var o target
@@ -71,7 +71,7 @@
 		if err != nil {
 			return nil, err
 		}
-		l, err := event.Read(bytes.NewReader(b))
+		l, err := event.Read(bytes.NewReader(b), nodeOf(name))
 		if err != nil {
 			return nil, Error.New("%s: %v", name, err)
 		}
@@ -103,12 +103,21 @@
 	return out, nil
 }
 
+// timeFormat is that of times in tables and time lines.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
 func printEvent(t terminal, o target, e event.Event) error {
 	if o.json {
 		return Error.Wrap(json.NewEncoder(t.out).Encode(e))
 	}
+	_, err := fmt.Fprintln(t.out, eventText(e))
+	return Error.Wrap(err)
+}
+
+// eventText is an event as one line.
+func eventText(e event.Event) string {
 	var s strings.Builder
-	fmt.Fprintf(&s, "%s %-10s %-20s", e.Time.Format("2006-01-02T15:04:05.000Z"), e.Node, e.Kind)
+	fmt.Fprintf(&s, "%s %-10s %-20s", e.Time.Format(timeFormat), e.Node, e.Kind)
 	for _, p := range []struct{ name, value string }{{"request", e.Request}, {"move", e.Move}, {"instance", e.Instance}} {
 		if p.value != "" {
 			fmt.Fprintf(&s, " %s=%s", p.name, p.value)
@@ -122,6 +131,5 @@
 	for _, k := range keys {
 		fmt.Fprintf(&s, " %s=%q", k, e.Detail[k])
 	}
-	_, err := fmt.Fprintln(t.out, s.String())
-	return Error.Wrap(err)
+	return s.String()
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -151,16 +151,20 @@
 		out = append(out, l...)
 	}
 	slices.SortStableFunc(out, func(a, b Event) int {
-		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(a.Node, b.Node))
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), a.Time.Compare(b.Time), cmp.Compare(a.Node, b.Node),
+			cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Request, b.Request))
 	})
 	return slices.CompactFunc(out, func(a, b Event) bool {
-		return a.Stamp == b.Stamp && a.Node == b.Node && a.Kind == b.Kind
+		return a.Stamp == b.Stamp && a.Node == b.Node && a.Kind == b.Kind && a.Time.Equal(b.Time) && a.Request == b.Request
 	})
 }
 
-// Read reads JSON lines written by a Log. A last line that was cut off by a
-// crash is skipped; any other malformed line is an error.
-func Read(r io.Reader) ([]Event, error) {
+// Read reads JSON lines written by a Log, or the log lines of a process. node is
+// the process of log lines that follow no other statement of it: those after
+// process.started belong to the node named there, and the last word before the
+// brace names the node in logs that a collector has joined. A last line that was
+// cut off by a crash is skipped; any other malformed line is an error.
+func Read(r io.Reader, node string) ([]Event, error) {
 	var out []Event
 	var bad error
 	s := bufio.NewScanner(r)
@@ -169,8 +173,8 @@
 		if bad != nil {
 			return nil, bad
 		}
-		var e Event
-		if err := json.Unmarshal(s.Bytes(), &e); err != nil {
+		e, err := parseLine(s.Bytes(), &node)
+		if err != nil {
 			bad = Error.New("line %d: %v", len(out)+1, err)
 			continue
 		}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -59,10 +59,43 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			events, err := Read(strings.NewReader(tt.in))
+			events, err := Read(strings.NewReader(tt.in), "n1")
 			if (err != nil) != tt.fails || len(events) != tt.n {
 				t.Fatalf("read %d events, error %v", len(events), err)
 			}
 		})
 	}
 }
+
+// Guards against log lines of several processes that cannot be told apart or put in
+// order, and lines of one millisecond that are taken for copies of one.
+func TestReadLogLines(t *testing.T) {
+	const rest = `"level":"info","timestamp":"2026-03-21T23:35:23.014268281Z","message":"request ended"}`
+	in := `{"fields":{"event":"process.started","node":"n7"},"level":"info","timestamp":"2026-03-21T23:35:22Z","message":"instance started"}
+{"fields":{"event":"request.ended","request":"a","tookMs":3,"tried":[{"server":"i-1"}]},` + rest + `
+  0.5906 n8 {"fields":{"event":"request.ended","request":"b","outcome":"failed"},` + rest + `
+{"fields":{"event":"request.ended","request":"c"},` + rest + `
+`
+	got, err := Read(strings.NewReader(in), "file")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = Merge(got, got)
+	if len(got) != 4 {
+		t.Fatalf("%d events, want 4", len(got))
+	}
+	for i, want := range []struct{ node, kind, request, key, value string }{
+		{"n7", "process.started", "", "message", "instance started"},
+		{"n7", "request.ended", "a", "tried", `[{"server":"i-1"}]`},
+		{"n7", "request.ended", "c", "message", "request ended"},
+		{"n8", "request.ended", "b", "outcome", "failed"},
+	} {
+		e := got[i]
+		if e.Node != want.node || e.Kind != want.kind || e.Request != want.request || e.Detail[want.key] != want.value {
+			t.Errorf("event %d is %+v, want %+v", i, e, want)
+		}
+	}
+	if at := got[1].Time; at.Nanosecond() != 14268281 {
+		t.Errorf("time %v has lost its parts", at)
+	}
+}
