entry: Do not call an answer unknown while its holders are silent

The number of silent nodes now goes with the result; GET gives 503 notAllAnswered, outcome unknown, with Retry-After. Ruled out: a longer findTimeout, which only delays the same mistake.

--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -67,6 +67,8 @@
 	peer  member.Peer
 	found *entrpb.Found // nil if another cell computes the answer
 	cell  string        // that cell
+	// silent is how many nodes of the cell did not say whether they know the answer.
+	silent int
 }
 
 // peerOr returns the instance that has the answer; self is this one.
@@ -132,9 +134,11 @@
 
 // judgeReplies picks the best record and the reservation of another node.
 func (e *Entry) judgeReplies(nodes []member.Peer, replies []*entrpb.Found) (l located, reserved *entrpb.Found) {
+	silent := 0
 	for i, r := range replies {
 		switch {
 		case r == nil:
+			silent++
 		case r.Known && (l.found == nil || better(r, l.found)):
 			l = located{peer: nodes[i], found: r}
 		case r.Cell != "" && l.found == nil:
@@ -143,6 +147,7 @@
 			reserved = r
 		}
 	}
+	l.silent = silent
 	return l, reserved
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -109,6 +110,11 @@
 	ctx, cancel := context.WithTimeout(e.ctx, 2*findTimeout)
 	defer cancel()
 	l, known := e.locate(ctx, id, c.now)
+	if !known && l.silent > 0 {
+		f := unavailable("notAllAnswered", fmt.Sprintf("%d instances that may know the answer did not reply", l.silent))
+		f.outcome = unknown
+		return f
+	}
 	if !known {
 		return notFound("unknownRequest", "the answer is not known or no longer kept")
 	}
--- a/internal/site/caller_test.go
+++ b/internal/site/caller_test.go
@@ -201,9 +201,16 @@
 	}
 }
 
-func get(t *testing.T, addr, path string) (int, http.Header, string) {
+func get(t *testing.T, addr, path string, headers ...string) (int, http.Header, string) {
 	t.Helper()
-	resp, err := http.Get("http://" + addr + path)
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/site/ids_test.go
+++ b/internal/site/ids_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/stand"
 )
 
@@ -74,3 +75,44 @@
 		}
 	})
 }
+
+// Guards against a caller that is told that its answer is not known, and gives it up,
+// while the instances that know it do not reply in time.
+func TestSilentHoldersAreNotMissingAnswers(t *testing.T) {
+	t.Parallel()
+	s := wide(t, rand.Uint64()>>32, 3, stand.EngineConfig{Speed: 20})
+	const keeper = 4
+	id := keptBy(s, "silent-", keeper)
+	status, _, text := post(t, s.Settings(5).Listen.Callers, "/v1/completions", `{"model": "drafts", "prompt": "short", "max_tokens": 5}`, "X-Request-Id", id)
+	if status != http.StatusOK {
+		t.Fatalf("status %d: %s", status, text)
+	}
+	ask := func(id string) (int, http.Header, string) {
+		return get(t, s.Settings(0).Listen.Callers, "/v1/requests/"+id, "Authorization", "Bearer acme-key")
+	}
+	cut := func(on bool) {
+		for _, i := range []int{5, keeper} {
+			s.Links.Set(s.Settings(0).Listen.Peers, s.Settings(i).Listen.Peers, faults.Rule{Cut: on})
+		}
+	}
+	cut(true)
+	status, h, text := ask(id)
+	if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" || h.Get("X-Outcome") != "unknown" || !strings.Contains(text, "notAllAnswered") {
+		t.Errorf("holders cut off: status %d, headers %v: %s", status, h, text)
+	}
+	cut(false)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for {
+		if status, _, text = ask(id); status == http.StatusOK {
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("holders back: status %d: %s", status, text)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if status, _, text = ask("never-" + id); status != http.StatusNotFound {
+		t.Errorf("unknown id: status %d: %s", status, text)
+	}
+}
