coord: Let a leader without its disk join again

The leader was killed, lost its disk and restarted within 0.1 s. The others still took it for the leader and said so when it asked them; it followed this hint to itself, found that it does not lead, and asked nobody else for good, since only a report makes the group add it. When a second disk was lost 10 s later there was no majority.

A hint to oneself is no hint, and an instance that does not lead forgets itself as the leader. Ruled out: slow catching up (no report of it ever arrived) and the greeting of seeds (taken only without a leader). leader.found was missing when the log or a hint had named the leader, and leader.lost was repeated 20 times a second; both are logged once a change.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -107,6 +107,7 @@
 	member   *member // nil without a disk, or while its disk fails
 	hub      *hub    // of the term that this instance leads, or nil
 	leader   string  // as last heard of
+	reported string  // the leader that answered the last report, or ""
 	suspect  string  // a leader that did not answer
 	members  []string
 	tried    int
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -268,6 +268,31 @@
 	eventually(t, "the member without its disk votes again", func() bool { return len(d.voters()) == 4 })
 }
 
+// Guards against a leader that lost its disk and never joins again: the others still
+// name it as the leader when it asks them, and it must not wait for its own word.
+func TestLeaderWithoutItsDiskJoinsAgain(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 4, 1)
+	d.configure(d.all[4], 1)
+	eventually(t, "all disks vote", func() bool { return len(d.voters()) == 4 })
+	var leader *instance
+	eventually(t, "a leader", func() bool {
+		for _, x := range d.all {
+			if _, ok := x.coord.Leads(time.Now()); ok {
+				leader = x
+			}
+		}
+		return leader != nil
+	})
+	d.stop(leader)
+	leader.fs.Wipe()
+	d.start(leader, false)
+	d.expectVersion(1, leader)
+	eventually(t, "the member without its disk votes again", func() bool {
+		return len(d.voters()) == 4 && slices.Contains(d.voters(), leader.addr)
+	})
+}
+
 // Guards against a configuration that falls back to an older one, and a repeated
 // one that is refused.
 func TestHighestVersionHolds(t *testing.T) {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -185,10 +185,10 @@
 		}
 	}
 	c.mu.Lock()
-	if c.leader != reply.Leader {
+	if c.reported != reply.Leader {
 		c.cfg.Log.WithField("event", "leader.found").WithField("leader", reply.Leader).WithField("term", reply.Epoch).Info("reports go to a leader")
 	}
-	c.leader, c.members, c.lastSync, c.suspect = reply.Leader, reply.Members, now, ""
+	c.leader, c.reported, c.members, c.lastSync, c.suspect = reply.Leader, reply.Leader, reply.Members, now, ""
 	c.counted = reply.Counted
 	c.view = view{
 		epoch: reply.Epoch, servers: reply.ServersSeen, nodes: reply.NodesSeen, rollouts: reply.RolloutsSeen,
@@ -328,6 +328,9 @@
 func (c *Coord) target(try bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.leader == c.cfg.Self.ID && c.hub == nil {
+		c.leader = "" // it led before, and may have been removed since
+	}
 	if c.leader != "" || !try {
 		return c.leader
 	}
@@ -348,7 +351,8 @@
 func (c *Coord) distrust(id string, err error) {
 	var re *link.RemoteError
 	hint := ""
-	if errors.As(err, &re) && re.Code == codeNotLeader {
+	if errors.As(err, &re) && re.Code == codeNotLeader && re.Message != c.cfg.Self.ID {
+		// Others name this instance for a while after it led and was restarted.
 		hint = re.Message
 	}
 	c.mu.Lock()
@@ -357,7 +361,10 @@
 	case hint != "" && hint != id:
 		c.leader = hint
 	case c.leader == id:
-		c.cfg.Log.WithError(err).WithField("event", "leader.lost").WithField("leader", id).Warn("the leader does not answer")
 		c.leader, c.suspect = "", id
 	}
+	if c.reported == id {
+		c.cfg.Log.WithError(err).WithField("event", "leader.lost").WithField("leader", id).Warn("the leader does not answer")
+		c.reported = ""
+	}
 }
