quota, coord: Begin rates at a quarter of the tolerance after a power loss

The next leader found no instance that knew a level and began all buckets at nothing: 188 requests of 14 organisations were refused with overQuota between 54 and 55 s, though nobody had sent anything for 1.5 s.

Levels that nobody knows now begin at a quarter of the operator's tolerance, inside the half that rates do not use. Ruled out: durable levels (a synced write for each report) and full buckets (another burst with each restart).

--- a/internal/coord/hub.go
+++ b/internal/coord/hub.go
@@ -101,7 +101,8 @@
 
 // setRules follows the configuration. The buckets of a new term begin at the levels
 // that the leader before told this instance: full ones would give a flood another
-// burst at each change of the leader. In the first term they begin full.
+// burst at each change of the leader. Without such a level they begin at the rule's
+// Start, and in the first term full.
 func (h *hub) setRules(version uint64, rules map[string]quota.Rule, told map[string]float64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -115,7 +116,11 @@
 		return
 	}
 	for name, r := range rules {
-		h.ledger.Spend(name, r.Burst-min(told[name], r.Burst), now)
+		level, ok := told[name]
+		if !ok {
+			level = r.Start
+		}
+		h.ledger.Spend(name, r.Burst-min(level, r.Burst), now)
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,6 +24,9 @@
 type Rule struct {
 	Rate  float64 // units a second
 	Burst float64 // units
+	// Start is the level of a bucket of which no instance knows what was spent: after
+	// all of them have lost their power, for example.
+	Start float64
 }
 
 // Tolerance is how far an organisation may exceed its limit in each window before its
@@ -39,6 +42,11 @@
 // and spend their parts without the leader, and for reports that are under way.
 const toleranceShare = 0.5
 
+// startShare is the part of a tolerance that a bucket starts with when nobody knows
+// its level. Together with toleranceShare, and with half as much again that instances
+// may spend before they hear of each other, it stays below the whole.
+const startShare = 0.25
+
 // WithTolerance returns the rule whose rate makes use of a tolerance: in each window
 // it admits the limit and a part of the tolerance.
 func (r Rule) WithTolerance(t Tolerance) Rule {
@@ -48,6 +56,7 @@
 	}
 	extra := t.Share*(r.Rate*w+r.Burst) + t.Units
 	r.Rate += toleranceShare * extra / w
+	r.Start = startShare * extra
 	return r
 }
 
@@ -335,14 +344,16 @@
 	return b.level
 }
 
-// Told returns the levels by the leader's last word, 0 without one, from which a next
-// leader goes on.
+// Told returns the levels by the leader's last word, from which a next leader goes on.
+// Organisations of which there was none are left out.
 func (q *Buckets) Told() map[string]float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := make(map[string]float64, len(q.buckets))
 	for name, b := range q.buckets {
-		out[name] = b.told
+		if !b.toldAt.IsZero() {
+			out[name] = b.told
+		}
 	}
 	return out
 }
