proxy: Count requests that a server had begun when its connection ended

Its logs show 498 requests in that window whose connection was reset before the first byte. Usage counted a request with its first byte, so these were left out though the servers had begun them.

A request counts, once, when its connection ends after it was sent. Ruled out: counting every send (refused ones have not run) and requests that were never answered (they may wait in the server's queue).

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -304,6 +305,40 @@
 	}
 }
 
+// Guards against usage that leaves out requests which a server had begun when it
+// crashed, counts those that did not run or still waited, or counts repeats.
+func TestUsage(t *testing.T) {
+	ok := step{status: 200, body: "x"}
+	for _, c := range []struct {
+		name  string
+		path  string
+		steps []step
+		want  float64
+	}{
+		{"answered", "/safe/", []step{ok}, 1},
+		{"answered with a failure", "/unsafe/", []step{{status: 500}}, 1},
+		{"reset before the first byte", "/unsafe/", []step{{err: errReset}}, 1},
+		{"reset and answered by another server", "/safe/", []step{{err: errReset}, ok}, 1},
+		{"not sent", "/unsafe/", slices.Repeat([]step{{err: errNotSent}}, 50), 0},
+		{"never answered", "/unsafe/", []step{{hang: true}}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProxy(t, &script{steps: c.steps}, 3)
+			p.cfg.UsageWindow = time.Hour // the counts stand in one window, or in two
+			r := request(c.path)
+			r.Patience = 200 * time.Millisecond
+			_ = p.Serve(context.Background(), httptest.NewRecorder(), r)
+			got := 0.0
+			for _, w := range p.Windows(time.Now()) {
+				got += w.Counts["o"]
+			}
+			if got != c.want {
+				t.Errorf("%v requests are counted, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against parts that are taken for the same although what stands before
 // them differs.
 func TestChain(t *testing.T) {
--- a/internal/proxy/trial.go
+++ b/internal/proxy/trial.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -72,18 +74,34 @@
 	if status < http.StatusInternalServerError {
 		p.table.FirstToken(t.choice, t.took, now)
 	}
-	if x := t.x; !x.counted {
-		x.counted = true
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if x.org != nil {
-			n := p.windowOf(now)
-			if p.windows[n] == nil {
-				p.windows[n] = map[string]float64{}
-			}
-			p.windows[n][x.org.Name]++
-		}
+	t.x.countBegun(now)
+}
+
+// countBegun counts the request once in the usage of its organisation.
+func (x *run) countBegun(now time.Time) {
+	if x.counted {
+		return
 	}
+	x.counted = true
+	if x.org == nil {
+		return
+	}
+	p := x.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.windowOf(now)
+	if p.windows[n] == nil {
+		p.windows[n] = map[string]float64{}
+	}
+	p.windows[n][x.org.Name]++
+}
+
+// lost reports whether the connection ended after the request was sent and before
+// the first byte. Servers that crash or lose their answers end it so, and most had
+// begun the request; one that is never answered may still wait in the server's queue.
+func (t *trial) lost() bool {
+	return t.waiting && t.err != nil && backnd.OutcomeOf(t.err) == backnd.Unknown &&
+		!errors.Is(t.err, context.DeadlineExceeded) && !errors.Is(t.err, context.Canceled)
 }
 
 // end records the result of the attempt.
@@ -101,6 +119,9 @@
 	}
 	t.x.trials = append(t.x.trials, line)
 	p.meters.attempt(t, outcome)
+	if t.lost() {
+		t.x.countBegun(now)
+	}
 	change := coord.Load{Server: t.server.ID, Running: -1}
 	if t.waiting {
 		change.Waiting, change.Tokens = -1, -t.choice.Cost.UncachedTokens
