--- a/internal/comand/comand_test.go
+++ b/internal/comand/comand_test.go
@@ -52,6 +52,10 @@
 		{"wrong deadline", "", []string{"move", "start", "-service", "s", "-to", "v", "-deadline", "soon"}, exitUsage, "want RFC 3339 or a duration"},
 		{"preset without name", "", []string{"preset"}, exitUsage, "name of the preset is missing"},
 		{"wrong time", "", []string{"timeline", "-from", "today"}, exitUsage, "want RFC 3339"},
+		{"explain without a request", "", []string{"explain", "x.log"}, exitUsage, "want -request or -some"},
+		{"explain without logs", "", []string{"explain", "-request", "r"}, exitUsage, "want the logs"},
+		{"explain of a damaged log", "{\n{}\n", []string{"explain", "-request", "r", "-"}, exitFailed, "line 1"},
+		{"explain of an unknown request", "", []string{"explain", "-request", "r", "-"}, exitFailed, "no failed end in these logs"},
 		{"nobody answers", "", []string{"status", "-operators", "127.0.0.1:1", "-timeout", "200ms"}, exitFailed, "127.0.0.1:1"},
 	}
 	for _, tt := range tests {
@@ -77,3 +81,24 @@
 		t.Fatalf("code %d: %s%s", code, out, err)
 	}
 }
+
+// Guards against a failed request whose cause the command does not name, or names
+// without the lines of the other process that show it.
+func TestExplainOfLogs(t *testing.T) {
+	a := write(t, "n1.log", `{"fields":{"event":"config.applied","config":3},"level":"info","timestamp":"2026-03-21T23:35:22Z","message":"m"}
+{"fields":{"event":"request.ended","request":"r","outcome":"refused","reason":"noRoute","config":3,"tookMs":2},"level":"info","timestamp":"2026-03-21T23:35:24Z","message":"m"}
+`)
+	b := write(t, "n2.log", `{"fields":{"event":"config.applied","config":4},"level":"info","timestamp":"2026-03-21T23:35:23Z","message":"m"}
+`)
+	code, out, err := run(t, "", "explain", "-request", "r", a, b)
+	if code != exitOK || !strings.Contains(out, "n1 request r: refused, noRoute after 2 ms") || !strings.Contains(out, "configBehind") || !strings.Contains(out, "n2") {
+		t.Errorf("code %d: %s%s", code, out, err)
+	}
+	code, out, err = run(t, "", "explain", "-some", "5", "-json", a)
+	if code != exitOK || !strings.Contains(out, `"code":"notInConfig"`) {
+		t.Errorf("without the other log: code %d: %s%s", code, out, err)
+	}
+	if code, out, err = run(t, "", "explain", "-some", "5", a, b); code != exitOK || !strings.Contains(out, "1 of 1 explained") {
+		t.Errorf("code %d: %s%s", code, out, err)
+	}
+}
