raft: Do not read the membership in Open once the member runs

Cause: Open asked whether the group is forming after it had started the member's goroutines, without the lock. With an election timeout of a few milliseconds the member is elected at once and adds to the same history.

The answer is read before the goroutines start.

--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -223,11 +223,12 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	now := cfg.Clock()
 	g.delayElection(now)
+	forming := g.forming() // read before tick may elect this member and add to it
 	g.wg.Go(g.tick)
 	g.wg.Go(g.write)
 	g.wg.Go(g.apply)
 	g.wg.Go(g.keep)
-	if !g.forming() {
+	if !forming {
 		g.wg.Go(g.early)
 	}
 	return g, nil
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -467,6 +467,22 @@
 	}
 }
 
+// Guards against a member that is elected while Open still reads its state: the race
+// detector reports the access without the lock.
+func TestElectedWhileOpening(t *testing.T) {
+	g, err := Open(Config{
+		ID: "a", Members: []string{"a"}, FS: disk.NewFake(1), Dir: "raft", Machine: &machine{}, Seed: 1,
+		Heartbeat: time.Millisecond, Election: 2 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // no call that takes the lock before the election
+	if err := g.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func crashMember(t *testing.T, seed uint64) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 3))
