manage: Wait for the statement of a move's end before counting it

It read the time line in the moment in which the outcome was stored; the leader states an end at its next look after that (observe), so the test may come before the statement. This is by reading: the failed run does not tell whether there was no statement or two.

The test now waits for a statement and counts 4 s later, when it wants exactly one as before; a second one after the first is seen, too. The failure stays listed.

--- a/internal/manage/site_test.go
+++ b/internal/manage/site_test.go
@@ -279,11 +279,17 @@
 			fault := time.Now()
 			r.until("the end of the move", func() bool { return r.move(id).Outcome != "" })
 			m := r.move(id)
-			if m.Outcome != string(world.TakenBack) || len(r.Timeline(event.Filter{Move: id, Kind: "move.ended"})) != 1 {
+			if m.Outcome != string(world.TakenBack) {
 				t.Fatalf("%+v", m)
 			}
+			// The end is stated at the first look of a leader after it was stored.
+			statements := func() int { return len(r.Timeline(event.Filter{Move: id, Kind: "move.ended"})) }
+			r.until("a statement of the end", func() bool { return statements() > 0 })
 			bad, all := r.runs("v2", fault)
 			time.Sleep(4 * time.Second) // a configuration is in force everywhere after this
+			if n := statements(); n != 1 {
+				t.Errorf("the end is stated %d times: %+v", n, m)
+			}
 			after := time.Now()
 			r.until("more requests", func() bool { _, n := r.runs("v2", after); return n > 100 })
 			if late, n := r.runs("v2", after); late > 0 {
