duty: Size on-demand engines by prefill and decode apart

Cause: five requests were taken for one engine whatever they do. At the cooperative most requests decode, and decodes share their steps: 25 to 60 running requests were met with 13 engines whose prefills kept 1.6 of them busy, so each reclaim ordered up to 13 engines at the full price.

Ruled out: orders that are not decided or refused.

Reclaimable engines are still sized by requests.

--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -43,7 +43,7 @@
 // scaler holds the state from which the engine orders are derived.
 type scaler struct {
 	pools        map[poolKey]*poolState
-	runningPeaks map[string]*[peakWindowSeconds]int // peak of running requests in each of the last seconds, by service
+	loadPeaks    map[string]*[peakWindowSeconds]serviceLoad // peak load in each of the last seconds, by service
 	missingPeaks map[string]missingPeak
 	initial      map[string]initialState
 	lastSecond   int64 // Unix time of the last update
@@ -51,14 +51,21 @@
 
 func newScaler() scaler {
 	return scaler{
-		pools: map[poolKey]*poolState{}, runningPeaks: map[string]*[peakWindowSeconds]int{}, missingPeaks: map[string]missingPeak{}, initial: map[string]initialState{},
+		pools: map[poolKey]*poolState{}, loadPeaks: map[string]*[peakWindowSeconds]serviceLoad{}, missingPeaks: map[string]missingPeak{}, initial: map[string]initialState{},
 	}
 }
 
 const (
 	// requestsPerEngine is how many requests one model engine runs without much added
-	// prefill latency: each decode step and prefill delays the others in the batch.
+	// prefill latency: each decode step and prefill delays the others in the batch. It
+	// sizes the reclaimable engines, which are cheap and also replace each other.
 	requestsPerEngine = 5
+	// waitingPerEngine and decodingPerEngine are how many requests in prefill and in decode
+	// one engine runs within the latency targets. Prefills run one after the other, while
+	// decodes share each step, so the number of engines that a load needs depends on its
+	// mix. They size the on-demand engines.
+	waitingPerEngine  = 2.5
+	decodingPerEngine = 16.0
 	// peakWindowSeconds is the length of the window whose load peak determines the fleet
 	// size. Engines take several seconds to start and lose their caches when they stop.
 	peakWindowSeconds = 20
@@ -76,31 +83,49 @@
 	minEngines = 3
 )
 
-// requiredEngines returns how many engines a service needs for the peak load of the last
-// peakWindowSeconds, and for that of the last recentWindowSeconds. Until a new leader has
-// observed load for warmupSeconds, both are at least baseline, the engines for the load
-// that the existing fleet is sized for: the leader may have started before the traffic,
-// or taken over from another leader.
-func (s *scaler) requiredEngines(service string, running, baseline int, now time.Time) (peak, recent int) {
-	peaks := s.runningPeaks[service]
+// serviceLoad is the load of a service.
+type serviceLoad struct {
+	requests int     // requests to plan for
+	engines  float64 // engines that they keep busy, by the mix of prefill and decode
+}
+
+func (l serviceLoad) add(other serviceLoad) serviceLoad {
+	return serviceLoad{l.requests + other.requests, l.engines + other.engines}
+}
+
+func (l serviceLoad) max(other serviceLoad) serviceLoad {
+	return serviceLoad{max(l.requests, other.requests), max(l.engines, other.engines)}
+}
+
+// requiredEngines returns how many engines a service needs: by number of requests for the
+// peak of the last peakWindowSeconds, and by the work in them for that of the last
+// recentWindowSeconds. Until a new leader has observed load for warmupSeconds, both are at
+// least baseline, the engines for the load that the existing fleet is sized for: the leader
+// may have started before the traffic, or taken over from another leader.
+func (s *scaler) requiredEngines(service string, load serviceLoad, baseline int, now time.Time) (peak, recent int) {
+	peaks := s.loadPeaks[service]
 	if peaks == nil {
-		peaks = &[peakWindowSeconds]int{}
-		s.runningPeaks[service] = peaks
+		peaks = &[peakWindowSeconds]serviceLoad{}
+		s.loadPeaks[service] = peaks
 	}
 	for second := max(s.lastSecond, now.Unix()-peakWindowSeconds); second < now.Unix(); second++ {
-		peaks[(second+1)%peakWindowSeconds] = 0
+		peaks[(second+1)%peakWindowSeconds] = serviceLoad{}
 	}
 	slot := now.Unix() % peakWindowSeconds
-	peaks[slot] = max(peaks[slot], running)
-	recentPeak := 0
-	for second := now.Unix() - recentWindowSeconds + 1; second <= now.Unix(); second++ {
-		recentPeak = max(recentPeak, peaks[second%peakWindowSeconds])
+	peaks[slot] = peaks[slot].max(load)
+	var whole, last serviceLoad
+	for second := now.Unix() - peakWindowSeconds + 1; second <= now.Unix(); second++ {
+		whole = whole.max(peaks[second%peakWindowSeconds])
+		if second > now.Unix()-recentWindowSeconds {
+			last = last.max(peaks[second%peakWindowSeconds])
+		}
 	}
-	peak, recent = enginesFor(slices.Max(peaks[:])), enginesFor(recentPeak)
+	peak = max((whole.requests+requestsPerEngine-1)/requestsPerEngine, minEngines)
+	recent = max(min(int(math.Ceil(last.engines)), peak), minEngines)
 	initial := s.initial[service]
 	if initial.loadedAt.IsZero() {
 		initial.engines = max(initial.engines, baseline)
-		if running > 0 {
+		if load.requests > 0 {
 			initial.loadedAt = now
 		}
 		s.initial[service] = initial
@@ -111,17 +136,16 @@
 	return peak, recent
 }
 
-func enginesFor(running int) int {
-	return max((running+requestsPerEngine-1)/requestsPerEngine, minEngines)
-}
-
-// demand returns the number of concurrent requests to plan for on a backend server.
-// Waiting requests count for at most twice the started requests plus requestsPerEngine:
-// any number may queue behind a lost or slow server, and most of their callers have
-// disconnected before new engines start.
-func demand(l coord.Load) int {
+// demand returns the load to plan for on a backend server. Waiting requests count for at
+// most twice the started requests plus requestsPerEngine: any number may queue behind a
+// lost or slow server, and most of their callers have disconnected before new engines start.
+func demand(l coord.Load) serviceLoad {
 	started := l.Running - l.Waiting
-	return started + min(l.Waiting, 2*started+requestsPerEngine)
+	waiting := min(l.Waiting, 2*started+requestsPerEngine)
+	return serviceLoad{
+		requests: started + waiting,
+		engines:  float64(started)/decodingPerEngine + float64(waiting)/waitingPerEngine,
+	}
 }
 
 // baselineEngines returns the number of engines for the load that the existing fleet is
@@ -136,8 +160,8 @@
 
 // orderBasis holds the inputs of an order decision, for the log.
 type orderBasis struct {
-	need, recent int // required engines for the peak and for the recent load
-	load         int // sum of the demand of the service's servers
+	need, recent int         // required engines for the peak and for the recent load
+	load         serviceLoad // sum of the demand of the service's servers
 }
 
 // initialState is the state of a service found by a new leader.
@@ -207,7 +231,8 @@
 		if svc.Scaling == nil {
 			continue
 		}
-		load, onDemand, reclaimable := 0, 0, 0
+		var load serviceLoad
+		onDemand, reclaimable := 0, 0
 		for _, server := range servers {
 			switch {
 			case server.Service != svc.Name:
@@ -217,7 +242,7 @@
 			default:
 				onDemand++
 			}
-			load += demand(loads[server.ID])
+			load = load.add(demand(loads[server.ID]))
 		}
 		baseline := baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
 		need, recent := r.scaler.requiredEngines(svc.Name, load, baseline, now)
@@ -263,7 +288,7 @@
 	err := r.cfg.Platform.Scale(ctx, fence, o)
 	logger := r.cfg.Log.WithFields(log.Fields{
 		"event": "duty.scale", "service": o.Service, "dataCentre": o.DataCentre, "reclaimable": o.Reclaimable, "count": o.Count,
-		"need": basis.need, "recent": basis.recent, "load": basis.load, "token": fence.Token,
+		"need": basis.need, "recent": basis.recent, "load": basis.load.requests, "busyEngines": basis.load.engines, "token": fence.Token,
 	})
 	switch {
 	case errors.Is(err, ErrNoCapacity):
