coord: Report through relays in deployments of more than 32 instances

Cause: every instance reported to the leader five times a second and got the loads of all servers, all levels and, after any change of one instance, the list of all instances back. For each report the leader also sorted all instances, summed the loads of all processes and looked at every server. At 300 instances that is 1,500 reports a second of 8 KB and more, which the link and the processor of the leader do not carry; failed reports were repeated after 50 ms by all, and a new leader was asked for everything by all at once, so the overload kept itself up.

Now: - Instances without a disk report to a relay, an instance with a disk in their data centre, by rendezvous hashing. A relay sends one report for all of them and holds theirs until the leader has answered it, so that an acknowledged report is still one that the leader has. - Relays report changes only: of instances, of usage counts, of servers; loads and spending as sums. - The state that replies carry lives in a feed with change numbers, kept over leader changes, so that neither relays nor the instances behind them exchange everything then. Loads name servers by number. - Reports without an answer are spaced by the number of instances and spread at random; at most 500 a second from all together.

Ruled out: longer intervals between direct reports (3 s at 300 instances for 100 reports a second, beyond the bounds of a configuration) and gossip (no acknowledgement that the leader has a leaving server).

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +14,9 @@
 	// reportTimeout is the time without a report after which an instance is no longer
 	// listed for callers: five reports.
 	reportTimeout = 5 * syncInterval
+	// relayGrace is how much longer the instances behind a silent relay stay listed: the
+	// time in which they find another relay.
+	relayGrace = time.Second
 	// usageRetention is how long the usage counts of a silent process are kept: longer
 	// than the deadline for reporting a window's usage.
 	usageRetention = 20 * time.Second
@@ -24,31 +26,30 @@
 	// stallThreshold is the time between two ticks above which the leader assumes that it
 	// was stalled itself, rather than the servers silent.
 	stallThreshold = time.Second
+	// retainedWindows is the number of usage windows kept for each process.
+	retainedWindows = 8
 )
 
-// aggregator is the soft state that the leader aggregates during one term.
+// aggregator is the soft state that the leader aggregates during one term. The state that
+// instances receive is in the feed.
 type aggregator struct {
 	self      string // ID of this instance
 	term      uint64
 	electedAt time.Time
+	feed      *feed
 
 	mu             sync.Mutex
-	roster         *roster.Roster
 	ledger         *quota.Ledger
 	rulesVersion   uint64 // configuration version of the ledger's rules
 	processes      map[processKey]*processState
-	listVersion    uint64 // incremented with each change of reporting
-	reporting      []Instance
+	loads          loadSums
+	useRelays      bool
+	relays         []Instance // live instances that may serve as relays
 	lastTick       time.Time
 	greetedAt      map[string]time.Time
-	versionResults [][]byte        // encoded results not yet taken by the rollout controller
-	prefixes       []*coordpb.Held // the most recent reports, oldest first
-	nextPrefix     uint64          // sequence number after the last element of prefixes
+	versionResults [][]byte // encoded results not yet taken by the rollout controller
 }
 
-// retainedPrefixes is how many prefix reports are kept for instances that missed some.
-const retainedPrefixes = 1024
-
 // maxVersionResults bounds the results queued for the rollout controller.
 const maxVersionResults = 4096
 
@@ -61,39 +62,80 @@
 type processState struct {
 	instance        Instance
 	lastReport      time.Time
-	lastSpentNumber uint64 // number of the last spending report applied
+	via             *processState // relay that reports for this process; nil if it reports itself
+	silent          bool          // the relay says that the process no longer reports
+	lastSpentNumber uint64        // number of the last spending report applied
 	loads           []Load
-	windows         []Window
+	windows         map[int64]map[string]float64
+}
+
+// heardAt returns when the process was last known to be alive. A relay reports only
+// changes of the processes behind it.
+func (n *processState) heardAt() time.Time {
+	if n.via != nil && !n.silent {
+		return n.via.lastReport.Add(relayGrace)
+	}
+	return n.lastReport
+}
+
+func (n *processState) alive(now time.Time) bool { return now.Sub(n.heardAt()) <= reportTimeout }
+
+func (n *processState) setWindows(windows []*coordpb.Window) {
+	if n.windows == nil {
+		n.windows = map[int64]map[string]float64{}
+	}
+	var newest int64
+	for _, w := range windows {
+		n.windows[w.Number] = countsFromProto(w.Counts)
+		newest = max(newest, w.Number)
+	}
+	for number := range n.windows {
+		if number <= newest-retainedWindows {
+			delete(n.windows, number)
+		}
+	}
 }
 
 // newAggregator returns the aggregator of a new term. It starts with the usage counts,
-// received from the previous leader, of processes that cannot report them again.
-func newAggregator(self string, term uint64, counted []*coordpb.Counted, now time.Time) *aggregator {
+// received from the previous leader, of processes that cannot report them again, and with
+// the instances that the feed lists, which have relayGrace to report to the new leader.
+func newAggregator(self string, f *feed, term uint64, counted []*coordpb.Counted, now time.Time) *aggregator {
 	agg := &aggregator{
-		self: self, term: term, electedAt: now, roster: roster.New(), ledger: quota.NewLedger(),
-		processes: map[processKey]*processState{}, lastTick: now, greetedAt: map[string]time.Time{},
+		self: self, term: term, electedAt: now, feed: f, ledger: quota.NewLedger(),
+		processes: map[processKey]*processState{}, loads: loadSums{}, lastTick: now, greetedAt: map[string]time.Time{},
+	}
+	for _, inst := range f.listed() {
+		agg.processes[keyOf(inst)] = &processState{instance: inst, lastReport: now.Add(relayGrace)}
 	}
 	for _, c := range counted {
-		n := &processState{instance: Instance{ID: c.Id}, lastReport: now.Add(-reportTimeout - 1)}
-		for _, w := range c.Windows {
-			n.windows = append(n.windows, Window{w.Number, countsFromProto(w.Counts)})
+		key := processKey{c.Id, c.StartedMs}
+		n := agg.processes[key]
+		if n == nil {
+			n = &processState{instance: Instance{ID: c.Id}, lastReport: now.Add(-reportTimeout - 1)}
+			agg.processes[key] = n
 		}
-		agg.processes[processKey{c.Id, c.StartedMs}] = n
+		n.setWindows(c.Windows)
 	}
+	// The servers have not been silent towards this leader.
+	f.roster.RefreshAll(now)
 	return agg
 }
 
+func keyOf(inst Instance) processKey { return processKey{inst.ID, inst.Started.UnixMilli()} }
+
 // usageHandover returns the usage counts that would be lost with this leader: its own
-// and those of silent processes. mu must be held.
+// and those of silent processes.
 func (a *aggregator) usageHandover(now time.Time) []*coordpb.Counted {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	var out []*coordpb.Counted
 	for key, n := range a.processes {
-		if len(n.windows) == 0 || key.id != a.self && now.Sub(n.lastReport) <= reportTimeout {
+		if len(n.windows) == 0 || key.id != a.self && n.alive(now) {
 			continue
 		}
 		c := &coordpb.Counted{Id: key.id, StartedMs: key.started}
-		for _, w := range n.windows {
-			c.Windows = append(c.Windows, w.proto())
+		for number, counts := range n.windows {
+			c.Windows = append(c.Windows, Window{number, counts}.proto())
 		}
 		out = append(out, c)
 	}
@@ -137,33 +179,36 @@
 			}
 		}
 	}
-	a.updateReporting(now)
+	a.expireProcesses(now)
 	a.ledger.Reserve(a.silentFraction(now), now)
 	a.mu.Unlock()
 	if sinceTick > stallThreshold {
-		a.roster.RefreshAll(now)
+		a.feed.roster.RefreshAll(now)
 	}
-	return a.roster.Expire(now.Add(-time.Duration(maxMissedHeartbeats*float64(heartbeat))), now)
+	return a.feed.roster.Expire(now.Add(-time.Duration(maxMissedHeartbeats*float64(heartbeat))), now)
 }
 
-// updateReporting recomputes the list of instances that report and forgets processes
-// that have been silent for longer than usageRetention. mu must be held.
-func (a *aggregator) updateReporting(now time.Time) {
-	var out []Instance
+// expireProcesses removes silent processes from the feed, forgets those that have been
+// silent for longer than usageRetention and lists the relays. mu must be held.
+func (a *aggregator) expireProcesses(now time.Time) {
+	a.relays = a.relays[:0:0]
+	alive := 0
 	for key, n := range a.processes {
-		silence := now.Sub(n.lastReport)
-		if silence > usageRetention {
-			delete(a.processes, key)
+		if n.alive(now) {
+			alive++
+			if n.instance.Durable && n.via == nil {
+				a.relays = append(a.relays, n.instance)
+			}
+			continue
 		}
-		if silence <= reportTimeout {
-			out = append(out, n.instance)
+		a.feed.dropInstance(n.instance.ID, n.instance.Started)
+		a.loads.replace(n.loads, nil)
+		n.loads = nil
+		if now.Sub(n.heardAt()) > usageRetention {
+			delete(a.processes, key)
 		}
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
-	if !slices.Equal(out, a.reporting) {
-		a.reporting = out
-		a.listVersion++
-	}
+	a.useRelays = needsRelays(alive, a.useRelays)
 }
 
 // silentFraction returns which fraction of the instances that accept requests is silent. A
@@ -172,7 +217,7 @@
 func (a *aggregator) silentFraction(now time.Time) float64 {
 	latest := map[string]*processState{}
 	for key, n := range a.processes {
-		if other := latest[key.id]; other == nil || n.lastReport.After(other.lastReport) {
+		if other := latest[key.id]; other == nil || n.heardAt().After(other.heardAt()) {
 			latest[key.id] = n
 		}
 	}
@@ -182,7 +227,7 @@
 			continue
 		}
 		all++
-		if now.Sub(n.lastReport) > reportTimeout {
+		if !n.alive(now) {
 			silent++
 		}
 	}
@@ -195,7 +240,7 @@
 	defer a.mu.Unlock()
 	var out []string
 	for _, n := range a.processes {
-		if n.instance.Durable && now.Sub(n.lastReport) <= reportTimeout {
+		if n.instance.Durable && n.alive(now) {
 			out = append(out, n.instance.ID)
 		}
 	}
@@ -203,18 +248,30 @@
 	return slices.Compact(out)
 }
 
+// relayFor returns the relay that an instance should report to, or "" if it should report
+// to the leader.
+func (a *aggregator) relayFor(node *coordpb.Node, avoid []string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.useRelays || node.Durable {
+		return ""
+	}
+	if id := chooseRelay(node.Id, node.DataCentre, a.relays, avoid); id != a.self {
+		return id
+	}
+	return ""
+}
+
 // greetInterval is the interval at which a seed that does not report is told the leader.
 const greetInterval = time.Second
 
 // shouldGreet reports whether a seed should be told the leader now.
 func (a *aggregator) shouldGreet(id string, now time.Time) bool {
+	if a.feed.isListed(id) {
+		return false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, n := range a.reporting {
-		if n.ID == id {
-			return false
-		}
-	}
 	if now.Sub(a.greetedAt[id]) < greetInterval {
 		return false
 	}
@@ -222,39 +279,29 @@
 	return true
 }
 
-// applyReport applies the report of an instance.
+// applyReport applies the report of an instance, and with the report of a relay the
+// changes of the instances behind it.
 func (a *aggregator) applyReport(req *coordpb.Sync, now time.Time) {
 	for _, p := range req.Servers {
-		a.roster.Put(serverFromProto(p, now), now)
+		a.feed.roster.Put(serverFromProto(p, now), now)
 	}
+	a.feed.addPrefixes(req.Held)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	inst := instanceFromProto(req.Node)
-	key := processKey{inst.ID, req.Node.StartedMs}
-	n := a.processes[key]
-	if n == nil {
-		n = &processState{}
-		a.processes[key] = n
-		for other, old := range a.processes {
-			if other.id == key.id && other.started < key.started {
-				// The earlier process has ended; its usage counts are kept.
-				old.lastReport, old.loads = now.Add(-reportTimeout-1), nil
-			}
-		}
-	}
-	n.instance, n.lastReport = inst, now
-	n.loads = loadsFromProto(req.Loads)
-	n.windows = nil
-	for _, w := range req.Windows {
-		n.windows = append(n.windows, Window{w.Number, countsFromProto(w.Counts)})
-	}
-	if len(req.Judged) > 0 && len(a.versionResults) < maxVersionResults {
-		a.versionResults = append(a.versionResults, req.Judged)
+	n := a.process(req.Node, now)
+	n.lastReport, n.via, n.silent = now, nil, false
+	loads := loadsFromProto(req.Loads)
+	a.loads.replace(n.loads, loads)
+	n.loads = loads
+	n.setWindows(req.Windows)
+	a.feed.putInstance(n.instance)
+	for _, c := range req.Children {
+		a.applyChild(n, c, now)
 	}
-	a.prefixes = append(a.prefixes, req.Held...)
-	a.nextPrefix += uint64(len(req.Held))
-	if len(a.prefixes) > 2*retainedPrefixes {
-		a.prefixes = slices.Clone(a.prefixes[len(a.prefixes)-retainedPrefixes:])
+	for _, results := range append(req.ChildrenJudged, req.Judged) {
+		if len(results) > 0 && len(a.versionResults) < maxVersionResults {
+			a.versionResults = append(a.versionResults, results)
+		}
 	}
 	if req.SpentNumber > n.lastSpentNumber {
 		n.lastSpentNumber = req.SpentNumber
@@ -262,64 +309,59 @@
 			a.ledger.Spend(s.Name, s.Amount, now)
 		}
 	}
-	a.updateReporting(now)
 }
 
-// newReply returns the changes that the reporting instance has not seen yet.
-func (a *aggregator) newReply(req *coordpb.Sync, now time.Time) *coordpb.SyncReply {
-	out := &coordpb.SyncReply{Epoch: a.term, Levels: countsToProto(a.ledger.Levels(now))}
-	serversSeen, instancesSeen := req.ServersSeen, req.NodesSeen
-	if req.Epoch != a.term {
-		serversSeen, instancesSeen = 0, 0
-	}
-	servers, change := a.roster.Since(serversSeen)
-	out.ServersSeen = change
-	for _, s := range servers {
-		out.Servers = append(out.Servers, serverToProto(s, now))
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	out.NodesSeen = a.listVersion
-	if instancesSeen != a.listVersion {
-		out.NodesChanged = true
-		for _, n := range a.reporting {
-			out.Nodes = append(out.Nodes, n.proto())
-		}
+// applyChild applies what a relay reports of a process behind it. mu must be held.
+func (a *aggregator) applyChild(relay *processState, c *coordpb.Child, now time.Time) {
+	if c.Node == nil {
+		return
 	}
-	for _, n := range a.reporting {
-		if n.Ready {
-			out.Fronts++
+	n := a.process(c.Node, now)
+	n.setWindows(c.Windows)
+	if c.Silent {
+		if n.via == relay {
+			n.silent, n.lastReport = true, now.Add(-reportTimeout-1)
 		}
+		return
 	}
-	out.Loads = loadsToProto(a.totalLoads(now))
-	if req.Node.Durable {
-		out.Counted = a.usageHandover(now)
-	}
-	out.HeldSeen = a.nextPrefix
-	if seen := req.HeldSeen; req.Epoch == a.term && seen < a.nextPrefix {
-		unseen := min(a.nextPrefix-seen, uint64(len(a.prefixes)))
-		out.Held = a.prefixes[uint64(len(a.prefixes))-unseen:]
-	}
-	return out
+	n.via, n.silent, n.lastReport = relay, false, now
+	a.loads.replace(n.loads, nil) // the relay includes them
+	n.loads = nil
+	a.feed.putInstance(n.instance)
 }
 
-// totalLoads sums the outstanding work by server. mu must be held.
-func (a *aggregator) totalLoads(now time.Time) []Load {
-	sum := map[string]Load{}
-	for _, n := range a.processes {
-		if now.Sub(n.lastReport) > reportTimeout {
-			continue
-		}
-		for _, l := range n.loads {
-			s := sum[l.Server]
-			sum[l.Server] = Load{l.Server, s.Running + l.Running, s.Waiting + l.Waiting, s.WaitingTokens + l.WaitingTokens}
+// process returns the state of the process that a report describes. mu must be held.
+func (a *aggregator) process(node *coordpb.Node, now time.Time) *processState {
+	inst := instanceFromProto(node)
+	key := processKey{inst.ID, node.StartedMs}
+	n := a.processes[key]
+	if n == nil {
+		n = &processState{}
+		a.processes[key] = n
+		for other, old := range a.processes {
+			if other.id == key.id && other.started < key.started {
+				// The earlier process has ended; its usage counts are kept.
+				old.via, old.lastReport = nil, now.Add(-reportTimeout-1)
+				a.loads.replace(old.loads, nil)
+				old.loads = nil
+			}
 		}
 	}
-	out := make([]Load, 0, len(sum))
-	for _, l := range sum {
-		out = append(out, l)
-	}
-	return out
+	n.instance = inst
+	return n
+}
+
+func (a *aggregator) usesRelays() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.useRelays
+}
+
+// totalLoads returns the outstanding work by server.
+func (a *aggregator) totalLoads() []Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loads.list()
 }
 
 // usage sums the counts of one window over all processes.
@@ -328,13 +370,8 @@
 	defer a.mu.Unlock()
 	out := map[string]float64{}
 	for _, n := range a.processes {
-		for _, w := range n.windows {
-			if w.Number != number {
-				continue
-			}
-			for name, count := range w.Counts {
-				out[name] += count
-			}
+		for name, count := range n.windows[number] {
+			out[name] += count
 		}
 	}
 	return out
--- a/internal/coord/aggregator_test.go
+++ b/internal/coord/aggregator_test.go
@@ -15,13 +15,20 @@
 		Windows: []*coordpb.Window{Window{7, map[string]float64{"o": count}}.proto()},
 	}
 	agg.applyReport(req, now)
-	return agg.newReply(req, now)
+	agg.feed.publish(published{term: agg.term, counted: agg.usageHandover(now)})
+	return agg.feed.reply(req, now)
+}
+
+// testAggregator returns the aggregator of a new term at an instance that has heard of no
+// other.
+func testAggregator(self string, term uint64, counted []*coordpb.Counted, now time.Time) *aggregator {
+	return newAggregator(self, newFeed(Instance{ID: self, Started: now}), term, counted, now)
 }
 
 // Guards against losing usage counts when the leader is killed after another instance,
 // and against counting them twice when both report again.
 func TestUsageSurvivesTheLeader(t *testing.T) {
-	agg := newAggregator("a", 1, nil, start)
+	agg := testAggregator("a", 1, nil, start)
 	sendReport(agg, "a", 1, 5, start)
 	sendReport(agg, "b", 1, 3, start)
 	sendReport(agg, "c", 1, 2, start)
@@ -34,7 +41,7 @@
 		t.Fatalf("usage %v before the change, want 11", got)
 	}
 	// The leader a is killed and b becomes the leader.
-	next := newAggregator("b", 2, last.Counted, now)
+	next := testAggregator("b", 2, last.Counted, now)
 	sendReport(next, "b", 1, 3, now)
 	sendReport(next, "c", 2, 1, now)
 	if got := next.usage(7)["o"]; got != 11 {
@@ -62,7 +69,7 @@
 		{"nothing left", 2, map[string]float64{"o": 0}, 0},
 		{"after a restart of all", 2, nil, 30},
 	} {
-		agg := newAggregator("a", c.term, nil, start)
+		agg := testAggregator("a", c.term, nil, start)
 		agg.configure(1, rules, c.lastLevels, start)
 		if got := agg.ledger.Levels(start)["o"]; got != c.want {
 			t.Errorf("%s: level %v, want %v", c.name, got, c.want)
@@ -74,7 +81,7 @@
 // still admit their share, so the leader must not lend it to others. Instances that do not
 // accept requests and earlier processes of a running instance need no such reservation.
 func TestSilentFraction(t *testing.T) {
-	agg := newAggregator("a", 1, nil, start)
+	agg := testAggregator("a", 1, nil, start)
 	sendReport := func(id string, ready bool, started, now time.Time) {
 		agg.applyReport(&coordpb.Sync{Node: Instance{ID: id, Ready: ready, Started: started}.proto()}, now)
 	}
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -83,9 +83,16 @@
 	// all others after two reports and a reply, well within the 2 s that deployments
 	// allow.
 	syncInterval = 200 * time.Millisecond
-	// leaderSearchInterval replaces syncInterval while this instance has no leader, since
-	// callers are waiting.
-	leaderSearchInterval = 50 * time.Millisecond
+	// minSearchInterval and maxSearchInterval bound the interval that replaces syncInterval
+	// while this instance has no leader; see searchInterval.
+	minSearchInterval = 50 * time.Millisecond
+	maxSearchInterval = 600 * time.Millisecond
+	// searchRate is the number of reports a second that all instances together may send
+	// while they have no leader.
+	searchRate = 500
+	// windowsInterval is the interval at which an instance behind a relay reports its usage
+	// counts. An instance that reports to the leader includes them in each report.
+	windowsInterval = time.Second
 	// syncTimeout bounds one report; a leader that takes longer is stalled.
 	syncTimeout = 700 * time.Millisecond
 	// raftHeartbeat and electionTimeout configure the replicated log. Instances share
@@ -105,8 +112,15 @@
 	wg           sync.WaitGroup
 	links        *raft.LinkTransport
 	syncRequests chan chan error // request an immediate report; a non-nil channel gets its result
+	feed         *feed
+	relay        *relay
 
 	mu                sync.Mutex
+	choice            relayChoice
+	instances         map[string]Instance // that report, by ID
+	serverIDs         map[uint32]string   // by the number in the feed of the last reply
+	windowsSent       map[int64]float64   // sum of the counts last confirmed, by window
+	windowsSentAt     time.Time
 	member            *member     // nil without a disk or while the log is not open
 	aggregator        *aggregator // of the term led by this instance, or nil
 	leader            string      // last known leader, or ""
@@ -131,7 +145,10 @@
 // Start starts the coordination. Close stops it.
 func Start(cfg Config) *Coord {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Coord{cfg: cfg, ctx: ctx, cancel: cancel, syncRequests: make(chan chan error, 16)}
+	c := &Coord{
+		cfg: cfg, ctx: ctx, cancel: cancel, syncRequests: make(chan chan error, 16), feed: newFeed(cfg.Self), relay: newRelay(),
+		instances: map[string]Instance{}, serverIDs: map[uint32]string{}, windowsSent: map[int64]float64{},
+	}
 	c.links = raft.NewLinkTransport(cfg.Net, func(id string) string { return id })
 	cfg.Net.Handle(callSync, c.handleSync)
 	cfg.Net.Handle(callPropose, c.handlePropose)
@@ -178,6 +195,8 @@
 // The error codes of these calls.
 const (
 	codeNotLeader = "notLeader" // the message is the leader's ID, or empty
+	codeUseRelay  = "useRelay"  // the message is the ID of the relay to report to
+	codeNoLeader  = "noLeader"  // the relay could not reach a leader
 	codeUnknown   = "unknown"
 )
 
@@ -458,9 +477,7 @@
 	if agg == nil {
 		return out
 	}
-	agg.mu.Lock()
-	defer agg.mu.Unlock()
-	for _, l := range agg.totalLoads(c.cfg.Clock()) {
+	for _, l := range agg.totalLoads() {
 		out[l.Server] = l
 	}
 	return out
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -55,11 +57,13 @@
 	return c.suspect
 }
 
-// syncLoop sends reports to the leader until the instance stops.
+// syncLoop sends reports to the leader or a relay until the instance stops.
 func (c *Coord) syncLoop() {
 	t := time.NewTimer(syncInterval)
 	defer t.Stop()
 	var number uint64
+	failures := 0
+	var lastSent time.Time
 	for {
 		var waiters []chan error
 		select {
@@ -67,6 +71,9 @@
 			return
 		case waiter := <-c.syncRequests:
 			waiters = append(waiters, waiter)
+			if d := minRelayInterval - c.cfg.Clock().Sub(lastSent); d > 0 && c.relay.hasChildren() && !sleep(c.ctx, d) {
+				return
+			}
 		case <-t.C:
 		}
 		for more := true; more; {
@@ -78,22 +85,52 @@
 			}
 		}
 		number++
-		err := c.syncOnce(number)
+		lastSent = c.cfg.Clock()
+		err := c.syncOnce(number, len(waiters) > 0)
 		for _, w := range waiters {
 			if w != nil {
 				w <- err
 			}
 		}
 		if err != nil {
-			t.Reset(leaderSearchInterval)
-		} else {
-			t.Reset(syncInterval)
+			failures++
+			t.Reset(searchInterval(failures, c.instanceCount(), rand.Float64()))
+			continue
 		}
+		failures = 0
+		t.Reset(c.reportInterval())
+	}
+}
+
+// searchInterval returns the delay before the next report after failed ones. It grows
+// with the failures up to a bound that keeps the reports of all instances together, as
+// far as they are known, below searchRate: a leader or relay that is overloaded must not
+// get more reports than one that is not. random is in [0, 1).
+func searchInterval(failures, instances int, random float64) time.Duration {
+	bound := time.Duration(max(instances, 1)) * time.Second / searchRate
+	if instances == 0 {
+		bound = maxSearchInterval // just started
+	}
+	d := minSearchInterval << min(failures-1, 8)
+	d = max(min(d, bound, maxSearchInterval), minSearchInterval)
+	return time.Duration((0.5 + random) * float64(d))
+}
+
+func (c *Coord) reportInterval() time.Duration {
+	if c.relay.hasChildren() {
+		return relayInterval
 	}
+	return syncInterval
+}
+
+func (c *Coord) instanceCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.instances)
 }
 
 // syncOnce sends one report and applies the reply.
-func (c *Coord) syncOnce(number uint64) error {
+func (c *Coord) syncOnce(number uint64, urgent bool) error {
 	now := c.cfg.Clock()
 	c.updateLeadership(now)
 	c.mu.Lock()
@@ -102,20 +139,27 @@
 	if agg != nil {
 		c.greetSeeds(agg, now)
 	}
-	r := c.cfg.Local.Report(seen.term == 0, now)
+	r := c.cfg.Local.Report(seen.feed == 0, now)
 	req := c.newSyncRequest(r, seen, number, now)
+	req.Urgent = urgent
+	windows := req.Windows
+	children := c.relay.take(req, now)
 	sentAt := now
 	reply, err := c.sendSync(req, now)
 	now = c.cfg.Clock()
 	if err != nil {
+		c.relay.finish(children, 0, &link.RemoteError{Code: codeNoLeader})
 		c.cfg.Local.ReportFailed(now)
 		return err
 	}
 	c.applyReply(reply, req, sentAt, now)
-	if reply.Epoch != seen.term && seen.term != 0 {
-		// The new leader has none of the earlier reports; the next report is a full one.
+	c.relay.finish(children, reply.Epoch, nil)
+	c.confirmWindows(windows, reply, seen, now)
+	if reply.Feed != seen.feed && seen.feed != 0 {
+		// The new leader or relay has none of the earlier reports; the next report is a
+		// full one.
 		c.mu.Lock()
-		c.seen.term = 0
+		c.seen.feed = 0
 		c.mu.Unlock()
 		c.SyncSoon()
 	}
@@ -126,46 +170,128 @@
 	self := c.cfg.Self
 	self.Ready = r.Ready
 	req := &coordpb.Sync{
-		Node: self.proto(), Epoch: seen.term, ServersSeen: seen.servers, NodesSeen: seen.instances, RolloutsSeen: seen.rollouts, Held: prefixesToProto(r.Prefixes), HeldSeen: seen.prefixes, Judged: r.VersionResults,
+		Node: self.proto(), Feed: seen.feed, Epoch: seen.term, ServersSeen: seen.servers, NodesSeen: seen.instances, RolloutsSeen: seen.rollouts, Held: prefixesToProto(r.Prefixes), HeldSeen: seen.prefixes, Judged: r.VersionResults,
 		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
 	for _, s := range r.Servers {
 		req.Servers = append(req.Servers, serverToProto(s, now))
 	}
-	for _, w := range r.Windows {
+	for _, w := range c.windowsDue(r.Windows, now) {
 		req.Windows = append(req.Windows, w.proto())
 	}
 	return req
 }
 
-// sendSync delivers the report to the leader, which may be this instance.
+// windowsDue returns the usage windows that have changed since they were last confirmed.
+// Behind a relay they are due once per windowsInterval.
+func (c *Coord) windowsDue(all []Window, now time.Time) []Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.choice.current != "" && now.Sub(c.windowsSentAt) < windowsInterval {
+		return nil
+	}
+	var out []Window
+	for _, w := range all {
+		if sent, ok := c.windowsSent[w.Number]; !ok || sent != w.total() {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// confirmWindows records which windows the leader of a term has. A new leader, and a new
+// relay, get all of them again.
+func (c *Coord) confirmWindows(windows []*coordpb.Window, reply *coordpb.SyncReply, seen seenVersions, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply.Epoch != seen.term || reply.Feed != seen.feed {
+		c.windowsSent, c.windowsSentAt = map[int64]float64{}, time.Time{}
+		return
+	}
+	if len(windows) == 0 {
+		return
+	}
+	c.windowsSentAt = now
+	newest := int64(0)
+	for _, w := range windows {
+		c.windowsSent[w.Number] = Window{w.Number, countsFromProto(w.Counts)}.total()
+		newest = max(newest, w.Number)
+	}
+	for number := range c.windowsSent {
+		if number <= newest-retainedWindows {
+			delete(c.windowsSent, number)
+		}
+	}
+}
+
+// sendSync delivers the report to the leader, which may be this instance, or to a relay.
 func (c *Coord) sendSync(req *coordpb.Sync, now time.Time) (*coordpb.SyncReply, error) {
 	c.mu.Lock()
 	agg, m := c.aggregator, c.member
+	relay := c.choice.target(c.cfg.Self, now)
+	if relay != c.choice.current {
+		c.cfg.Log.WithField("event", "relay.chosen").WithField("relay", relay).WithField("before", c.choice.current).Info("reports go to another relay, or to the leader")
+		c.choice.current = relay
+	}
+	req.Avoid = c.choice.avoided(now)
 	c.mu.Unlock()
 	if agg != nil && m != nil {
 		return c.answerSync(agg, m, req, now), nil
 	}
-	target := c.leaderOrPeer(true)
+	target, timeout := relay, relayTimeout
+	if relay == "" {
+		target, timeout = c.leaderOrPeer(true), syncTimeout
+	}
 	if target == "" || target == c.cfg.Self.ID {
 		return nil, ErrUnavailable
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
+	req.ThroughRelay = relay != ""
+	reply, err := c.callSync(target, timeout, req)
+	var remoteErr *link.RemoteError
+	if errors.As(err, &remoteErr) && remoteErr.Code == codeUseRelay && relay == "" {
+		relay, req.ThroughRelay = remoteErr.Message, true
+		reply, err = c.callSync(relay, relayTimeout, req)
+	}
+	switch {
+	case err == nil:
+		return reply, nil
+	case relay != "":
+		c.relayFailed(relay, err, c.cfg.Clock())
+	default:
+		c.leaderFailed(target, err)
+	}
+	return nil, errors.Join(ErrUnavailable, err)
+}
+
+func (c *Coord) callSync(target string, timeout time.Duration, req *coordpb.Sync) (*coordpb.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
 	reply := &coordpb.SyncReply{}
-	if err := c.cfg.Net.Call(ctx, target, callSync, req, reply); err != nil {
-		c.leaderFailed(target, err)
-		return nil, errors.Join(ErrUnavailable, err)
+	return reply, c.cfg.Net.Call(ctx, target, callSync, req, reply)
+}
+
+// relayFailed handles a report that a relay did not forward.
+func (c *Coord) relayFailed(id string, err error, now time.Time) {
+	var remoteErr *link.RemoteError
+	answered := errors.As(err, &remoteErr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.choice.failed(id, answered, now)
+	switch {
+	case !answered:
+		c.cfg.Log.WithError(err).WithField("event", "relay.lost").WithField("relay", id).Warn("the relay did not answer")
+	case c.reportedTo != "":
+		c.cfg.Log.WithError(err).WithField("event", "leader.lost").WithField("leader", c.reportedTo).WithField("relay", id).Warn("the relay reaches no leader")
+		c.reportedTo = ""
 	}
-	return reply, nil
 }
 
 // applyReply records the reply and passes the changes to Local.
 func (c *Coord) applyReply(reply *coordpb.SyncReply, req *coordpb.Sync, sentAt, now time.Time) {
 	v := View{
 		Leader: reply.Leader, Term: reply.Epoch, ReadyInstances: int(reply.Fronts), Levels: countsFromProto(reply.Levels),
-		Loads: loadsFromProto(reply.Loads), Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt,
+		Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt,
 	}
 	if reply.Config != nil {
 		v.Version, v.Config = reply.ConfigVersion, reply.Config
@@ -173,12 +299,6 @@
 	for _, s := range reply.Servers {
 		v.Servers = append(v.Servers, serverFromProto(s, now))
 	}
-	if reply.NodesChanged {
-		v.Instances = []Instance{}
-		for _, n := range reply.Nodes {
-			v.Instances = append(v.Instances, instanceFromProto(n))
-		}
-	}
 	if reply.RolloutsSeen != req.RolloutsSeen || req.Epoch != reply.Epoch {
 		v.Rollouts = []Rollout{}
 		for _, r := range reply.Rollouts {
@@ -192,14 +312,93 @@
 	c.leader, c.reportedTo, c.members, c.lastSync, c.suspect = reply.Leader, reply.Leader, reply.Members, now, ""
 	c.usageHandover = reply.Counted
 	c.seen = seenVersions{
-		term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
+		feed: reply.Feed, term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		prefixes: reply.HeldSeen,
 	}
+	v.Loads = c.loadsFromReply(reply, req.Feed)
+	if reply.NodesChanged {
+		v.Instances = c.instancesFromReply(reply)
+	}
+	c.choice.enabled, c.choice.refusals = reply.UseRelays, 0
 	c.mu.Unlock()
+	if c.cfg.Self.Durable && reply.Feed != c.feed.id {
+		c.updateFeed(reply, v, now)
+	}
 	c.cfg.Local.Apply(v, now)
 }
 
-func (c *Coord) handleSync(_ context.Context, _ link.Peer, body []byte) (proto.Message, error) {
+// loadsFromReply decodes the outstanding work. mu must be held.
+func (c *Coord) loadsFromReply(reply *coordpb.SyncReply, feedBefore uint64) []Load {
+	if reply.Feed != feedBefore {
+		c.serverIDs = make(map[uint32]string, len(reply.Servers))
+	}
+	for _, s := range reply.Servers {
+		c.serverIDs[s.Number] = s.Id
+	}
+	t := reply.Totals
+	n := min(len(t.GetServers()), len(t.GetRunning()), len(t.GetWaiting()), len(t.GetTokens()))
+	out := make([]Load, 0, n)
+	for i := range n {
+		if id := c.serverIDs[t.Servers[i]]; id != "" {
+			out = append(out, Load{Server: id, Running: int(t.Running[i]), Waiting: int(t.Waiting[i]), WaitingTokens: int(t.Tokens[i])})
+		}
+	}
+	return out
+}
+
+// instancesFromReply applies the changes of the list of instances and returns the list.
+// mu must be held.
+func (c *Coord) instancesFromReply(reply *coordpb.SyncReply) []Instance {
+	if reply.NodesAll {
+		c.instances = make(map[string]Instance, len(reply.Nodes))
+	}
+	for _, n := range reply.Nodes {
+		if n.Gone {
+			delete(c.instances, n.Id)
+			continue
+		}
+		c.instances[n.Id] = instanceFromProto(n)
+	}
+	out := make([]Instance, 0, len(c.instances))
+	c.choice.relays = nil
+	for _, inst := range c.instances {
+		out = append(out, inst)
+		if inst.Durable {
+			c.choice.relays = append(c.choice.relays, inst)
+		}
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// updateFeed copies the leader's reply to the feed of this instance, from which it answers
+// as a relay.
+func (c *Coord) updateFeed(reply *coordpb.SyncReply, v View, now time.Time) {
+	for _, s := range v.Servers {
+		c.feed.roster.Put(s, now)
+	}
+	if v.Instances != nil {
+		c.feed.setInstances(v.Instances)
+	}
+	c.feed.addPrefixes(reply.Held)
+	p := published{
+		term: reply.Epoch, leader: reply.Leader, levels: reply.Levels, totals: v.Loads, members: reply.Members,
+		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays,
+	}
+	c.feed.mu.Lock()
+	before := c.feed.published
+	c.feed.mu.Unlock()
+	p.configVersion, p.config, p.rollouts = before.configVersion, before.config, before.rollouts
+	if reply.Config != nil {
+		p.configVersion, p.config = reply.ConfigVersion, reply.Config
+	}
+	if v.Rollouts != nil {
+		p.rollouts = reply.Rollouts
+	}
+	c.feed.publish(p)
+}
+
+func (c *Coord) handleSync(ctx context.Context, _ link.Peer, body []byte) (proto.Message, error) {
 	var req coordpb.Sync
 	if err := proto.Unmarshal(body, &req); err != nil {
 		return nil, Error.Wrap(err)
@@ -207,40 +406,71 @@
 	if req.Node == nil {
 		return nil, Error.New("a report without a node")
 	}
-	m, err := c.leadingMember()
-	if err != nil {
-		return nil, err
-	}
 	now := c.cfg.Clock()
-	c.updateLeadership(now)
 	c.mu.Lock()
 	agg := c.aggregator
 	c.mu.Unlock()
+	m, err := c.leadingMember()
+	if err != nil {
+		if req.ThroughRelay && c.cfg.Self.Durable {
+			return c.relaySync(ctx, &req, now)
+		}
+		return nil, err
+	}
+	if agg == nil {
+		c.updateLeadership(now)
+		c.mu.Lock()
+		agg = c.aggregator
+		c.mu.Unlock()
+	}
 	if agg == nil {
 		return nil, &link.RemoteError{Code: codeNotLeader}
 	}
+	if id := agg.relayFor(req.Node, req.Avoid); id != "" {
+		return nil, &link.RemoteError{Code: codeUseRelay, Message: id}
+	}
 	return c.answerSync(agg, m, &req, now), nil
 }
 
+// relaySync forwards a report with the next one of this instance and answers it from the
+// feed.
+func (c *Coord) relaySync(ctx context.Context, req *coordpb.Sync, now time.Time) (proto.Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayHoldTime)
+	defer cancel()
+	done := c.relay.add(req, now)
+	if req.Urgent {
+		c.SyncSoon()
+	}
+	select {
+	case err := <-done:
+		if err != nil {
+			return nil, err
+		}
+	case <-ctx.Done():
+		return nil, &link.RemoteError{Code: codeNoLeader}
+	}
+	return c.feed.reply(req, c.cfg.Clock()), nil
+}
+
 func (c *Coord) answerSync(agg *aggregator, m *member, req *coordpb.Sync, now time.Time) *coordpb.SyncReply {
 	agg.applyReport(req, now)
-	out := agg.newReply(req, now)
-	out.Leader = c.cfg.Self.ID
-	cfg := m.state.config()
-	if out.ConfigVersion = cfg.Version; req.Node.ConfigVersion < cfg.Version {
-		out.Config = cfg.Content
-	}
-	rollouts := m.state.rollouts()
-	out.RolloutsSeen = rolloutsFingerprint(rollouts)
-	if out.RolloutsSeen != req.RolloutsSeen || req.Epoch != out.Epoch {
-		for _, r := range rollouts {
-			out.Rollouts = append(out.Rollouts, r.proto())
-		}
+	cfg, rollouts := m.state.config(), m.state.rollouts()
+	p := published{
+		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
+		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(), rolloutsSeen: rolloutsFingerprint(rollouts),
+		useRelays: agg.usesRelays(),
+	}
+	for _, r := range rollouts {
+		p.rollouts = append(p.rollouts, r.proto())
 	}
 	for _, peer := range m.group.Status().Members {
-		out.Members = append(out.Members, peer.ID)
+		p.members = append(p.members, peer.ID)
 	}
-	return out
+	if req.Node.Durable {
+		p.counted = agg.usageHandover(now)
+	}
+	c.feed.publish(p)
+	return c.feed.reply(req, now)
 }
 
 // rolloutsFingerprint hashes the rollouts to a number that differs after each change.
@@ -271,7 +501,7 @@
 		}
 		c.aggregator = nil
 	case ok && (c.aggregator == nil || c.aggregator.term != lease.Term):
-		c.aggregator = newAggregator(c.cfg.Self.ID, lease.Term, c.usageHandover, now)
+		c.aggregator = newAggregator(c.cfg.Self.ID, c.feed, lease.Term, c.usageHandover, now)
 		c.cfg.Log.WithField("event", "leader.began").WithField("term", lease.Term).Info("this instance leads")
 	}
 	if st.Leader != "" && st.Role != raft.Leader {
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -22,6 +22,15 @@
 	Counts map[string]float64
 }
 
+// total returns the sum of the counts. It only grows, so an equal sum means equal counts.
+func (w Window) total() float64 {
+	sum := 0.0
+	for _, count := range w.Counts {
+		sum += count
+	}
+	return sum
+}
+
 func (w Window) proto() *coordpb.Window {
 	return &coordpb.Window{Number: w.Number, Counts: countsToProto(w.Counts)}
 }
@@ -78,9 +87,10 @@
 	ReportFailed(now time.Time)
 }
 
-// seenVersions holds the term and the version numbers of the last reply, so that the leader
-// sends only changes. With term 0 the next report is a full one.
+// seenVersions holds the term and the change numbers of the last reply, so that the next
+// one contains only changes. Without a feed the next report is a full one.
 type seenVersions struct {
+	feed      uint64
 	term      uint64
 	servers   uint64
 	instances uint64
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -232,20 +232,19 @@
 // SetLoads updates the outstanding work of all instances, as of the time at which
 // this instance reported its own.
 func (p *Proxy) SetLoads(all []coord.Load, at time.Time) {
+	byServer := make(map[string]coord.Load, len(all))
+	for _, l := range all {
+		byServer[l.Server] = l
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id := range p.servers {
-		load := world.Load{MeasuredAt: at}
-		for _, l := range all {
-			if l.Server == id {
-				load.Running, load.WaitingTokens = l.Running, l.WaitingTokens
-				if own := p.loads[id]; own != nil {
-					// The route table already accounts for this instance's own prefills.
-					load.WaitingTokens = max(load.WaitingTokens-own.WaitingTokens, 0)
-				}
-			}
+		l := byServer[id]
+		load := world.Load{Running: l.Running, WaitingTokens: l.WaitingTokens, PrefillPerToken: p.cfg.PrefillPerToken, MeasuredAt: at}
+		if own := p.loads[id]; own != nil {
+			// The route table already accounts for this instance's own prefills.
+			load.WaitingTokens = max(load.WaitingTokens-own.WaitingTokens, 0)
 		}
-		load.PrefillPerToken = p.cfg.PrefillPerToken
 		p.table.Report(id, load, at)
 	}
 }
