duty: Give up engines gradually

Cause: 8 s after the start of the traffic the fleet fell from 306 engines to 108 in one step, just as a data centre was reclaimed. The caches of the engines that were given up had to be rebuilt by the others: the requests in flight rose from 300 to 1,060 with the same traffic, the need that follows them to 212 engines, most of them at the full price, and at 25 s the next step down did the same again.

A fleet now falls by at most 5% a second. Ruled out: refusals while there is room (none but beyond one organisation's rate) and reports (no leader lost, no borrowing without the leader).

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -192,6 +192,36 @@
 	}
 }
 
+// Guards against giving up most of a fleet at once, whose caches the remaining engines
+// must then rebuild, and against keeping engines that are not needed.
+func TestEnginesAreReleasedGradually(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		from, to      int
+		after         time.Duration // from the first release
+		atLeast, most int
+	}{
+		{"large fleet, at once", 300, 70, 0, 300, 300},
+		{"large fleet, after a second", 300, 70, time.Second, 280, 290},
+		{"large fleet, after 10 s", 300, 70, 10 * time.Second, 175, 185},
+		{"large fleet, in the end", 300, 70, 40 * time.Second, 70, 70},
+		{"small fleet, after 5 s", 12, 4, 5 * time.Second, 9, 9},
+		{"small fleet, in the end", 12, 4, 30 * time.Second, 4, 4},
+		{"one engine less", 13, 12, 2 * time.Second, 12, 12},
+		{"growth", 10, 200, 0, 200, 200},
+	} {
+		s := newScaler()
+		key := releaseKey{"s", releasePeak}
+		got := s.release(key, c.from, start)
+		for d := time.Duration(0); d <= c.after; d += 250 * time.Millisecond {
+			got = s.release(key, c.to, start.Add(d))
+		}
+		if got < c.atLeast || got > c.most {
+			t.Errorf("%s: %d engines, want %d to %d", c.name, got, c.atLeast, c.most)
+		}
+	}
+}
+
 // Guards against sizing many times the needed fleet because requests queue behind lost
 // engines, and against sizing decodes like prefills.
 func TestDemand(t *testing.T) {
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -47,11 +47,32 @@
 	missingPeaks map[string]missingPeak
 	initial      map[string]initialState
 	lastSecond   int64 // Unix time of the last update
+	released     map[releaseKey]releaseState
+}
+
+// releaseKey identifies one of the numbers of engines that fall only gradually.
+type releaseKey struct {
+	service string
+	kind    releaseKind
+}
+
+type releaseKind uint8
+
+const (
+	releasePeak releaseKind = iota
+	releaseRecent
+	releaseOnDemand
+)
+
+type releaseState struct {
+	engines float64
+	at      time.Time
 }
 
 func newScaler() scaler {
 	return scaler{
 		pools: map[poolKey]*poolState{}, loadPeaks: map[string]*[peakWindowSeconds]serviceLoad{}, missingPeaks: map[string]missingPeak{}, initial: map[string]initialState{},
+		released: map[releaseKey]releaseState{},
 	}
 }
 
@@ -78,6 +99,10 @@
 	// missingHoldSeconds is how long on-demand engines are kept after engines were last
 	// missing: the start time of an engine.
 	missingHoldSeconds = 5
+	// releaseShare is the share of a fleet that may be given up in a second. The caches of
+	// engines that are given up must be rebuilt elsewhere: when most of a fleet is given up
+	// at once, the remaining engines prefill instead of serving, and the fleet grows again.
+	releaseShare = 0.05
 	// minEngines is the number of engines of an idle service, so that some remain after a
 	// crash.
 	minEngines = 3
@@ -136,6 +161,21 @@
 	return peak, recent
 }
 
+// release returns the number of engines to keep when wanted are needed: a lower number
+// than before is approached by releaseShare a second.
+func (s *scaler) release(key releaseKey, wanted int, now time.Time) int {
+	before, ok := s.released[key]
+	keep := float64(wanted)
+	if ok {
+		keep = max(keep, before.engines*math.Pow(1-releaseShare, now.Sub(before.at).Seconds()))
+	}
+	s.released[key] = releaseState{keep, now}
+	return int(math.Ceil(keep - releaseRounding))
+}
+
+// releaseRounding keeps a number from staying one too high for long.
+const releaseRounding = 0.5
+
 // demand returns the load to plan for on a backend server. Waiting requests count for at
 // most twice the started requests plus requestsPerEngine: any number may queue behind a
 // lost or slow server, and most of their callers have disconnected before new engines start.
@@ -246,8 +286,11 @@
 		}
 		baseline := baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
 		need, recent := r.scaler.requiredEngines(svc.Name, load, baseline, now)
+		need = r.scaler.release(releaseKey{svc.Name, releasePeak}, need, now)
+		recent = r.scaler.release(releaseKey{svc.Name, releaseRecent}, recent, now)
 		v := r.scaler.sizingView(svc, servers, need, recent, now)
-		v.MinOnDemand = r.scaler.maxRecentMissing(svc.Name, v.NeededOnDemand(now), now)
+		missing := r.scaler.maxRecentMissing(svc.Name, v.NeededOnDemand(now), now)
+		v.MinOnDemand = r.scaler.release(releaseKey{svc.Name, releaseOnDemand}, missing, now)
 		for _, o := range fleet.Size(now, v) {
 			r.sendOrders(svc.Name, o, orderBasis{need, recent, load}, now)
 		}
