coord: Keep the unknown outcome of a command

Cause: a command whose call got no answer, or the answer "unknown", was sent again, and if the later calls found no leader the caller was told that it had no effect. The first call may have been committed. Now every call that may have run makes the outcome unknown.

Ruled out: stopping after the first such call. Commands are idempotent and most of them succeed with the next leader.

The test failed before in both unknown cases.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -323,13 +323,14 @@
 
 // callLeader runs local if this instance leads, and otherwise makes the call to the
 // leader. Calls are retried while the leader changes, which is safe because every
-// command is idempotent.
+// command is idempotent. Once the outcome of one call is unknown, so is that of all.
 func (c *Coord) callLeader(ctx context.Context, name string, req, resp proto.Message, local func(*member) error) error {
 	const retryDelay = 50 * time.Millisecond
 	var lastErr error
+	failure := ErrUnavailable // ErrUnknown once a call may have been executed
 	for firstTry := true; ; firstTry = false {
 		if !firstTry && !sleep(ctx, retryDelay) {
-			return errors.Join(ErrUnavailable, lastErr)
+			return errors.Join(failure, lastErr)
 		}
 		c.mu.Lock()
 		m := c.member
@@ -358,13 +359,21 @@
 		}
 		lastErr = err
 		c.leaderFailed(target, err)
-		var remoteErr *link.RemoteError
-		if !errors.As(err, &remoteErr) && !link.NotSent(err) && ctx.Err() != nil {
-			return errors.Join(ErrUnknown, err)
+		if mayHaveRun(err) {
+			failure = ErrUnknown
 		}
 	}
 }
 
+// mayHaveRun reports whether the peer may have executed a call that failed.
+func mayHaveRun(err error) bool {
+	var remoteErr *link.RemoteError
+	if errors.As(err, &remoteErr) {
+		return remoteErr.Code != codeNotLeader
+	}
+	return !link.NotSent(err)
+}
+
 func (c *Coord) handlePropose(ctx context.Context, _ link.Peer, body []byte) (proto.Message, error) {
 	var cmd coordpb.Command
 	if err := proto.Unmarshal(body, &cmd); err != nil {
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -473,3 +474,43 @@
 		}
 	}
 }
+
+// Guards against reporting a command as without effect although an earlier call with it
+// had no clear outcome: the peer may have committed it before the later calls failed.
+func TestUnknownOutcomeIsKept(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first func(ctx context.Context) error // outcome of the first call; later ones find no leader
+		want  error
+	}{
+		{"no answer", func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, ErrUnknown},
+		{"the leader does not know", func(context.Context) error { return &link.RemoteError{Code: codeUnknown} }, ErrUnknown},
+		{"not the leader", func(context.Context) error { return &link.RemoteError{Code: codeNotLeader} }, ErrUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			addr := freeAddress()
+			peer, err := link.Listen(link.Config{Node: addr, Listen: addr})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			var calls atomic.Int32
+			peer.Handle(callPropose, func(ctx context.Context, _ link.Peer, _ []byte) (proto.Message, error) {
+				if calls.Add(1) == 1 {
+					return nil, c.first(ctx)
+				}
+				return nil, &link.RemoteError{Code: codeNotLeader}
+			})
+			d := &deployment{t: t, seeds: []string{addr}}
+			inst := &instance{addr: freeAddress()}
+			d.start(inst, false)
+			defer d.stop(inst)
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			defer cancel()
+			if _, err := inst.coord.Configure(ctx, 1, nil); !errors.Is(err, c.want) || errors.Is(err, ErrUnknown) != (c.want == ErrUnknown) {
+				t.Errorf("got %v after %d calls, want %v", err, calls.Load(), c.want)
+			}
+		})
+	}
+}
