coord: Count the time for which a machine was suspended against leases

Cause: leases were measured by the monotonic reading of time.Now, which stands still while a machine is suspended. A leader that was suspended for some seconds held its lease when it woke up, so until the first message of its successor it admitted units of rates, called the platform and answered reads with a configuration that was no longer the newest.

The replicated log and all checks of the leadership now add the time that the boot clock has and the monotonic clock has not. Ruled out: the wall clock, which jumps, and a watchdog that notices late timers, which cannot tell a suspension from a busy processor and runs only after the wake-up.

The test fails without the addition at all three actions.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -75,6 +75,9 @@
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
+	// Suspended returns for how long the machine was suspended, which Clock leaves out.
+	// Leases run out during that time as well. Nil means never.
+	Suspended func() time.Duration
 	Log       log.Interface
 }
 
@@ -207,6 +210,14 @@
 	Until     time.Time
 }
 
+// leaseTime returns the time by which the replicated log measures its leases.
+func (c *Coord) leaseTime(now time.Time) time.Time {
+	if c.cfg.Suspended == nil {
+		return now
+	}
+	return now.Add(c.cfg.Suspended())
+}
+
 // Leads returns the leader lease of this instance, or false if it does not lead.
 func (c *Coord) Leads(now time.Time) (Leadership, bool) {
 	c.mu.Lock()
@@ -215,7 +226,7 @@
 	if m == nil {
 		return Leadership{}, false
 	}
-	lease, ok := m.group.Lease(now)
+	lease, ok := m.group.Lease(c.leaseTime(now))
 	if !ok || agg == nil || agg.term != lease.Term {
 		return Leadership{}, false
 	}
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -85,6 +85,8 @@
 	coord *Coord
 	local *fakeLocal
 	fs    *disk.Fake
+	// suspended is for how long the machine was suspended, in ns.
+	suspended atomic.Int64
 }
 
 // deployment is a set of instances with common seeds.
@@ -140,7 +142,7 @@
 		QuotaRules: func() (uint64, map[string]quota.Rule, map[string]float64) {
 			return 1, map[string]quota.Rule{"o": {Rate: 1, Burst: 100}}, nil
 		},
-		Heartbeat: time.Second, Clock: time.Now, Log: &log.Logger{Handler: discard.New()},
+		Heartbeat: time.Second, Clock: time.Now, Suspended: func() time.Duration { return time.Duration(inst.suspended.Load()) }, Log: &log.Logger{Handler: discard.New()},
 	}
 	if inst.fs != nil {
 		cfg.FS, cfg.Dir = inst.fs, "data"
@@ -514,3 +516,46 @@
 		})
 	}
 }
+
+// Guards against a leader that acts after its machine was suspended: the monotonic clock
+// leaves that time out, and the others have elected another leader meanwhile.
+func TestSuspendedLeaderDoesNotAct(t *testing.T) {
+	t.Parallel()
+	for range 5 {
+		if suspendLeader(t) {
+			return
+		}
+	}
+	t.Error("the lease ended each time while the others stopped")
+}
+
+// suspendLeader returns false if the leader's lease ended before it was suspended.
+func suspendLeader(t *testing.T) bool {
+	d := deploy(t, 3, 0)
+	d.configure(d.instances[0], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+	eventually(t, "a leader", func() bool { return d.leader() != nil })
+	leader := d.leader()
+	for _, inst := range d.instances {
+		if inst != leader {
+			d.stop(inst) // nobody can renew the lease
+		}
+	}
+	before := time.Now()
+	if _, ok := leader.coord.Leads(before); !ok {
+		return false
+	}
+	leader.suspended.Store(int64(2 * electionTimeout))
+	if _, ok := leader.coord.Leads(before); ok {
+		t.Error("the instance still leads after its lease ran out while it was suspended")
+	}
+	if _, err := leader.coord.lend(&coordpb.Borrow{Organisation: "o", Units: 1}); err == nil {
+		t.Error("units were lent after the lease ran out")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := leader.coord.Read(ctx); err == nil {
+		t.Error("a read was answered after the lease ran out")
+	}
+	return true
+}
--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -47,7 +47,7 @@
 	failure := make(chan error, 1)
 	m := &member{state: newStateMachine()}
 	cfg := raft.Config{
-		ID: c.cfg.Self.ID, FS: c.cfg.FS, Dir: c.cfg.Dir, StateMachine: m.state, Transport: c.links, Clock: c.cfg.Clock,
+		ID: c.cfg.Self.ID, FS: c.cfg.FS, Dir: c.cfg.Dir, StateMachine: m.state, Transport: c.links, Clock: func() time.Time { return c.leaseTime(c.cfg.Clock()) },
 		Seed: uint64(c.cfg.Self.Started.UnixNano()), HeartbeatInterval: raftHeartbeat, ElectionTimeout: electionTimeout,
 		SegmentBytes: segmentBytes, SnapshotBytes: snapshotBytes, OnFailure: func(err error) { failure <- err },
 	}
@@ -153,10 +153,10 @@
 		if m == nil || agg == nil {
 			continue
 		}
-		if _, ok := m.group.Lease(now); !ok {
+		if _, ok := m.group.Lease(c.leaseTime(now)); !ok {
 			continue
 		}
-		if add, remove := nextMembershipChange(m.group.Status(), agg.reportingDurable(now), c.cfg.MinVoters, agg.electedAt, now); add != "" {
+		if add, remove := nextMembershipChange(m.group.Status(), agg.reportingDurable(now), c.cfg.MinVoters, c.leaseTime(agg.electedAt), c.leaseTime(now)); add != "" {
 			c.changeMember("member.added", add, m.group.Add)
 		} else if remove != "" {
 			c.changeMember("member.removed", remove, m.group.Remove)
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -334,3 +334,43 @@
 		t.Errorf("got %v, want %s", err, codeNoLeader)
 	}
 }
+
+// Guards against an overload that keeps itself up in a large deployment: after the loss of
+// the leader all instances look for another one at the same time.
+func TestManyInstancesRecover(t *testing.T) {
+	const disks, others = 6, 94
+	d := deploy(t, disks, others)
+	d.configure(d.instances[disks], 1)
+	d.expectVersion(1, d.instances...)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == disks })
+	eventually(t, "few instances report to the leader", func() bool {
+		leader := d.leader()
+		if leader == nil {
+			return false
+		}
+		leader.coord.mu.Lock()
+		agg := leader.coord.aggregator
+		leader.coord.mu.Unlock()
+		agg.mu.Lock()
+		defer agg.mu.Unlock()
+		direct := 0
+		for _, n := range agg.processes {
+			if n.via == nil && n.alive(time.Now()) {
+				direct++
+			}
+		}
+		return direct < (disks+others)/2 && len(agg.processes) == disks+others
+	})
+	d.stop(d.leader())
+	eventually(t, "another leader", func() bool { return d.leader() != nil })
+	d.configure(d.instances[disks+1], 2)
+	for _, inst := range d.instances {
+		if inst.coord == nil {
+			continue
+		}
+		d.expectVersion(2, inst)
+		eventually(t, "all remaining instances are listed at "+inst.addr, func() bool {
+			return inst.local.check(func(l *fakeLocal) bool { return len(l.instances) == disks+others-1 })
+		})
+	}
+}
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -491,7 +491,7 @@
 	if m == nil {
 		return
 	}
-	lease, ok := m.group.Lease(now)
+	lease, ok := m.group.Lease(c.leaseTime(now))
 	st := m.group.Status()
 	c.mu.Lock()
 	switch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,7 +76,9 @@
 	// AddressTTL is how long callers may cache the result of Addresses.
 	AddressTTL time.Duration
 	Clock      func() time.Time
-	Log        log.Interface
+	// Suspended returns for how long the machine was suspended; nil means never.
+	Suspended func() time.Duration
+	Log       log.Interface
 	// Meters records the metrics; nil disables them.
 	Meters *meter.Meters
 }
@@ -146,7 +148,7 @@
 	}
 	e.coord = coord.Start(coord.Config{
 		Self: e.self, Net: network, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.DataDir, Bootstrap: cfg.Bootstrap,
-		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Log: cfg.Log,
+		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
 	})
 	if e.self.Durable {
 		e.rolloutController = startRolloutController(e)
