proxy: Do not take a pause that a route allows for a silent server

Cause: a server counted as silent after 1.5 s without a byte whatever pause its route allows between the events of a stream, so a sound stream with allowed pauses of 2 s was sent to another server, and its server ejected. The timeout is now at least one and a half times the allowed pause.

Ruled out: bounds by bytes instead of events. Bytes that do not complete an event do not count as progress already, and every stream ends at its route's timeout.

--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -21,6 +21,9 @@
 	// target, capped at maxTargetSilence: callers disconnect after a stream gap of 2 s.
 	silenceTargetFactor = 2
 	maxTargetSilence    = 1500 * time.Millisecond
+	// The silence timeout exceeds the longest acceptable time between the events of a
+	// stream by maxEventGap/silenceGapDivisor: a slow but sound stream is not cut.
+	silenceGapDivisor = 2
 	// maxCheckDelay is the longest delay of a check that still counts. After a longer
 	// delay this process itself was stalled, and received responses are still unread.
 	maxCheckDelay = 250 * time.Millisecond
@@ -29,8 +32,8 @@
 var errSilent = errors.New("the server sends no data")
 
 // silenceTimeout returns how long a server may send no byte before it counts as silent.
-func silenceTimeout(target, expectedFirstByte time.Duration) time.Duration {
-	return max(min(silenceTargetFactor*target, maxTargetSilence), silenceExpectedFactor*expectedFirstByte)
+func silenceTimeout(target, maxEventGap, expectedFirstByte time.Duration) time.Duration {
+	return max(min(silenceTargetFactor*target, maxTargetSilence), maxEventGap+maxEventGap/silenceGapDivisor, silenceExpectedFactor*expectedFirstByte)
 }
 
 // checkSilence reports whether a server is silent at now, and how long to wait until
@@ -49,7 +52,7 @@
 // retried on another server, the attempt is cancelled, which also signals the silent
 // server to stop.
 func (a *attemptState) watchSilence(ctx context.Context, cancel context.CancelCauseFunc) {
-	p, timeout := a.req.p, silenceTimeout(a.req.route.LatencyTarget, a.choice.Expected)
+	p, timeout := a.req.p, silenceTimeout(a.req.route.LatencyTarget, a.req.route.MaxEventGap, a.choice.Expected)
 	mayRetry := a.req.route.Repeatable() && a.req.possibleRuns+1 < a.req.route.MaxAttempts && a.req.sends < maxSends
 	go func() {
 		due := a.sentAt.Add(timeout)
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -47,13 +47,15 @@
 // Guards against treating a server as silent because one long prompt waits while other
 // requests of this instance are answered, or because this process was stalled.
 func TestSilentAfter(t *testing.T) {
-	for _, c := range []struct{ target, expected, want time.Duration }{
-		{100 * time.Millisecond, 0, 200 * time.Millisecond},
-		{2 * time.Second, 0, 1500 * time.Millisecond},
-		{time.Second, 900 * time.Millisecond, 3600 * time.Millisecond},
+	for _, c := range []struct{ target, gap, expected, want time.Duration }{
+		{100 * time.Millisecond, 0, 0, 200 * time.Millisecond},
+		{2 * time.Second, 0, 0, 1500 * time.Millisecond},
+		{time.Second, 0, 900 * time.Millisecond, 3600 * time.Millisecond},
+		{time.Second, 600 * time.Millisecond, 0, 1500 * time.Millisecond},
+		{time.Second, 2 * time.Second, 0, 3 * time.Second}, // pauses of 2 s are allowed
 	} {
-		if got := silenceTimeout(c.target, c.expected); got != c.want {
-			t.Errorf("target %v, expected %v: silent after %v, want %v", c.target, c.expected, got, c.want)
+		if got := silenceTimeout(c.target, c.gap, c.expected); got != c.want {
+			t.Errorf("target %v, gap %v, expected %v: silent after %v, want %v", c.target, c.gap, c.expected, got, c.want)
 		}
 	}
 	const after = time.Second
