--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -226,17 +226,6 @@
 	at    time.Time
 }
 
-// hasOrdered reports whether this leader has ordered engines of a service. The engines
-// found afterwards are its own orders and say nothing about the load.
-func (s *scaler) hasOrdered(svc *routes.Service) bool {
-	for dataCentre := range svc.Scaling.Prices {
-		if pool := s.pools[poolKey{svc.Name, dataCentre}]; pool != nil && !pool.orderedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // sizingView collects the inputs from which the fleet of one service is sized.
 func (s *scaler) sizingView(svc *routes.Service, servers []roster.Server, need, recent int, now time.Time) fleet.SizingView {
 	v := fleet.SizingView{Min: svc.Scaling.Min, Max: svc.Scaling.Max, StartupTime: svc.Scaling.StartupTime, PeakServers: need, RecentServers: recent}
@@ -295,10 +284,7 @@
 			}
 			load = load.add(demand(loads[server.ID]))
 		}
-		baseline := 0
-		if !r.scaler.hasOrdered(svc) {
-			baseline = baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
-		}
+		baseline := baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
 		need, recent := r.scaler.requiredEngines(svc.Name, load, baseline, now)
 		need = r.scaler.release(releaseKey{svc.Name, releasePeak}, need, now)
 		recent = r.scaler.release(releaseKey{svc.Name, releaseRecent}, recent, now)
