quota: Ask the leader although a report is late

Cause: an instance whose last report was answered more than 500 ms ago decided without the leader, by its part of the rates, which is smaller than one prompt in a large deployment. Only a failed Borrow call now shows that the leader cannot be reached; a late report only ends what is spent without asking.

Ruled out: a longer time, which lets an isolated instance spend more from an old level.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -198,8 +198,8 @@
 }
 
 const (
-	// leaderTimeout is the age of the leader's last answer from which an instance decides
-	// without the leader: two and a half report intervals.
+	// leaderTimeout is the age of the leader's last answer from which an instance spends
+	// nothing locally without asking: two and a half report intervals.
 	leaderTimeout = 500 * time.Millisecond
 	// borrowTimeout bounds a Borrow call: many round trips within a region, but short
 	// compared with the request that waits for the answer.
@@ -219,7 +219,10 @@
 	unreported map[string]float64 // spent, not yet returned by TakeSpent
 	inFlight   map[string]float64 // returned by TakeSpent, not yet confirmed
 	instances  int
-	leaderSeen time.Time // time of the leader's last answer
+	leaderSeen time.Time // time of the leader's last answer to a report
+	// alone means that a Borrow call has failed since then: this instance decides without
+	// the leader. A late report alone does not show that the leader cannot be reached.
+	alone bool
 	// requiredFraction is the fraction of a request's cost that must fit into the local
 	// part of the level without the leader. It is drawn from [0, 1) at each answer of
 	// the leader, so that enough instances admit requests larger than their parts.
@@ -267,12 +270,12 @@
 		return true, 0, true
 	}
 	b.refill(now, 1/float64(max(q.instances, 1)))
-	if q.lender == nil || now.Sub(q.leaderSeen) >= leaderTimeout {
+	if q.lender == nil || q.alone {
 		ok, wait = q.admitWithoutLeader(b, name, units, now)
 		return ok, wait, true
 	}
 	unconfirmed := q.unreported[name] + q.inFlight[name]
-	if unconfirmed+units <= localShare*max(b.leaderLevel, 0)/float64(max(q.instances, 1)) {
+	if now.Sub(q.leaderSeen) < leaderTimeout && unconfirmed+units <= localShare*max(b.leaderLevel, 0)/float64(max(q.instances, 1)) {
 		b.level -= units
 		q.unreported[name] += units
 		return true, 0, true
@@ -311,9 +314,7 @@
 	if b == nil {
 		return true, 0
 	}
-	if timedOut := now.Add(-leaderTimeout); q.leaderSeen.After(timedOut) {
-		q.leaderSeen = timedOut
-	}
+	q.alone = true
 	return q.admitWithoutLeader(b, name, units, now)
 }
 
@@ -394,7 +395,7 @@
 func (q *Buckets) Confirm(levels map[string]float64, instances int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.inFlight, q.instances, q.leaderSeen, q.requiredFraction = map[string]float64{}, instances, now, rand.Float64()
+	q.inFlight, q.instances, q.leaderSeen, q.alone, q.requiredFraction = map[string]float64{}, instances, now, false, rand.Float64()
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
 			b.level, b.levelAt = level-q.unreported[name], now
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// Guards against refusals below the rate limit because reports are late while the leader
+// lends: a frozen relay delays the reports of the instances behind it by a second.
+func TestLateReports(t *testing.T) {
+	s := newCluster(86, map[string]Rule{"o": {Rate: 165_000, Burst: 165_000}})
+	for ms := 0; ms < 3000; ms += 200 {
+		if !s.admit(ms%86, 17_000, start.Add(time.Duration(ms)*time.Millisecond)) {
+			t.Errorf("a request was refused %d ms after the last report", ms)
+		}
+	}
+	s.leaderDown = true
+	admitted := 0
+	for i := range s.instances {
+		if s.admit(i, 17_000, start.Add(3*time.Second)) {
+			admitted++
+		}
+	}
+	if admitted > 40 {
+		t.Errorf("%d requests of 17000 units were admitted without the leader, want at most the parts of a level", admitted)
+	}
+}
+
 // Guards against refusals below the rate limit when an instance's part of a level is
 // smaller than one prompt: on 86 instances, 131 of 506 requests of an organisation
 // were refused with a full bucket of 122,812 units.
