duty: Let a silent platform delay one timeout, not one per order

Cause: orders of engines went to the platform one after the other, up to twelve for six data centres, each with a timeout of 2 s, and usage reports came after them in the same loop. While the platform's API is down or slow, a round took 24 s (test): usage missed its deadline of 10 s, and orders were decided on loads of half a minute before.

Orders of different data centres are now sent at the same time, an order without an answer ends the data centre's turn, and usage goes first. Ruled out: shorter timeouts, since a slow platform still accepts the order.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -137,17 +137,16 @@
 		r.scaler = newScaler() // another leader may change the orders
 		return
 	}
+	if r.cfg.ReportsUsage {
+		for _, n := range dueWindows(r.cfg.Timing, r.cfg.Clock()) {
+			if !r.reportedWindows[n] {
+				r.reportUsage(n)
+			}
+		}
+	}
 	if r.cfg.ScalesEngines && r.enginesKnown() {
 		r.scale()
 	}
-	if !r.cfg.ReportsUsage {
-		return
-	}
-	for _, n := range dueWindows(r.cfg.Timing, r.cfg.Clock()) {
-		if !r.reportedWindows[n] {
-			r.reportUsage(n)
-		}
-	}
 }
 
 // enginesKnown reports whether all engines have had time to announce themselves since
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -269,3 +270,45 @@
 		}
 	}
 }
+
+// silentPlatform answers no order and accepts usage reports.
+type silentPlatform struct {
+	testCoord
+	orders atomic.Int32
+}
+
+func (p *silentPlatform) Usage(_ context.Context, f Fence, window int64, counts map[string]float64) error {
+	return p.report(f, window, counts)
+}
+
+func (p *silentPlatform) Scale(ctx context.Context, _ Fence, _ Order) error {
+	p.orders.Add(1)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a platform that answers no orders and so delays usage reports beyond
+// their deadline, and keeps the next decision waiting for one timeout per order.
+func TestSilentPlatformDelaysNothingElse(t *testing.T) {
+	env := newTestEnv()
+	env.leader, env.lease = "a", coord.Leadership{Term: 1, ElectedAt: start.Add(-time.Minute)}
+	env.counts["a"] = map[int64]float64{}
+	r := env.runner("a")
+	p := &silentPlatform{testCoord: testCoord{env, "a"}}
+	prices := map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1}
+	r.cfg.Platform, r.cfg.ScalesEngines = p, true
+	r.cfg.Services = func() ([]routes.Service, []roster.Server) {
+		return []routes.Service{{Name: "s", Scaling: &routes.Scaling{Min: 1, Max: 9, StartupTime: time.Second, Prices: prices}}}, nil
+	}
+	begin := time.Now()
+	r.tick()
+	if took := time.Since(begin); took > 2*callTimeout {
+		t.Errorf("a tick took %v, want one timeout of %v", took, callTimeout)
+	}
+	if n := p.orders.Load(); int(n) != len(prices) {
+		t.Errorf("%d orders were sent, want one in each of %d data centres", n, len(prices))
+	}
+	if len(env.reports) == 0 {
+		t.Error("no usage was reported")
+	}
+}
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -291,17 +292,22 @@
 		v := r.scaler.sizingView(svc, servers, need, recent, now)
 		missing := r.scaler.maxRecentMissing(svc.Name, v.NeededOnDemand(now), now)
 		v.MinOnDemand = r.scaler.release(releaseKey{svc.Name, releaseOnDemand}, missing, now)
+		// The platform may answer slowly or not at all, and orders of different data centres
+		// do not depend on each other.
+		var wg sync.WaitGroup
 		for _, o := range fleet.Size(now, v) {
-			r.sendOrders(svc.Name, o, orderBasis{need, recent, load}, now)
+			pool := r.scaler.pool(poolKey{svc.Name, o.DataCentre})
+			wg.Go(func() { r.sendOrders(svc.Name, pool, o, orderBasis{need, recent, load}, now) })
 		}
+		wg.Wait()
 	}
 	r.scaler.lastSecond = now.Unix()
 }
 
 // sendOrders sends the orders for one pool, reclaimable engines first, so that the total
-// never falls below the running engines.
-func (r *Runner) sendOrders(service string, o fleet.DataCentreOrder, basis orderBasis, now time.Time) {
-	pool := r.scaler.pool(poolKey{service, o.DataCentre})
+// never falls below the running engines. If the platform does not answer the first order,
+// the next tick decides again.
+func (r *Runner) sendOrders(service string, pool *poolState, o fleet.DataCentreOrder, basis orderBasis, now time.Time) {
 	first := pool.orderedAt.IsZero()
 	pool.orderedAt = now
 	if first || o.Target.Reclaimable != pool.ordered.Reclaimable || o.Target == pool.ordered {
@@ -311,6 +317,8 @@
 			pool.refusedAt, pool.exhausted = now, true
 		case err == nil:
 			pool.ordered.Reclaimable, pool.exhausted = o.Target.Reclaimable, false
+		default:
+			return
 		}
 	}
 	if first || o.Target.OnDemand != pool.ordered.OnDemand {
