--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -45,7 +45,11 @@
 		}
 		n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
 		e.buf = e.buf[:len(e.buf)+n]
-		if end := lastEventEnd(e.buf); end > 0 {
+		end := lastEventEnd(e.buf)
+		if err == io.EOF && onlyBlankLines(e.buf[end:]) {
+			end = len(e.buf) // further blank lines end no event
+		}
+		if end > 0 {
 			e.unread = end
 			if err == io.EOF && end < len(e.buf) {
 				err = io.ErrUnexpectedEOF // the stream ends within an event
@@ -61,6 +65,8 @@
 	}
 }
 
+func onlyBlankLines(b []byte) bool { return len(bytes.Trim(b, "\r\n")) == 0 }
+
 // lastEventEnd returns the end offset of the last complete event, or 0.
 func lastEventEnd(b []byte) int {
 	end := 0
