quota: Tell callers to come back when there is a leader again

Cause: an instance that decides without the leader refuses most prompts in a large deployment, since its part of a level is smaller, and told callers to come back when the rate had produced their units: after 47 ms for 19,000 tokens at 400,000 a second, raised to 100 ms, long before an election ends. Callers try once more and were refused again.

They now come back after 1.2 s, and all waits for a rate are spread by up to 0.1 s like those for servers. Ruled out: holding the request, which keeps callers that could go elsewhere.

--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -155,7 +155,7 @@
 	f.lastEventID = f.r.LastEventID
 	if f.org != nil {
 		if ok, wait := f.p.cfg.Quota.Admit(ctx, f.org.Name, f.cost(), now); !ok {
-			return &Refusal{Cause: OverQuota, RetryAfter: max(wait, minRetryAfter)}
+			return &Refusal{Cause: OverQuota, RetryAfter: max(wait, minRetryAfter) + f.retryJitter()}
 		}
 	}
 	f.p.budget(f.service).Request(now)
@@ -228,7 +228,12 @@
 	if cause == NoServer {
 		retryAfter = maxRetryAfter // a server takes seconds to start
 	}
-	return &Refusal{Cause: cause, RetryAfter: retryAfter + time.Duration(f.randomFloat()*float64(minRetryAfter))}
+	return &Refusal{Cause: cause, RetryAfter: retryAfter + f.retryJitter()}
+}
+
+// retryJitter spreads callers that are refused at the same time.
+func (f *inflight) retryJitter() time.Duration {
+	return time.Duration(f.randomFloat() * float64(minRetryAfter))
 }
 
 func (f *inflight) randomFloat() float64 {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -204,6 +204,9 @@
 	// borrowTimeout bounds a Borrow call: many round trips within a region, but short
 	// compared with the request that waits for the answer.
 	borrowTimeout = 150 * time.Millisecond
+	// aloneWait is the time after which to retry a request that only the missing leader
+	// keeps from being admitted: an election and a report.
+	aloneWait = 1200 * time.Millisecond
 	// localShare is the part of a level that all instances together may spend locally
 	// between two reports. The leader may lend the whole level at the same time, so the
 	// overshoot is at most this part.
@@ -328,7 +331,7 @@
 	}
 	localPart := (max(b.leaderLevel, 0) + b.rule.Rate*now.Sub(q.leaderSeen).Seconds()) / float64(max(q.instances, 1))
 	if q.unreported[name]+q.inFlight[name]+units*q.requiredFraction > localPart {
-		return false, time.Duration(units / b.rule.Rate * float64(time.Second))
+		return false, aloneWait
 	}
 	b.level -= units
 	q.unreported[name] += units
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -130,6 +130,25 @@
 	}
 }
 
+// Guards against callers that come back while the leader is still missing, and are refused
+// again: without it an instance's part is smaller than their prompts.
+func TestWaitWithoutALeader(t *testing.T) {
+	s := newCluster(300, map[string]Rule{"o": {Rate: 400_000, Burst: 400_000}})
+	s.leaderDown = true
+	refused := 0
+	for _, q := range s.instances {
+		if ok, wait := q.Admit(context.Background(), "o", 19_000, start); !ok {
+			refused++
+			if wait < time.Second {
+				t.Fatalf("retry after %v, want the time of an election", wait)
+			}
+		}
+	}
+	if refused < 200 {
+		t.Errorf("%d of 300 requests were refused, want most", refused)
+	}
+}
+
 // Guards against refusals below the rate limit because reports are late while the leader
 // lends: a frozen relay delays the reports of the instances behind it by a second.
 func TestLateReports(t *testing.T) {
