backnd: Reset the connection of a call that is given up

A request sent into a partition at 36.5 s was silent, ran elsewhere and was answered at 38.9 s; the partition healed, and at 42.7 s the kernel delivered the first send, whose connection had been closed but not reset, to a server that had left meanwhile. A server that is still there would run a request for nobody.

Calls that are given up now end with a reset, after which nothing more is sent. Ruled out: the permission to send (the server was ready at 36.5 s) and the retry (it went to another server).

The test fails before for Forward and Call: the server reads the request after it was given up.

--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -77,6 +77,20 @@
 	return &conn{Conn: nc, addr: addr, input: input, br: bufio.NewReaderSize(input, bufferBytes)}
 }
 
+// abort closes the connection with a reset. After a normal close the kernel keeps sending
+// what was written, for example until a partition heals, and a server would run a request
+// that was given up long before.
+func (c *conn) abort() {
+	nc := c.Conn
+	if w, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = w.NetConn()
+	}
+	if tcp, ok := nc.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = c.Conn.Close()
+}
+
 // Write counts the bytes that the connection accepted.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -193,7 +207,7 @@
 	}
 	cn.bytesWritten = 0
 	x := &exchange{c: c, cn: cn, remaining: limit, resp: &fasthttp.Response{}}
-	x.stop = context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	x.stop = context.AfterFunc(ctx, cn.abort)
 	if err := x.send(req); err != nil {
 		return nil, x.fail(ctx, err)
 	}
@@ -314,7 +328,7 @@
 	}
 	x.closed = true
 	x.stop()
-	_ = x.cn.Close()
+	x.cn.abort()
 }
 
 // promisesNotRun reports whether the server rejected the call and guarantees
--- a/internal/backnd/forward.go
+++ b/internal/backnd/forward.go
@@ -61,7 +61,7 @@
 	}
 	cn.bytesWritten = 0
 	f := &forwarding{c: c, cn: cn, writeResult: make(chan error, 1)}
-	f.stop = context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	f.stop = context.AfterFunc(ctx, cn.abort)
 	if f.resp, err = f.roundTrip(req); err != nil {
 		f.discard()
 		if ctx.Err() != nil {
@@ -213,7 +213,7 @@
 	}
 	f.closed = true
 	f.stop()
-	_ = f.cn.Close()
+	f.cn.abort()
 }
 
 // keepAliveTimeout returns the idle timeout that the server announced, less
--- a/internal/backnd/hostile_test.go
+++ b/internal/backnd/hostile_test.go
@@ -180,3 +180,48 @@
 		t.Errorf("%d connections, want 1", n)
 	}
 }
+
+// Guards against a request that reaches its server after the client has given it up: the
+// bytes of a closed connection are delivered once a partition heals, those of a reset
+// connection are not.
+func TestAbandonedCallIsReset(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(ctx context.Context, cl *Client, addr string) error
+	}{
+		{"Forward", func(ctx context.Context, cl *Client, addr string) error {
+			_, err := cl.Forward(ctx, addr, opaque("r1"))
+			return err
+		}},
+		{"Call", func(ctx context.Context, cl *Client, addr string) error {
+			_, err := cl.Call(ctx, world.Backend{Address: addr}, Call{RequestID: "r1", Attempt: 1, Method: "POST", Path: "/"})
+			return err
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			accepted, abandoned, read := make(chan struct{}), make(chan struct{}), make(chan string, 1)
+			s := newConnServer(t, func(_ int, conn net.Conn, _ *bufio.Reader) {
+				close(accepted)
+				<-abandoned
+				b, err := io.ReadAll(conn)
+				read <- fmt.Sprintf("%d bytes, %v", len(b), err)
+			})
+			cl := New(Config{})
+			defer cl.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- c.do(ctx, cl, s.ln.Addr().String()) }()
+			<-accepted
+			time.Sleep(50 * time.Millisecond) // the request is written
+			cancel()
+			if err := <-ended; OutcomeOf(err) != Unknown {
+				t.Errorf("outcome %v, want unknown", err)
+			}
+			time.Sleep(50 * time.Millisecond) // the reset arrives
+			close(abandoned)
+			if got := <-read; !strings.Contains(got, "connection reset") {
+				t.Errorf("the server read %s, want a reset connection", got)
+			}
+		})
+	}
+}
