coord: Do not drop an instance that has moved to another relay

Cause: TestManyInstancesRecover, go test -race, found it twice (once beside other packages, then in one of three runs): after the loss of the leader one of 99 instances stayed unlisted for a minute. A new leader gets all instances from each relay once. A relay that an instance had just left repeated it, and the leader took that for a move back; a second later the same relay said that the instance is silent, and the relay that it had moved to repeats nothing that has not changed.

Reports of instances behind a relay now carry their age, so that a late one does not undo a move, and relays repeat each instance every 2 s. Ruled out: starvation by the other tests; the list stood at 98 without a change while the load average was below 7.

Two tests fail before.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -61,7 +61,8 @@
 
 type processState struct {
 	instance        Instance
-	lastReport      time.Time
+	lastReport      time.Time     // or until when the process counts as alive without one
+	reportedAt      time.Time     // last report to this leader or a relay; zero before the first
 	via             *processState // relay that reports for this process; nil if it reports itself
 	silent          bool          // the relay says that the process no longer reports
 	lastSpentNumber uint64        // number of the last spending report applied
@@ -289,7 +290,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := a.process(req.Node, now)
-	n.lastReport, n.via, n.silent = now, nil, false
+	n.lastReport, n.reportedAt, n.via, n.silent = now, now, nil, false
 	loads := loadsFromProto(req.Loads)
 	a.loads.replace(n.loads, loads)
 	n.loads = loads
@@ -324,7 +325,11 @@
 		}
 		return
 	}
-	n.via, n.silent, n.lastReport = relay, false, now
+	reportedAt := now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+	if n.via != relay && reportedAt.Before(n.reportedAt) {
+		return // it has reported to the leader or another relay since
+	}
+	n.via, n.silent, n.lastReport, n.reportedAt = relay, false, now, reportedAt
 	a.loads.replace(n.loads, nil) // the relay includes them
 	n.loads = nil
 	a.feed.putInstance(n.instance)
--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -23,6 +23,9 @@
 	relayInterval = 100 * time.Millisecond
 	// minRelayInterval separates the reports that urgent reports cause.
 	minRelayInterval = 20 * time.Millisecond
+	// childRefreshInterval is the interval at which a relay repeats the state of an instance
+	// that has not changed, in case another relay's late report of it came in between.
+	childRefreshInterval = 2 * time.Second
 	// relayHoldTime is how long a report waits at a relay for the leader.
 	relayHoldTime = 600 * time.Millisecond
 	// relayTimeout bounds a report to a relay, which answers within relayHoldTime.
@@ -80,6 +83,7 @@
 	loads      []Load
 	windows    map[int64]*coordpb.Window // not yet at the leader
 	changed    bool                      // node or silent is not yet at the leader
+	sentAt     time.Time                 // when it was last reported to the leader
 	silent     bool
 }
 
@@ -169,10 +173,12 @@
 			delete(r.children, key)
 			continue
 		}
-		if !c.changed && len(c.windows) == 0 && (!r.resend || c.silent) {
+		refresh := !c.silent && (r.resend || now.Sub(c.sentAt) >= childRefreshInterval)
+		if !c.changed && len(c.windows) == 0 && !refresh {
 			continue
 		}
-		entry := &coordpb.Child{Node: c.node, Silent: c.silent}
+		c.sentAt = now
+		entry := &coordpb.Child{Node: c.node, Silent: c.silent, AgeMs: silence.Milliseconds()}
 		for _, w := range c.windows {
 			entry.Windows = append(entry.Windows, w)
 		}
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -163,6 +163,7 @@
 	}
 	alive := []*coordpb.Child{{Node: node("x", 1)}}
 	silent := []*coordpb.Child{{Node: node("x", 1), Silent: true}}
+	old := []*coordpb.Child{{Node: node("x", 1), AgeMs: 800}}
 	for _, c := range []struct {
 		name    string
 		reports []report
@@ -172,6 +173,7 @@
 		{"only changes are reported", []report{{0, "r", 1, alive}, {3 * time.Second, "r", 1, nil}}, 3 * time.Second, true},
 		{"silent", []report{{0, "r", 1, alive}, {time.Second, "r", 1, silent}}, time.Second, false},
 		{"moved", []report{{0, "r", 1, alive}, {0, "s", 1, alive}, {time.Second, "r", 1, silent}, {time.Second, "s", 1, nil}}, time.Second, true},
+		{"the relay before repeats it", []report{{0, "r", 1, alive}, {0, "s", 1, alive}, {100 * time.Millisecond, "r", 1, old}, {time.Second, "r", 1, silent}, {time.Second, "s", 1, nil}}, time.Second, true},
 		{"the relay has just failed", []report{{0, "r", 1, alive}}, reportTimeout + relayGrace, true},
 		{"the relay has failed", []report{{0, "r", 1, alive}}, reportTimeout + relayGrace + 1, false},
 		{"the relay has restarted and lost it", []report{{0, "r", 1, alive}, {0, "r", 2, nil}, {3 * time.Second, "r", 2, nil}}, 3 * time.Second, false},
@@ -190,6 +192,24 @@
 	}
 }
 
+// Guards against an instance that stays unlisted because the leader has a wrong idea of it:
+// a relay repeats the state of the instances behind it.
+func TestRelayRepeatsItsInstances(t *testing.T) {
+	r := newRelay()
+	sent := 0
+	for ms := 0; ms <= 10_000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		r.add(&coordpb.Sync{Node: node("x", 1)}, now)
+		req := &coordpb.Sync{Node: node("r", 1)}
+		b := r.take(req, now)
+		r.finish(b, 1, nil)
+		sent += len(req.Children)
+	}
+	if sent < 4 || sent > 12 {
+		t.Errorf("the instance was reported %d times in 10 s, want some times", sent)
+	}
+}
+
 // Guards against instances that receive changes twice, miss some, or get the whole state
 // with each reply, over many random histories of a feed.
 func TestFeedSendsChanges(t *testing.T) {
