quota: Let relays lend while there is no leader

Relays now hold the parts, one sixth of a level each with six relays, and the instances behind them borrow from them; an instance that reaches no relay decides by its own part as before. A relay that reaches the leader passes the question on. Ruled out: larger parts for all instances, which a flood would add up, and admitting by the last level alone, for the same reason.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -62,3 +62,45 @@
 	}
 	return c.lend(&req)
 }
+
+// BorrowNearby implements quota.Lender: it asks the relay of this instance to admit units
+// from the part of the rates that the relay holds. The error wraps ErrUnavailable.
+func (c *Coord) BorrowNearby(ctx context.Context, organisation string, units float64) (bool, error) {
+	c.mu.Lock()
+	relay, enabled := c.choice.current, c.choice.enabled
+	c.mu.Unlock()
+	if enabled && c.cfg.Self.Durable {
+		return c.cfg.LendNearby(organisation, units, c.cfg.Clock()), nil
+	}
+	if relay == "" {
+		return false, ErrUnavailable
+	}
+	reply := &coordpb.Lent{}
+	if err := c.cfg.Net.Call(ctx, relay, callBorrowNearby, &coordpb.Borrow{Organisation: organisation, Units: units}, reply); err != nil {
+		return false, errors.Join(ErrUnavailable, err)
+	}
+	return reply.Admitted, nil
+}
+
+// handleBorrowNearby admits units for an instance behind this relay. The leader decides if
+// this instance reaches it.
+func (c *Coord) handleBorrowNearby(ctx context.Context, _ link.Peer, body []byte) (proto.Message, error) {
+	var req coordpb.Borrow
+	if err := proto.Unmarshal(body, &req); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c.mu.Lock()
+	enabled := c.choice.enabled
+	c.mu.Unlock()
+	if c.cfg.LendNearby == nil || !enabled {
+		return nil, &link.RemoteError{Code: codeNoLeader} // this instance holds no part
+	}
+	now := c.cfg.Clock()
+	if now.Sub(c.LastContact()) < reportTimeout {
+		admitted, level, err := c.Borrow(ctx, req.Organisation, req.Units)
+		if err == nil {
+			return &coordpb.Lent{Admitted: admitted, Level: level}, nil
+		}
+	}
+	return &coordpb.Lent{Admitted: c.cfg.LendNearby(req.Organisation, req.Units, now)}, nil
+}
--- a/internal/coord/borrow_test.go
+++ b/internal/coord/borrow_test.go
@@ -4,6 +4,11 @@
 	"context"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/link"
 )
 
 // Guards against instances borrowing more in total than the level, and against a former
@@ -41,3 +46,42 @@
 		t.Error("units were lent without a majority")
 	}
 }
+
+// Guards against a relay that lends from its part although it reaches the leader, refuses
+// because it reaches none, or lends although it holds no part.
+func TestBorrowFromARelay(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		enabled bool
+		contact bool // the leader answered a moment ago, and is this instance
+		part    float64
+		want    bool
+		fails   bool
+	}{
+		{"no leader, within the part", true, false, 100, true, false},
+		{"no leader, beyond the part", true, false, 5, false, false},
+		{"the deployment uses no relays", false, false, 100, false, true},
+		{"the leader has just answered and does not any more", true, true, 100, true, false},
+	} {
+		relay := &Coord{cfg: Config{
+			Self: Instance{ID: "r"}, Clock: func() time.Time { return start },
+			LendNearby: func(_ string, units float64, _ time.Time) bool { return units <= c.part },
+		}}
+		relay.choice.enabled = c.enabled
+		if c.contact {
+			relay.lastSync = start
+		}
+		body, err := proto.Marshal(&coordpb.Borrow{Organisation: "o", Units: 10})
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := relay.handleBorrowNearby(context.Background(), link.Peer{}, body)
+		if (err != nil) != c.fails {
+			t.Errorf("%s: error %v", c.name, err)
+			continue
+		}
+		if lent, ok := reply.(*coordpb.Lent); ok && lent.Admitted != c.want {
+			t.Errorf("%s: admitted %v, want %v", c.name, lent.Admitted, c.want)
+		}
+	}
+}
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -72,6 +72,9 @@
 	// QuotaRules returns the configuration version, its rate limits of the organisations, and
 	// the token bucket levels last received from a leader.
 	QuotaRules func() (version uint64, rules map[string]quota.Rule, lastLevels map[string]float64)
+	// LendNearby admits units of an organisation's rate from the part that this instance
+	// holds as a relay, while there is no leader. Only instances with a disk need it.
+	LendNearby func(organisation string, units float64, now time.Time) bool
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
@@ -159,6 +162,7 @@
 	cfg.Net.Handle(callFounder, c.handleFounder)
 	cfg.Net.Handle(callGreet, c.handleGreet)
 	cfg.Net.Handle(callBorrow, c.handleBorrow)
+	cfg.Net.Handle(callBorrowNearby, c.handleBorrowNearby)
 	c.wg.Go(c.syncLoop)
 	if cfg.Self.Durable {
 		c.wg.Go(c.runMember)
@@ -193,6 +197,8 @@
 	callFounder = "coord.founder"
 	callGreet   = "coord.greet"
 	callBorrow  = "coord.borrow"
+
+	callBorrowNearby = "coord.borrowNearby"
 )
 
 // The error codes of these calls.
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -320,6 +320,9 @@
 		v.Instances = c.instancesFromReply(reply)
 	}
 	c.choice.enabled, c.choice.refusals = reply.UseRelays, 0
+	if reply.UseRelays {
+		v.Relays = len(c.choice.relays)
+	}
 	c.mu.Unlock()
 	if c.cfg.Self.Durable && reply.Feed != c.feed.id {
 		c.updateFeed(reply, v, now)
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -72,6 +72,7 @@
 	Rollouts       []Rollout
 	Prefixes       []CachedPrefix
 	ReadyInstances int       // number of instances that accept requests
+	Relays         int       // number of instances that may serve as relays; 0 if the deployment uses none
 	ReportSentAt   time.Time // when the answered report was sent
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"compress/flate"
 	"context"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -90,6 +91,7 @@
 	coord             *coord.Coord
 	proxy             *proxy.Proxy
 	quota             *quota.Buckets
+	relayQuota        *quota.Buckets // part of the rates for the instances behind this relay; nil without a disk
 	roster            *roster.Roster
 	duties            *duty.Runner
 	judgeRecorder     *judge.Recorder
@@ -97,6 +99,7 @@
 	self              coord.Instance
 
 	draining atomic.Bool
+	relays   atomic.Int32 // number of relays; 0 if the deployment uses none
 
 	mu         sync.Mutex
 	unreported map[string]roster.Server // announcements not yet reported to the leader, by server ID
@@ -130,6 +133,9 @@
 		},
 	}
 	e.quota = quota.NewBuckets(leaderLender{e})
+	if e.self.Durable {
+		e.relayQuota = quota.NewBuckets(nil)
+	}
 	e.judgeRecorder = judge.NewRecorder(cfg.PeerAddress, uint64(now.UnixNano()))
 	var metricMeter metric.Meter
 	if cfg.Meters != nil {
@@ -148,7 +154,7 @@
 	}
 	e.coord = coord.Start(coord.Config{
 		Self: e.self, Net: network, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.DataDir, Bootstrap: cfg.Bootstrap,
-		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
+		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, LendNearby: e.lendNearby, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
 	})
 	if e.self.Durable {
 		e.rolloutController = startRolloutController(e)
@@ -321,8 +327,15 @@
 
 // Report implements coord.Local.
 func (e *Edge) Report(full bool, now time.Time) coord.Report {
+	spent := e.quota.TakeSpent()
+	if e.relayQuota != nil {
+		spent = maps.Clone(spent)
+		for name, units := range e.relayQuota.TakeSpent() {
+			spent[name] += units
+		}
+	}
 	r := coord.Report{
-		Ready: e.Ready(), Spent: e.quota.TakeSpent(), Loads: e.proxy.Loads(), Windows: e.proxy.UsageWindows(now),
+		Ready: e.Ready(), Spent: spent, Loads: e.proxy.Loads(), Windows: e.proxy.UsageWindows(now),
 		Prefixes: e.proxy.TakePrefixReports(now),
 	}
 	if c := e.proxy.Config(); c != nil {
@@ -344,6 +357,9 @@
 // ReportFailed implements coord.Local.
 func (e *Edge) ReportFailed(time.Time) {
 	e.quota.Restore()
+	if e.relayQuota != nil {
+		e.relayQuota.Restore()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, s := range e.inFlight {
@@ -357,6 +373,10 @@
 // Apply implements coord.Local.
 func (e *Edge) Apply(v coord.View, now time.Time) {
 	e.quota.Confirm(v.Levels, v.ReadyInstances, now)
+	if e.relayQuota != nil {
+		e.relayQuota.Confirm(v.Levels, v.Relays, now)
+	}
+	e.relays.Store(int32(v.Relays))
 	e.proxy.SetInstances(v.ReadyInstances)
 	changed := v.Config != nil
 	for _, s := range v.Servers {
@@ -408,6 +428,9 @@
 		}
 	}
 	e.quota.Configure(rules, now)
+	if e.relayQuota != nil {
+		e.relayQuota.Configure(rules, now)
+	}
 	e.mu.Lock()
 	e.quotaRules = rules
 	e.mu.Unlock()
@@ -434,6 +457,20 @@
 	return l.e.coord.Borrow(ctx, name, units)
 }
 
+// BorrowNearby implements quota.Lender.
+func (l leaderLender) BorrowNearby(ctx context.Context, name string, units float64) (bool, error) {
+	return l.e.coord.BorrowNearby(ctx, name, units)
+}
+
+// lendNearby admits units from the part of the rates that this instance holds as a relay.
+func (e *Edge) lendNearby(name string, units float64, now time.Time) bool {
+	if e.relayQuota == nil || e.relays.Load() == 0 {
+		return false
+	}
+	ok, _ := e.relayQuota.Admit(context.Background(), name, units, now)
+	return ok
+}
+
 func (e *Edge) organisationNames() []string {
 	c := e.proxy.Config()
 	if c == nil {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -195,6 +195,9 @@
 	// Borrow spends units if the level of the organisation admits them and returns the
 	// resulting level. After an error the units may have been spent.
 	Borrow(ctx context.Context, name string, units float64) (ok bool, level float64, err error)
+	// BorrowNearby spends units of the part that another instance holds for several
+	// instances while the leader cannot be reached. It fails if there is no such instance.
+	BorrowNearby(ctx context.Context, name string, units float64) (ok bool, err error)
 }
 
 const (
@@ -204,6 +207,8 @@
 	// borrowTimeout bounds a Borrow call: many round trips within a region, but short
 	// compared with the request that waits for the answer.
 	borrowTimeout = 150 * time.Millisecond
+	// nearbyTimeout bounds a BorrowNearby call: many round trips within a data centre.
+	nearbyTimeout = 60 * time.Millisecond
 	// aloneWait is the time after which to retry a request that only the missing leader
 	// keeps from being admitted: an election and a report.
 	aloneWait = 1200 * time.Millisecond
@@ -245,24 +250,49 @@
 }
 
 // Admit spends units of an organisation, or returns the time after which to retry. If
-// the decision is not local, Admit waits up to borrowTimeout for the leader.
+// the decision is not local, Admit waits up to borrowTimeout for the leader, and without
+// one up to nearbyTimeout for an instance that holds a larger part.
 func (q *Buckets) Admit(ctx context.Context, name string, units float64, now time.Time) (ok bool, wait time.Duration) {
 	ok, wait, decided := q.decideLocally(name, units, now)
 	if decided {
 		return ok, wait
 	}
-	borrowCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	if !q.isAlone() {
+		borrowCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		ok, level, err := q.lender.Borrow(borrowCtx, name, units)
+		if err == nil {
+			return ok, q.recordAnswer(name, units, ok, level, now)
+		}
+	}
+	nearbyCtx, cancel := context.WithTimeout(ctx, nearbyTimeout)
 	defer cancel()
-	ok, level, err := q.lender.Borrow(borrowCtx, name, units)
+	ok, err := q.lender.BorrowNearby(nearbyCtx, name, units)
 	switch {
-	case err == nil:
-		return ok, q.recordAnswer(name, units, ok, level, now)
 	case ctx.Err() != nil:
 		return false, 0 // the caller cancelled, so the leader need not be down
+	case err == nil && ok:
+		q.setAlone()
+		return true, 0
+	case err == nil:
+		q.setAlone()
+		return false, aloneWait
 	}
 	return q.fallBack(name, units, now)
 }
 
+func (q *Buckets) isAlone() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.alone
+}
+
+func (q *Buckets) setAlone() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.alone = true
+}
+
 // decideLocally admits or refuses a request without asking the leader. decided is false
 // if the leader must be asked.
 func (q *Buckets) decideLocally(name string, units float64, now time.Time) (ok bool, wait time.Duration, decided bool) {
@@ -273,10 +303,13 @@
 		return true, 0, true
 	}
 	b.refill(now, 1/float64(max(q.instances, 1)))
-	if q.lender == nil || q.alone {
+	if q.lender == nil {
 		ok, wait = q.admitWithoutLeader(b, name, units, now)
 		return ok, wait, true
 	}
+	if q.alone {
+		return false, 0, false
+	}
 	unconfirmed := q.unreported[name] + q.inFlight[name]
 	if now.Sub(q.leaderSeen) < leaderTimeout && unconfirmed+units <= localShare*max(b.leaderLevel, 0)/float64(max(q.instances, 1)) {
 		b.level -= units
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -15,6 +15,8 @@
 	instances  []*Buckets
 	now        time.Time
 	leaderDown bool // Borrow fails
+	relays     []*Buckets
+	at         int // instance that decides
 }
 
 func newCluster(n int, rules map[string]Rule) *cluster {
@@ -37,9 +39,28 @@
 	return s.ledger.Borrow(name, units, s.now)
 }
 
+// BorrowNearby implements Lender.
+func (s *cluster) BorrowNearby(ctx context.Context, name string, units float64) (bool, error) {
+	if s.relays == nil {
+		return false, Error.New("no relay")
+	}
+	ok, _ := s.relays[s.at%len(s.relays)].Admit(ctx, name, units, s.now)
+	return ok, nil
+}
+
+// addRelays lets n instances hold a part of the levels for the others.
+func (s *cluster) addRelays(n int, rules map[string]Rule) {
+	for range n {
+		q := NewBuckets(nil)
+		q.Configure(rules, start)
+		q.Confirm(s.ledger.Levels(start), n, start)
+		s.relays = append(s.relays, q)
+	}
+}
+
 // admit sends a request to one instance.
 func (s *cluster) admit(i int, units float64, now time.Time) bool {
-	s.now = now
+	s.now, s.at = now, i
 	ok, _ := s.instances[i].Admit(context.Background(), "o", units, now)
 	return ok
 }
@@ -149,6 +170,46 @@
 	}
 }
 
+// Guards against refusing most prompts of a large deployment while there is no leader:
+// the part of an instance is smaller than a prompt, that of a relay is not. All together
+// must stay within the level and the rate.
+func TestRelaysLendWithoutALeader(t *testing.T) {
+	const rate, burst, units = 400_000.0, 400_000.0, 19_000.0
+	rules := map[string]Rule{"o": {Rate: rate, Burst: burst}}
+	for _, c := range []struct {
+		name      string
+		perSecond int     // requests
+		minShare  float64 // of the requests that must be admitted
+	}{
+		{"half of the rate", 10, 0.9},
+		{"four times the rate", 84, 0},
+	} {
+		for seed := range uint64(20) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			s := newCluster(300, rules)
+			s.addRelays(6, rules)
+			s.leaderDown = true
+			asked, admitted := 0, 0
+			const seconds = 4
+			for ms := range seconds * 1000 {
+				if rnd.Float64() >= float64(c.perSecond)/1000 {
+					continue
+				}
+				asked++
+				if s.admit(rnd.IntN(len(s.instances)), units, start.Add(time.Duration(ms)*time.Millisecond)) {
+					admitted++
+				}
+			}
+			if share := float64(admitted) / float64(asked); share < c.minShare {
+				t.Errorf("%s, seed %d: %.2f of the requests were admitted, want %.2f", c.name, seed, share, c.minShare)
+			}
+			if spent, most := float64(admitted)*units, 1.1*(burst+rate*seconds); spent > most {
+				t.Errorf("%s, seed %d: %.0f units were spent, want at most %.0f", c.name, seed, spent, most)
+			}
+		}
+	}
+}
+
 // Guards against refusals below the rate limit because reports are late while the leader
 // lends: a frozen relay delays the reports of the instances behind it by a second.
 func TestLateReports(t *testing.T) {
