coord: Send the servers of a large deployment once

By reading, each instance that is new to a relay sent it all servers that it knew, 390 KB, and got them back, and a relay built and held separate messages for all of some fifty instances at a time.

Instances behind a relay send only what is new: a relay has the servers from the leader, and a new leader has them as a relay. Replies share one message for each server.

--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -10,6 +10,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/world"
 )
 
 // feed is the state that instances receive with the replies to their reports: changes
@@ -22,6 +23,7 @@
 
 	mu            sync.Mutex
 	serverNumbers map[string]uint32 // by server ID, from 1
+	encoded       map[string]encodedServer
 	instances     map[string]*feedInstance
 	change        uint64          // number of the last change of instances
 	ready         int             // instances that accept requests
@@ -30,6 +32,13 @@
 	published     published
 }
 
+// encodedServer is the message of a server, which the replies to all instances share: in a
+// large deployment, many instances get the whole list at the same time.
+type encodedServer struct {
+	server  roster.Server
+	message *coordpb.Server
+}
+
 // feedInstance is an instance that reports, or a tombstone of one that no longer does.
 type feedInstance struct {
 	instance Instance
@@ -59,7 +68,8 @@
 func newFeed(self Instance) *feed {
 	id := xxhash.Sum64String(self.ID) ^ uint64(self.Started.UnixNano())
 	return &feed{
-		id: max(id, 1), roster: roster.New(), serverNumbers: map[string]uint32{}, instances: map[string]*feedInstance{},
+		id: max(id, 1), roster: roster.New(), serverNumbers: map[string]uint32{}, encoded: map[string]encodedServer{},
+		instances: map[string]*feedInstance{},
 	}
 }
 
@@ -181,9 +191,7 @@
 		ConfigVersion: p.configVersion, UseRelays: p.useRelays,
 	}
 	for _, s := range servers {
-		proto := serverToProto(s, now)
-		proto.Number = f.serverNumber(s.ID)
-		out.Servers = append(out.Servers, proto)
+		out.Servers = append(out.Servers, f.encode(s, now))
 	}
 	out.Totals = f.totalsToProto(p.totals)
 	if req.Node.ConfigVersion < p.configVersion {
@@ -222,6 +230,21 @@
 	return out
 }
 
+// encode returns the message of a server. mu must be held.
+func (f *feed) encode(s roster.Server, now time.Time) *coordpb.Server {
+	if e, ok := f.encoded[s.ID]; ok && e.server == s && s.LeaveBy.IsZero() {
+		return e.message
+	}
+	message := serverToProto(s, now)
+	message.Number = f.serverNumber(s.ID)
+	if s.State == world.Gone {
+		delete(f.encoded, s.ID)
+	} else {
+		f.encoded[s.ID] = encodedServer{s, message}
+	}
+	return message
+}
+
 // serverNumber returns the number of a server in this feed. mu must be held.
 func (f *feed) serverNumber(id string) uint32 {
 	n, ok := f.serverNumbers[id]
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -258,6 +258,9 @@
 	if len(out.Servers) != 1 || !slices.Equal(out.Totals.Servers, []uint32{out.Servers[0].Number}) || out.Totals.Running[0] != 4 {
 		t.Errorf("got %v and %v, want the load of server e by its number", out.Servers, out.Totals)
 	}
+	if again := f.reply(&coordpb.Sync{Node: node("y", 1)}, start); len(again.Servers) != 1 || again.Servers[0] != out.Servers[0] {
+		t.Error("two instances get separate messages of one server")
+	}
 	if out := sync(); len(out.Servers) != 0 || len(out.Totals.Servers) != 1 {
 		t.Errorf("got %v and %v, want only the load", out.Servers, out.Totals)
 	}
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -139,7 +139,11 @@
 	if agg != nil {
 		c.greetSeeds(agg, now)
 	}
-	r := c.cfg.Local.Report(seen.feed == 0, now)
+	c.mu.Lock()
+	direct := c.choice.target(c.cfg.Self, now) == ""
+	c.mu.Unlock()
+	// A relay has the servers from the leader, and a new leader has them as a relay.
+	r := c.cfg.Local.Report(seen.feed == 0 && direct, now)
 	req := c.newSyncRequest(r, seen, number, now)
 	req.Urgent = urgent
 	windows := req.Windows
