duty: Give up on-demand engines sooner than reclaimable ones

Cause: giving up engines by 5% a second holds on-demand engines, at several times the price, for 20 s after reclaimable ones are back. On-demand engines now go by 20% a second.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -202,17 +202,19 @@
 		after         time.Duration // from the first release
 		atLeast, most int
 	}{
-		{"large fleet, at once", 300, 70, 0, 300, 300},
-		{"large fleet, after a second", 300, 70, time.Second, 280, 290},
-		{"large fleet, after 10 s", 300, 70, 10 * time.Second, 175, 185},
-		{"large fleet, in the end", 300, 70, 40 * time.Second, 70, 70},
-		{"small fleet, after 5 s", 12, 4, 5 * time.Second, 9, 9},
-		{"small fleet, in the end", 12, 4, 30 * time.Second, 4, 4},
-		{"one engine less", 13, 12, 2 * time.Second, 12, 12},
-		{"growth", 10, 200, 0, 200, 200},
+		{"large fleet, at once", releasePeak, 300, 70, 0, 300, 300},
+		{"large fleet, after a second", releasePeak, 300, 70, time.Second, 280, 290},
+		{"large fleet, after 10 s", releasePeak, 300, 70, 10 * time.Second, 175, 185},
+		{"large fleet, in the end", releasePeak, 300, 70, 40 * time.Second, 70, 70},
+		{"small fleet, after 5 s", releasePeak, 12, 4, 5 * time.Second, 9, 9},
+		{"small fleet, in the end", releasePeak, 12, 4, 30 * time.Second, 4, 4},
+		{"one engine less", releasePeak, 13, 12, 2 * time.Second, 12, 12},
+		{"growth", releasePeak, 10, 200, 0, 200, 200},
+		{"on-demand, after 5 s", releaseOnDemand, 40, 0, 5 * time.Second, 12, 14},
+		{"on-demand, in the end", releaseOnDemand, 40, 0, 20 * time.Second, 0, 0},
 	} {
 		s := newScaler()
-		key := releaseKey{"s", releasePeak}
+		key := releaseKey{"s", c.kind}
 		got := s.release(key, c.from, start)
 		for d := time.Duration(0); d <= c.after; d += 250 * time.Millisecond {
 			got = s.release(key, c.to, start.Add(d))
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -103,7 +103,9 @@
 	// releaseShare is the share of a fleet that may be given up in a second. The caches of
 	// engines that are given up must be rebuilt elsewhere: when most of a fleet is given up
 	// at once, the remaining engines prefill instead of serving, and the fleet grows again.
-	releaseShare = 0.05
+	// On-demand engines are few of a fleet and cost several times as much, so they go sooner.
+	releaseShare         = 0.05
+	onDemandReleaseShare = 0.2
 	// minEngines is the number of engines of an idle service, so that some remain after a
 	// crash.
 	minEngines = 3
@@ -163,12 +165,16 @@
 }
 
 // release returns the number of engines to keep when wanted are needed: a lower number
-// than before is approached by releaseShare a second.
+// than before is approached by the share of the kind a second.
 func (s *scaler) release(key releaseKey, wanted int, now time.Time) int {
+	share := releaseShare
+	if key.kind != releasePeak {
+		share = onDemandReleaseShare
+	}
 	before, ok := s.released[key]
 	keep := float64(wanted)
 	if ok {
-		keep = max(keep, before.engines*math.Pow(1-releaseShare, now.Sub(before.at).Seconds()))
+		keep = max(keep, before.engines*math.Pow(1-share, now.Sub(before.at).Seconds()))
 	}
 	s.released[key] = releaseState{keep, now}
 	return int(math.Ceil(keep - releaseRounding))
