quota: Know the levels right after a restart

A part also grows from the time of its level, not of the last report, which counted the same time twice after a Borrow call.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -48,6 +48,7 @@
 	if agg == nil {
 		return nil, &link.RemoteError{Code: codeNotLeader}
 	}
+	c.configureLedger(agg, now)
 	admitted, level, err := agg.ledger.Borrow(req.Organisation, req.Units, now)
 	if err != nil {
 		return nil, errors.Join(ErrUnavailable, err)
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -460,6 +460,7 @@
 }
 
 func (c *Coord) answerSync(agg *aggregator, m *member, req *coordpb.Sync, now time.Time) *coordpb.SyncReply {
+	c.configureLedger(agg, now)
 	agg.applyReport(req, now)
 	cfg, rollouts := m.state.config(), m.state.rollouts()
 	p := published{
@@ -519,13 +520,18 @@
 	if agg == nil {
 		return
 	}
-	version, rules, lastLevels := c.cfg.QuotaRules()
-	agg.configure(version, rules, lastLevels, now)
+	c.configureLedger(agg, now)
 	for _, s := range agg.tick(c.cfg.Heartbeat, now) {
 		c.cfg.Log.WithField("event", "server.silent").WithField("server", s.ID).WithField("service", s.Service).Warn("backend server expired: no heartbeat received")
 	}
 }
 
+// configureLedger applies the rate limits of the configuration in force to the ledger.
+func (c *Coord) configureLedger(agg *aggregator, now time.Time) {
+	version, rules, lastLevels := c.cfg.QuotaRules()
+	agg.configure(version, rules, lastLevels, now)
+}
+
 // greetSeeds announces this leader to the seeds that do not report to it. New instances
 // know only the seeds, and a seed need not be a member.
 func (c *Coord) greetSeeds(agg *aggregator, now time.Time) {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -198,6 +198,7 @@
 func TestEnginesAreReleasedGradually(t *testing.T) {
 	for _, c := range []struct {
 		name          string
+		kind          releaseKind
 		from, to      int
 		after         time.Duration // from the first release
 		atLeast, most int
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -372,11 +372,6 @@
 
 // Apply implements coord.Local.
 func (e *Edge) Apply(v coord.View, now time.Time) {
-	e.quota.Confirm(v.Levels, v.ReadyInstances, now)
-	if e.relayQuota != nil {
-		e.relayQuota.Confirm(v.Levels, v.Relays, now)
-	}
-	e.relays.Store(int32(v.Relays))
 	e.proxy.SetInstances(v.ReadyInstances)
 	changed := v.Config != nil
 	for _, s := range v.Servers {
@@ -394,6 +389,12 @@
 		e.applyConfig(v, now)
 		e.updateServers(now)
 	}
+	// After the configuration, since levels without a rule are not kept.
+	e.quota.Confirm(v.Levels, v.ReadyInstances, now)
+	if e.relayQuota != nil {
+		e.relayQuota.Confirm(v.Levels, v.Relays, now)
+	}
+	e.relays.Store(int32(v.Relays))
 	e.proxy.SetLoads(v.Loads, v.ReportSentAt)
 	e.proxy.LearnPrefixes(v.Prefixes)
 	e.mu.Lock()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -362,7 +362,11 @@
 	if b.level <= b.rule.minLevel(units) {
 		return false, b.rule.waitTime(b.level, units)
 	}
-	localPart := (max(b.leaderLevel, 0) + b.rule.Rate*now.Sub(q.leaderSeen).Seconds()) / float64(max(q.instances, 1))
+	lastLevel, since := b.leaderLevel, b.leaderLevelAt
+	if since.IsZero() {
+		lastLevel, since = b.rule.InitialLevel, q.leaderSeen
+	}
+	localPart := (max(lastLevel, 0) + b.rule.Rate*now.Sub(since).Seconds()) / float64(max(q.instances, 1))
 	if q.unreported[name]+q.inFlight[name]+units*q.requiredFraction > localPart {
 		return false, aloneWait
 	}
