coord: Do not lend from a part that no one holds

An instance with a disk whose Config has no LendNearby would have dereferenced nil in a deployment with relays; package edge always sets it.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -70,7 +70,7 @@
 	c.mu.Lock()
 	relay, enabled := c.choice.current, c.choice.enabled
 	c.mu.Unlock()
-	if enabled && c.cfg.Self.Durable {
+	if enabled && c.cfg.Self.Durable && c.cfg.LendNearby != nil {
 		return c.cfg.LendNearby(organisation, units, c.cfg.Clock()), nil
 	}
 	if relay == "" {
