duty: Plan decodes by the slots of an engine

Cause: 16 requests in decode counted as one engine whatever its slots.

A quarter of the slots is planned for now, which is 16 on engines of 64, so nothing changes on the other deployments.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -227,20 +227,23 @@
 }
 
 // Guards against sizing many times the needed fleet because requests queue behind lost
-// engines, and against sizing decodes like prefills.
+// engines, against sizing decodes like prefills, and against planning for full engines of
+// few slots.
 func TestDemand(t *testing.T) {
 	for _, c := range []struct {
-		running, waiting, requests int
-		engines                    float64
+		running, waiting, slots, requests int
+		engines                           float64
 	}{
-		{10, 2, 10, 8/decodingPerEngine + 2/waitingPerEngine},
-		{100, 95, 5 + 2*5 + requestsPerEngine, 5/decodingPerEngine + (2*5+requestsPerEngine)/waitingPerEngine},
-		{50, 50, requestsPerEngine, requestsPerEngine / waitingPerEngine},
-		{32, 0, 32, 32 / decodingPerEngine},
-		{0, 0, 0, 0},
+		{10, 2, 64, 10, 8/16.0 + 2/waitingPerEngine},
+		{100, 95, 64, 5 + 2*5 + requestsPerEngine, 5/16.0 + (2*5+requestsPerEngine)/waitingPerEngine},
+		{50, 50, 64, requestsPerEngine, requestsPerEngine / waitingPerEngine},
+		{32, 0, 64, 32, 2},
+		{12, 0, 16, 12, 3},
+		{10, 0, 0, 10, 2},
+		{0, 0, 64, 0, 0},
 	} {
-		if got := demand(coord.Load{Running: c.running, Waiting: c.waiting}); got != (serviceLoad{c.requests, c.engines}) {
-			t.Errorf("%d running, %d waiting: demand %v, want %v", c.running, c.waiting, got, serviceLoad{c.requests, c.engines})
+		if got := demand(coord.Load{Running: c.running, Waiting: c.waiting}, c.slots); got != (serviceLoad{c.requests, c.engines}) {
+			t.Errorf("%d running, %d waiting in %d slots: demand %v, want %v", c.running, c.waiting, c.slots, got, serviceLoad{c.requests, c.engines})
 		}
 	}
 }
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -82,12 +82,12 @@
 	// prefill latency: each decode step and prefill delays the others in the batch. It
 	// sizes the reclaimable engines, which are cheap and also replace each other.
 	requestsPerEngine = 5
-	// waitingPerEngine and decodingPerEngine are how many requests in prefill and in decode
-	// one engine runs within the latency targets. Prefills run one after the other, while
-	// decodes share each step, so the number of engines that a load needs depends on its
-	// mix. They size the on-demand engines.
+	// waitingPerEngine is how many requests in prefill, and decodingSlotShare in how many of
+	// its slots requests in decode, one engine runs within the latency targets. Prefills run
+	// one after the other, while decodes share each step, so the number of engines that a
+	// load needs depends on its mix. They size the on-demand engines.
 	waitingPerEngine  = 2.5
-	decodingPerEngine = 16.0
+	decodingSlotShare = 0.25
 	// peakWindowSeconds is the length of the window whose load peak determines the fleet
 	// size. Engines take several seconds to start and lose their caches when they stop.
 	peakWindowSeconds = 20
@@ -183,10 +183,14 @@
 // releaseRounding keeps a number from staying one too high for long.
 const releaseRounding = 0.5
 
-// demand returns the load to plan for on a backend server. Waiting requests count for at
+// demand returns the load to plan for on a backend server with a number of slots. Waiting requests count for at
 // most twice the started requests plus requestsPerEngine: any number may queue behind a
 // lost or slow server, and most of their callers have disconnected before new engines start.
-func demand(l coord.Load) serviceLoad {
+func demand(l coord.Load, slots int) serviceLoad {
+	decodingPerEngine := decodingSlotShare * float64(slots)
+	if slots == 0 {
+		decodingPerEngine = requestsPerEngine // not announced
+	}
 	started := l.Running - l.Waiting
 	waiting := min(l.Waiting, 2*started+requestsPerEngine)
 	return serviceLoad{
@@ -289,7 +293,7 @@
 			default:
 				onDemand++
 			}
-			load = load.add(demand(loads[server.ID]))
+			load = load.add(demand(loads[server.ID], server.Slots))
 		}
 		baseline := baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
 		need, recent := r.scaler.requiredEngines(svc.Name, load, baseline, now)
