poison: Leave runs alone whose connection to a crashed server holds

Cause, by reading: Crashed made every run that an instance had recorded on the lost server a possible cause. A run is recorded before the server is dialled, so a request that picked a server which was already gone, or reached its next incarnation, became a suspect of a crash that it can't have caused. With the crash it really sat beside, that makes two, and the request is refused after crashReportDelay. Each run now joins a crash when its own connection breaks, and counts as running until then.

Ruled out: a dial failure counted as a broken connection (it is NotRun).

Before: TestCrashSparesRunsWithoutABrokenConnection fails. After: it passes.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -104,34 +104,35 @@
 // not run on a third server.
 func (e *Entry) recordRunEnd(f poison.Fingerprint, b world.Backend, broken, completed bool, endRun func(completed bool)) {
 	now := e.cfg.Now()
-	switch {
-	case !broken || e.reclaimed(b, now):
+	if !broken || e.reclaimed(b, now) {
 		e.ledger.Ended(f, b.ID, b.Incarnation, completed, now)
 		endRun(completed)
-	case !acceptsConnection(e.runCtx, b.Address) || e.restarted(b, now):
+		return
+	}
+	e.ledger.MaybeCrashed(f, b.ID, b.Incarnation)
+	if !acceptsConnection(e.runCtx, b.Address) || e.restarted(b, now) {
 		e.recordCrash(b.ID, b.Incarnation)
 		endRun(false)
-	default:
-		e.ledger.MaybeCrashed(f, b.ID, b.Incarnation)
-		e.background.Go(func() {
-			defer endRun(false)
-			for deadline := now.Add(e.restartGrace); e.cfg.Now().Before(deadline) && sleep(e.runCtx, restartPollInterval); {
-				switch at := e.cfg.Now(); {
-				case e.restarted(b, at):
-					e.recordCrash(b.ID, b.Incarnation)
-					return
-				case e.announcedSince(b, now.Add(maxAnnouncementDelay), at):
-					e.ledger.Ended(f, b.ID, b.Incarnation, completed, at)
-					return
-				}
-			}
-			if at := e.cfg.Now(); !e.announcedSince(b, time.Time{}, at) {
+		return
+	}
+	e.background.Go(func() {
+		defer endRun(false)
+		for deadline := now.Add(e.restartGrace); e.cfg.Now().Before(deadline) && sleep(e.runCtx, restartPollInterval); {
+			switch at := e.cfg.Now(); {
+			case e.restarted(b, at):
 				e.recordCrash(b.ID, b.Incarnation)
 				return
+			case e.announcedSince(b, now.Add(maxAnnouncementDelay), at):
+				e.ledger.Ended(f, b.ID, b.Incarnation, completed, at)
+				return
 			}
-			e.ledger.Ended(f, b.ID, b.Incarnation, completed, e.cfg.Now())
-		})
-	}
+		}
+		if at := e.cfg.Now(); !e.announcedSince(b, time.Time{}, at) {
+			e.recordCrash(b.ID, b.Incarnation)
+			return
+		}
+		e.ledger.Ended(f, b.ID, b.Incarnation, completed, e.cfg.Now())
+	})
 }
 
 // announcedSince reports whether the incarnation of b has announced itself
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -231,16 +231,20 @@
 	l.running[f] = runs
 }
 
-// Crashed records that a server was lost without notice and ends this instance's runs
-// on the server. Requests that have completed at this instance before do not become
-// suspects. Crashed must not be called for announced reclaims.
+// Crashed records that a server was lost without notice and ends the runs of this
+// instance on it for which MaybeCrashed was called. The others stay recorded until their
+// own connections break: they may not have reached the server before it was lost, and
+// count as running meanwhile. Requests that have completed at this instance before do not
+// become suspects. Crashed must not be called for announced reclaims.
 func (l *Ledger) Crashed(server string, incarnation uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var suspects []Fingerprint
 	for f, runs := range l.running {
 		n := len(runs)
-		runs = slices.DeleteFunc(runs, func(r run) bool { return r.server == server && r.incarnation == incarnation })
+		runs = slices.DeleteFunc(runs, func(r run) bool {
+			return r.server == server && r.incarnation == incarnation && r.maybeCrashed
+		})
 		if len(runs) == n {
 			continue
 		}
