quota: A new leader credits what the rate allowed without a leader

Cause: a new leader began with the level that it had last received and then debited what the instances reported for the time without a leader, but credited no rate for that time. So each unit spent by an isolated instance within its part was paid for again after the election. The credit now covers reported spending for 2 s and is added to the level then; it is not lent before, as the units may be spent already.

Ruled out: reports applied twice (levels fell only with the first reports after the election).

After: nine tenths or more of what the rate allows, and no more than 1.1 of the rate in all.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -147,7 +147,7 @@
 // start at the levels last received from the previous leader, because full buckets
 // would admit another burst of a flood at each leader change. A bucket whose level is
 // not known starts at its rule's InitialLevel. In the first term all buckets start full.
-func (a *aggregator) configure(version uint64, rules map[string]quota.Rule, lastLevels map[string]float64, now time.Time) {
+func (a *aggregator) configure(version uint64, rules map[string]quota.Rule, lastLevels map[string]quota.Level, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if version == a.rulesVersion {
@@ -160,11 +160,11 @@
 		return
 	}
 	for name, r := range rules {
-		level, ok := lastLevels[name]
-		if !ok {
-			level = r.InitialLevel
+		if last, ok := lastLevels[name]; ok {
+			a.ledger.Resume(name, last, now)
+			continue
 		}
-		a.ledger.Spend(name, r.Burst-min(level, r.Burst), now)
+		a.ledger.Spend(name, r.Burst-min(r.InitialLevel, r.Burst), now)
 	}
 }
 
--- a/internal/coord/aggregator_test.go
+++ b/internal/coord/aggregator_test.go
@@ -60,13 +60,13 @@
 	for _, c := range []struct {
 		name       string
 		term       uint64
-		lastLevels map[string]float64
+		lastLevels map[string]quota.Level
 		want       float64
 	}{
 		{"first term", 1, nil, 100},
-		{"spent", 2, map[string]float64{"o": 3}, 3},
-		{"in debt", 2, map[string]float64{"o": -50}, -50},
-		{"nothing left", 2, map[string]float64{"o": 0}, 0},
+		{"spent", 2, map[string]quota.Level{"o": {Units: 3, At: start}}, 3},
+		{"in debt", 2, map[string]quota.Level{"o": {Units: -50, At: start}}, -50},
+		{"nothing left", 2, map[string]quota.Level{"o": {Units: 0, At: start}}, 0},
 		{"after a restart of all", 2, nil, 30},
 	} {
 		agg := testAggregator("a", c.term, nil, start)
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -139,7 +139,7 @@
 	cfg := Config{
 		Self: Instance{ID: inst.addr, Name: inst.addr, CallerAddress: inst.addr, Durable: inst.fs != nil, Started: time.Now()},
 		Net:  inst.net, Seeds: func() []string { return d.seeds }, Bootstrap: first, MinVoters: 3, Local: inst.local,
-		QuotaRules: func() (uint64, map[string]quota.Rule, map[string]float64) {
+		QuotaRules: func() (uint64, map[string]quota.Rule, map[string]quota.Level) {
 			return 1, map[string]quota.Rule{"o": {Rate: 1, Burst: 100}}, nil
 		},
 		Heartbeat: time.Second, Clock: time.Now, Suspended: func() time.Duration { return time.Duration(inst.suspended.Load()) }, Log: &log.Logger{Handler: discard.New()},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -439,7 +439,7 @@
 	e.cfg.Log.WithFields(log.Fields{"event": "config.applied", "config": c.Version, "leader": v.Leader}).Info("configuration applied")
 }
 
-func (e *Edge) currentQuotaRules() (uint64, map[string]quota.Rule, map[string]float64) {
+func (e *Edge) currentQuotaRules() (uint64, map[string]quota.Rule, map[string]quota.Level) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.proxy.Config()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -86,15 +86,32 @@
 	return time.Duration(max(r.minLevel(units)-level, 0) / r.Rate * float64(time.Second))
 }
 
+// Level is the level of a bucket at a time.
+type Level struct {
+	Units float64
+	At    time.Time
+}
+
+// resumeTime is how long a new leader waits for reports of what was spent without a
+// leader: several report intervals, relays included.
+const resumeTime = 2 * time.Second
+
 type bucket struct {
 	rule          Rule
 	level         float64
 	levelAt       time.Time // of level
 	leaderLevel   float64   // level last received from the leader
 	leaderLevelAt time.Time
+	// credit is what the rate allowed without a leader. Until creditUntil reported spending
+	// uses it up; the rest is added to the level then.
+	credit      float64
+	creditUntil time.Time
 }
 
 func (b *bucket) refill(now time.Time, share float64) {
+	if b.credit > 0 && !now.Before(b.creditUntil) {
+		b.level, b.credit = b.level+b.credit, 0
+	}
 	if d := now.Sub(b.levelAt).Seconds(); d > 0 {
 		b.level = min(b.level+d*b.rule.Rate*share, b.rule.Burst)
 		b.levelAt = now
@@ -157,7 +174,20 @@
 	defer l.mu.Unlock()
 	if b := l.buckets[name]; b != nil {
 		b.refill(now, l.rateShare)
-		b.level -= units
+		credit := min(b.credit, max(units, 0))
+		b.credit -= credit
+		b.level -= units - credit
+	}
+}
+
+// Resume continues from the level that the previous leader had at a time. Since then the
+// instances have spent what the rate allows, which they have yet to report.
+func (l *Ledger) Resume(name string, last Level, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[name]; b != nil {
+		b.level, b.levelAt = min(last.Units, b.rule.Burst), now
+		b.credit, b.creditUntil = b.rule.Rate*max(now.Sub(last.At), 0).Seconds(), now.Add(resumeTime)
 	}
 }
 
@@ -389,13 +419,13 @@
 
 // LeaderLevels returns the levels last received from the leader, from which a new leader
 // continues. Organisations without such a level are left out.
-func (q *Buckets) LeaderLevels() map[string]float64 {
+func (q *Buckets) LeaderLevels() map[string]Level {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	out := make(map[string]float64, len(q.buckets))
+	out := make(map[string]Level, len(q.buckets))
 	for name, b := range q.buckets {
 		if !b.leaderLevelAt.IsZero() {
-			out[name] = b.leaderLevel
+			out[name] = Level{b.leaderLevel, b.leaderLevelAt}
 		}
 	}
 	return out
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -541,3 +541,54 @@
 		}
 	}
 }
+
+// Guards against refusals after a time without a leader: a new leader that debits what the
+// instances spent meanwhile, but not what the rate allowed, begins with a debt of seconds.
+// Nor may it lend what they have spent before they report it.
+func TestLeaderAfterATimeWithoutOne(t *testing.T) {
+	const rate, burst, units, lost, election, end = 400_000.0, 400_000.0, 4_000.0, 4000, 8000, 12_000
+	rule := Rule{Rate: rate, Burst: burst}
+	rules := map[string]Rule{"o": rule}
+	for _, load := range []float64{0.8, 2} {
+		for seed := range uint64(10) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			s := newCluster(20, rules)
+			asked, admitted, total := 0.0, 0.0, 0.0
+			for ms := range end {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				switch {
+				case ms == lost:
+					s.leaderDown = true
+				case ms == election:
+					s.leaderDown = false
+					last := s.instances[0].LeaderLevels()["o"]
+					s.ledger = NewLedger()
+					s.ledger.Configure(rules, now)
+					s.ledger.Resume("o", last, now)
+				}
+				if ms%200 == 0 && !s.leaderDown {
+					s.report(now)
+				}
+				if rnd.Float64() >= load*rate/1000/units {
+					continue
+				}
+				ok := s.admit(rnd.IntN(len(s.instances)), units, now)
+				if ok {
+					total += units
+				}
+				if ms >= election {
+					asked += units
+					if ok {
+						admitted += units
+					}
+				}
+			}
+			if want := 0.9 * min(asked, rate*(end-election)/1000); admitted < want {
+				t.Errorf("load %.1f, seed %d: %.0f of %.0f units admitted after the election, want %.0f", load, seed, admitted, asked, want)
+			}
+			if most := 1.1*rate*end/1000 + burst; total > most {
+				t.Errorf("load %.1f, seed %d: %.0f units spent in all, want at most %.0f", load, seed, total, most)
+			}
+		}
+	}
+}
