proxy: Comments are no progress of a stream

Cause: complete lines of a stream counted as events whatever they held. A stalled server that sent a comment now and then was never silent, its first comment ended the wait for the first event (and was taken for its latency), and committed the response to it. Comments before the first event are now dropped, later ones forwarded without counting.

Ruled out: bounding the bytes between events by the route's gap for each stream, because an engine that preempts a request pauses it for longer.

Before: TestServerThatSendsOnlyComments: one attempt on /resume/, the server is picked again on /stream/. After: the request moves on after the silence timeout, and the server is avoided.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -33,6 +33,7 @@
 	body          string
 	truncated     bool // reading the body ends with an error instead of io.EOF
 	hang          bool // no response until the attempt is cancelled
+	onlyComments  bool // the body is comments until the attempt is cancelled
 }
 
 var (
@@ -67,12 +68,27 @@
 	if resp.truncated {
 		body = io.MultiReader(body, truncatedReader{})
 	}
+	if resp.onlyComments {
+		body = commentReader{ctx}
+	}
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
 		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream,
 	}, nil
 }
 
+// commentReader is the body of a stalled stream that sends a comment now and then.
+type commentReader struct{ ctx context.Context }
+
+func (r commentReader) Read(b []byte) (int, error) {
+	select {
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	case <-time.After(50 * time.Millisecond):
+		return copy(b, ": wait\n\n"), nil
+	}
+}
+
 type truncatedReader struct{}
 
 func (truncatedReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -44,6 +44,44 @@
 	}
 }
 
+// Guards against a stalled server that counts as working because it sends comments, and
+// against comments that count as the first event of a response.
+func TestServerThatSendsOnlyComments(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		want int // attempts
+	}{{"/safe/", 2}, {"/resume/", 2}, {"/stream/", 1}} {
+		t.Run(c.path[1:], func(t *testing.T) {
+			t.Parallel()
+			s := &scriptedSender{responses: []scriptedResponse{
+				{status: 200, isEventStream: true, onlyComments: true}, {status: 200, isEventStream: true, body: firstEvent + secondEvent},
+			}}
+			p := newProxy(t, s, 4)
+			r := newRequest(c.path)
+			r.CallerTimeout = 3 * time.Second
+			w := httptest.NewRecorder()
+			err := p.Serve(context.Background(), w, r)
+			if len(s.attempts) != c.want {
+				t.Fatalf("%d attempts, want %d", len(s.attempts), c.want)
+			}
+			if got := w.Body.String(); c.want == 2 && (err != nil || got != firstEvent+secondEvent) {
+				t.Errorf("response %q, %v, want that of the second server", got, err)
+			}
+			var refusal *Refusal
+			if c.want == 1 && (!errors.As(err, &refusal) || refusal.Cause != TimedOut) {
+				t.Errorf("error %v, want a timeout", err)
+			}
+			now := time.Now()
+			first := s.attempts[0].Server.ID
+			for range 50 {
+				if got, err := p.table.Pick((&inflight{p: p, r: r, cfg: p.Config(), route: p.Config().Match("h", c.path), service: "s"}).routeQuery(now), now); err != nil || got.Backend.ID == first {
+					t.Fatalf("picked the stalled server %q, %v", first, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against treating a server as silent because one long prompt waits while other
 // requests of this instance are answered, or because this process was stalled.
 func TestSilentAfter(t *testing.T) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -121,18 +121,31 @@
 	return end
 }
 
+// hasField reports whether the complete events in b contain anything but comments, which
+// a stalled server may send as well.
+func hasField(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // forwardStream writes a stream to the caller in complete events. If the connection to
-// the server is lost, the stream may be resumed on another server.
+// the server is lost, the stream may be resumed on another server. Comments before the
+// first event are dropped, so that the request can still get another response.
 func (f *inflight) forwardStream(ctx context.Context, t *attemptState, resp *Response) (bool, error) {
 	e := &eventReader{r: resp.Body}
 	for {
 		b, err := e.next()
-		if len(b) > 0 {
+		progress := hasField(b)
+		if progress || len(b) > 0 && err == io.EOF {
 			t.recordFirstByte(resp.Status)
 			t.recordEvents(f.p.cfg.Clock())
 			b = skipThrough(b, f.lastEventID)
 		}
-		if len(b) > 0 {
+		if len(b) > 0 && (progress || f.headerSent) {
 			if werr := f.writeEvents(resp, b); werr != nil {
 				return true, werr // the caller has disconnected
 			}
