quota: Parts of the rates are held by one instance at a time

Without a leader (27 to 31 s) 690,000 units a second were admitted at a rate of 482,000.

Cause: each relay held an even part of the rates, and instances that did not reach their relay spent their own parts besides, of the same rates. 69 instances went to another relay 280 times in 3.4 s, as none had a leader. A relay now holds the parts of the instances that use it, and one that moves on tells the next relay how long the one before may still hold its part (0.3 s after the last answer). What an instance may spend alone counts from then on.

Ruled out: units lent twice by two leaders (no leader from 28.5 to 30.9 s); spending reported twice.

Before: TestPartsAreSpentOnce admits 2.37 to 2.52 of 2.0 million units. After: at most 2.2.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/quota"
 )
 
 // Borrow implements quota.Lender: it asks the leader to admit units of an organisation's
@@ -67,17 +69,22 @@
 // BorrowNearby implements quota.Lender: it asks the relay of this instance to admit units
 // from the part of the rates that the relay holds. The error wraps ErrUnavailable.
 func (c *Coord) BorrowNearby(ctx context.Context, organisation string, units float64) (bool, error) {
+	now := c.cfg.Clock()
+	req := &coordpb.Borrow{Organisation: organisation, Units: units}
 	c.mu.Lock()
 	relay, enabled := c.choice.current, c.choice.enabled
+	if relay != "" {
+		req.PartElsewhereMs = c.choice.usePart(relay, now, now.Add(quota.NearbyTimeout+quota.NearbyHoldTime))
+	}
 	c.mu.Unlock()
 	if enabled && c.cfg.Self.Durable && c.cfg.LendNearby != nil {
-		return c.cfg.LendNearby(organisation, units, c.cfg.Clock()), nil
+		return c.cfg.LendNearby(organisation, units, c.relay.parts(now), now), nil
 	}
 	if relay == "" {
 		return false, ErrUnavailable
 	}
 	reply := &coordpb.Lent{}
-	if err := c.cfg.Net.Call(ctx, relay, callBorrowNearby, &coordpb.Borrow{Organisation: organisation, Units: units}, reply); err != nil {
+	if err := c.cfg.Net.Call(ctx, relay, callBorrowNearby, req, reply); err != nil {
 		return false, errors.Join(ErrUnavailable, err)
 	}
 	return reply.Admitted, nil
@@ -85,7 +92,7 @@
 
 // handleBorrowNearby admits units for an instance behind this relay. The leader decides if
 // this instance reaches it.
-func (c *Coord) handleBorrowNearby(ctx context.Context, _ link.Peer, body []byte) (proto.Message, error) {
+func (c *Coord) handleBorrowNearby(ctx context.Context, from link.Peer, body []byte) (proto.Message, error) {
 	var req coordpb.Borrow
 	if err := proto.Unmarshal(body, &req); err != nil {
 		return nil, Error.Wrap(err)
@@ -103,5 +110,7 @@
 			return &coordpb.Lent{Admitted: admitted, Level: level}, nil
 		}
 	}
-	return &coordpb.Lent{Admitted: c.cfg.LendNearby(req.Organisation, req.Units, now)}, nil
+	now = c.cfg.Clock()
+	c.relay.extendPresent(from.Node, time.Duration(req.PartElsewhereMs)*time.Millisecond, now, now.Add(quota.NearbyHoldTime))
+	return &coordpb.Lent{Admitted: c.cfg.LendNearby(req.Organisation, req.Units, c.relay.parts(now), now)}, nil
 }
--- a/internal/coord/borrow_test.go
+++ b/internal/coord/borrow_test.go
@@ -9,6 +9,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/quota"
 )
 
 // Guards against instances borrowing more in total than the level, and against a former
@@ -47,6 +48,43 @@
 	}
 }
 
+// Guards against a part of the rates that two relays hold for an instance which has moved
+// from one to the other, and against a part that a relay forgets while a report waits.
+func TestPartsOfRelays(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	const held = quota.NearbyHoldTime
+	var c relayChoice
+	a, b := newRelay(), newRelay()
+	report := func(name string, r *relay, ms int) {
+		until := at(ms).Add(relayHoldTime + held)
+		elsewhere := time.Duration(c.usePart(name, at(ms), until)) * time.Millisecond
+		r.extendPresent("i", elsewhere, at(ms), until)
+	}
+	for _, step := range []struct {
+		ms           int
+		do           func()
+		wantA, wantB int // besides the own part of the relay
+	}{
+		{0, func() { report("a", a, 0) }, 1, 0},
+		{590, nil, 1, 0}, // the report waits
+		{600, func() { a.setPresent("i", 0, at(600), at(600).Add(held)); c.partAnswered("a", at(600)) }, 1, 0},
+		{700, func() { report("b", b, 700) }, 1, 0},
+		{900, nil, 0, 0},
+		{902, nil, 0, 1},
+		{1000, func() { report("a", a, 1000) }, 0, 1}, // no answer from b
+		{1599, nil, 0, 1},
+		{1602, nil, 1, 0},
+		{1901, nil, 0, 0},
+	} {
+		if step.do != nil {
+			step.do()
+		}
+		if gotA, gotB := a.parts(at(step.ms))-1, b.parts(at(step.ms))-1; gotA != step.wantA || gotB != step.wantB {
+			t.Errorf("after %d ms: parts at a %d, at b %d, want %d and %d", step.ms, gotA, gotB, step.wantA, step.wantB)
+		}
+	}
+}
+
 // Guards against a relay that lends from its part although it reaches the leader, refuses
 // because it reaches none, or lends although it holds no part.
 func TestBorrowFromARelay(t *testing.T) {
@@ -65,8 +103,8 @@
 	} {
 		relay := &Coord{cfg: Config{
 			Self: Instance{ID: "r"}, Clock: func() time.Time { return start },
-			LendNearby: func(_ string, units float64, _ time.Time) bool { return units <= c.part },
-		}}
+			LendNearby: func(_ string, units float64, parts int, _ time.Time) bool { return parts == 2 && units <= c.part },
+		}, relay: newRelay()}
 		relay.choice.enabled = c.enabled
 		if c.contact {
 			relay.lastSync = start
@@ -75,7 +113,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		reply, err := relay.handleBorrowNearby(context.Background(), link.Peer{}, body)
+		reply, err := relay.handleBorrowNearby(context.Background(), link.Peer{Node: "i"}, body)
 		if (err != nil) != c.fails {
 			t.Errorf("%s: error %v", c.name, err)
 			continue
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -72,9 +72,10 @@
 	// QuotaRules returns the configuration version, its rate limits of the organisations, and
 	// the token bucket levels last received from a leader.
 	QuotaRules func() (version uint64, rules map[string]quota.Rule, lastLevels map[string]quota.Level)
-	// LendNearby admits units of an organisation's rate from the part that this instance
-	// holds as a relay, while there is no leader. Only instances with a disk need it.
-	LendNearby func(organisation string, units float64, now time.Time) bool
+	// LendNearby admits units of an organisation's rate from the parts of so many instances,
+	// which this instance holds as a relay while there is no leader. Only instances with a
+	// disk need it.
+	LendNearby func(organisation string, units float64, parts int, now time.Time) bool
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/quota"
 )
 
 const (
@@ -73,7 +74,8 @@
 	spent    map[string]float64
 	held     []*coordpb.Held
 	judged   [][]byte
-	waiting  []chan error // reports to be confirmed by the leader
+	waiting  []chan error        // reports to be confirmed by the leader
+	present  map[string]presence // instances that use this relay, by ID
 }
 
 // child is a process that reports to this relay.
@@ -88,7 +90,45 @@
 }
 
 func newRelay() *relay {
-	return &relay{children: map[processKey]*child{}, loads: loadSums{}, servers: map[string]*coordpb.Server{}, spent: map[string]float64{}}
+	return &relay{children: map[processKey]*child{}, loads: loadSums{}, servers: map[string]*coordpb.Server{}, spent: map[string]float64{}, present: map[string]presence{}}
+}
+
+// presence is the time in which a relay holds an instance's part of the rates.
+type presence struct{ from, until time.Time }
+
+// setPresent records that this relay holds the part of an instance until a time. Other
+// relays may hold it for elsewhere more.
+func (r *relay) setPresent(id string, elsewhere time.Duration, now, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.present[id] = presence{now.Add(elsewhere), until}
+}
+
+// extendPresent is like setPresent, but never shortens the time.
+func (r *relay) extendPresent(id string, elsewhere time.Duration, now, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.present[id]; p.until.After(until) {
+		until = p.until
+	}
+	r.present[id] = presence{now.Add(elsewhere), until}
+}
+
+// parts returns how many instances' parts of the rates are held here: those of the
+// instances that use this relay and its own.
+func (r *relay) parts(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 1
+	for id, p := range r.present {
+		switch {
+		case !now.Before(p.until):
+			delete(r.present, id)
+		case !now.Before(p.from):
+			n++
+		}
+	}
+	return n
 }
 
 // add takes over a report. The channel receives the result once the leader has answered
@@ -239,6 +279,36 @@
 	current  string     // relay that the last report went to, or ""
 	refusals int        // reports in a row that current could not forward
 	avoid    map[string]time.Time
+	// partAt is the relay that holds this instance's part of the rates, until partUntil;
+	// other relays may hold it until elsewhereUntil.
+	partAt                    string
+	partUntil, elsewhereUntil time.Time
+}
+
+// usePart tells how long other relays may still hold this instance's part of the rates, in
+// ms, when it turns to a relay that will hold the part until a time.
+func (c *relayChoice) usePart(relay string, now, until time.Time) (elsewhereMs int64) {
+	if relay != c.partAt {
+		if c.partUntil.After(c.elsewhereUntil) {
+			c.elsewhereUntil = c.partUntil
+		}
+		c.partAt, c.partUntil = relay, time.Time{}
+	}
+	if until.After(c.partUntil) {
+		c.partUntil = until
+	}
+	if left := c.elsewhereUntil.Sub(now); left > 0 {
+		return left.Milliseconds() + 1
+	}
+	return 0
+}
+
+// partAnswered records that a relay has answered a report and holds the part for
+// quota.NearbyHoldTime more.
+func (c *relayChoice) partAnswered(relay string, now time.Time) {
+	if relay == c.partAt {
+		c.partUntil = now.Add(quota.NearbyHoldTime)
+	}
 }
 
 // target returns the relay to report to, or "" if there is none.
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -12,6 +12,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/link"
+	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/raft"
 )
 
@@ -250,12 +251,11 @@
 	if target == "" || target == c.cfg.Self.ID {
 		return nil, ErrUnavailable
 	}
-	req.ThroughRelay = relay != ""
-	reply, err := c.callSync(target, timeout, req)
+	reply, err := c.callSync(target, relay != "", timeout, req)
 	var remoteErr *link.RemoteError
 	if errors.As(err, &remoteErr) && remoteErr.Code == codeUseRelay && relay == "" {
-		relay, req.ThroughRelay = remoteErr.Message, true
-		reply, err = c.callSync(relay, relayTimeout, req)
+		relay = remoteErr.Message
+		reply, err = c.callSync(relay, true, relayTimeout, req)
 	}
 	switch {
 	case err == nil:
@@ -268,11 +268,25 @@
 	return nil, errors.Join(ErrUnavailable, err)
 }
 
-func (c *Coord) callSync(target string, timeout time.Duration, req *coordpb.Sync) (*coordpb.SyncReply, error) {
+func (c *Coord) callSync(target string, throughRelay bool, timeout time.Duration, req *coordpb.Sync) (*coordpb.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
+	req.ThroughRelay, req.PartElsewhereMs = throughRelay, 0
+	if throughRelay {
+		now := c.cfg.Clock()
+		c.mu.Lock()
+		req.PartElsewhereMs = c.choice.usePart(target, now, now.Add(relayHoldTime+quota.NearbyHoldTime))
+		c.mu.Unlock()
+	}
 	reply := &coordpb.SyncReply{}
-	return reply, c.cfg.Net.Call(ctx, target, callSync, req, reply)
+	err := c.cfg.Net.Call(ctx, target, callSync, req, reply)
+	var remoteErr *link.RemoteError
+	if throughRelay && (err == nil || errors.As(err, &remoteErr)) {
+		c.mu.Lock()
+		c.choice.partAnswered(target, c.cfg.Clock())
+		c.mu.Unlock()
+	}
+	return reply, err
 }
 
 // relayFailed handles a report that a relay did not forward.
@@ -325,7 +339,7 @@
 	}
 	c.choice.enabled, c.choice.refusals = reply.UseRelays, 0
 	if reply.UseRelays {
-		v.Relays = len(c.choice.relays)
+		v.Relays, v.Parts = len(c.choice.relays), c.relay.parts(now)
 	}
 	c.mu.Unlock()
 	if c.cfg.Self.Durable && reply.Feed != c.feed.id {
@@ -445,6 +459,11 @@
 	ctx, cancel := context.WithTimeout(ctx, relayHoldTime)
 	defer cancel()
 	done := c.relay.add(req, now)
+	elsewhere := time.Duration(req.PartElsewhereMs) * time.Millisecond
+	c.relay.extendPresent(req.Node.Id, elsewhere, now, now.Add(relayHoldTime+quota.NearbyHoldTime))
+	defer func() {
+		c.relay.setPresent(req.Node.Id, elsewhere, now, c.cfg.Clock().Add(quota.NearbyHoldTime))
+	}()
 	if req.Urgent {
 		c.SyncSoon()
 	}
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -73,6 +73,7 @@
 	Prefixes       []CachedPrefix
 	ReadyInstances int       // number of instances that accept requests
 	Relays         int       // number of instances that may serve as relays; 0 if the deployment uses none
+	Parts          int       // number of instances whose parts of the rates this instance holds as a relay
 	ReportSentAt   time.Time // when the answered report was sent
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,7 +91,7 @@
 	coord             *coord.Coord
 	proxy             *proxy.Proxy
 	quota             *quota.Buckets
-	relayQuota        *quota.Buckets // part of the rates for the instances behind this relay; nil without a disk
+	relayQuota        *quota.Buckets // parts of the rates of the instances behind this relay; nil without a disk
 	roster            *roster.Roster
 	duties            *duty.Runner
 	judgeRecorder     *judge.Recorder
@@ -392,7 +392,8 @@
 	// After the configuration, since levels without a rule are not kept.
 	e.quota.Confirm(v.Levels, v.ReadyInstances, now)
 	if e.relayQuota != nil {
-		e.relayQuota.Confirm(v.Levels, v.Relays, now)
+		e.relayQuota.SetParts(v.Parts, now)
+		e.relayQuota.Confirm(v.Levels, v.ReadyInstances, now)
 	}
 	e.relays.Store(int32(v.Relays))
 	e.proxy.SetLoads(v.Loads, v.ReportSentAt)
@@ -463,11 +464,12 @@
 	return l.e.coord.BorrowNearby(ctx, name, units)
 }
 
-// lendNearby admits units from the part of the rates that this instance holds as a relay.
-func (e *Edge) lendNearby(name string, units float64, now time.Time) bool {
+// lendNearby admits units from the parts of the rates that this instance holds as a relay.
+func (e *Edge) lendNearby(name string, units float64, parts int, now time.Time) bool {
 	if e.relayQuota == nil || e.relays.Load() == 0 {
 		return false
 	}
+	e.relayQuota.SetParts(parts, now)
 	ok, _ := e.relayQuota.Admit(context.Background(), name, units, now)
 	return ok
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -102,6 +102,10 @@
 	levelAt       time.Time // of level
 	leaderLevel   float64   // level last received from the leader
 	leaderLevelAt time.Time
+	// allowance is what these buckets may spend without a leader after its last answer, as
+	// of allowanceAt.
+	allowance   float64
+	allowanceAt time.Time
 	// credit is what the rate allowed without a leader. Until creditUntil reported spending
 	// uses it up; the rest is added to the level then.
 	credit      float64
@@ -118,6 +122,21 @@
 	}
 }
 
+// setLeaderLevel records a level received from the leader. share is the share of the level
+// that these buckets hold without a leader.
+func (b *bucket) setLeaderLevel(level, share float64, now time.Time) {
+	b.leaderLevel, b.leaderLevelAt = level, now
+	b.allowance, b.allowanceAt = max(level, 0)*share, now
+}
+
+// raiseAllowance adds the share of the rate that these buckets have held until now.
+func (b *bucket) raiseAllowance(share float64, now time.Time) {
+	if d := now.Sub(b.allowanceAt).Seconds(); d > 0 {
+		b.allowance += b.rule.Rate * share * d
+		b.allowanceAt = now
+	}
+}
+
 // Ledger holds the leader's buckets, from which all instances spend.
 type Ledger struct {
 	mu        sync.Mutex
@@ -230,6 +249,11 @@
 	BorrowNearby(ctx context.Context, name string, units float64) (ok bool, err error)
 }
 
+// NearbyHoldTime is how long an instance that lends to others holds the part of one of them
+// after its last call. It exceeds most intervals between calls, but an instance that moves
+// to another one has no part for that time.
+const NearbyHoldTime = 300 * time.Millisecond
+
 const (
 	// leaderTimeout is the age of the leader's last answer from which an instance spends
 	// nothing locally without asking: two and a half report intervals.
@@ -237,8 +261,8 @@
 	// borrowTimeout bounds a Borrow call: many round trips within a region, but short
 	// compared with the request that waits for the answer.
 	borrowTimeout = 150 * time.Millisecond
-	// nearbyTimeout bounds a BorrowNearby call: many round trips within a data centre.
-	nearbyTimeout = 60 * time.Millisecond
+	// NearbyTimeout bounds a BorrowNearby call: many round trips within a data centre.
+	NearbyTimeout = 60 * time.Millisecond
 	// aloneWait is the time after which to retry a request that only the missing leader
 	// keeps from being admitted: an election and a report.
 	aloneWait = 1200 * time.Millisecond
@@ -257,6 +281,7 @@
 	unreported map[string]float64 // spent, not yet returned by TakeSpent
 	inFlight   map[string]float64 // returned by TakeSpent, not yet confirmed
 	instances  int
+	parts      int       // parts of the rates that these buckets hold without a leader, of one for each instance
 	leaderSeen time.Time // time of the leader's last answer to a report
 	// alone means that a Borrow call has failed since then: this instance decides without
 	// the leader. A late report alone does not show that the leader cannot be reached.
@@ -269,7 +294,7 @@
 
 // NewBuckets returns buckets without rules. With a nil Lender all decisions are local.
 func NewBuckets(l Lender) *Buckets {
-	return &Buckets{lender: l, buckets: map[string]*bucket{}, unreported: map[string]float64{}, inFlight: map[string]float64{}, instances: 1}
+	return &Buckets{lender: l, buckets: map[string]*bucket{}, unreported: map[string]float64{}, inFlight: map[string]float64{}, instances: 1, parts: 1}
 }
 
 // Configure replaces the rules.
@@ -279,9 +304,32 @@
 	configure(q.buckets, rules, now)
 }
 
+// SetParts sets of how many instances these buckets hold the parts of the rates without a
+// leader: one by default, more at an instance that lends to others.
+func (q *Buckets) SetParts(n int, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if n == q.parts {
+		return
+	}
+	for _, b := range q.buckets {
+		b.refill(now, q.share())
+		if !b.allowanceAt.IsZero() {
+			b.raiseAllowance(q.share(), now)
+		}
+	}
+	q.parts = n
+}
+
+// share returns the share of the rates that these buckets hold without a leader. The caller
+// holds mu.
+func (q *Buckets) share() float64 {
+	return min(float64(q.parts)/float64(max(q.instances, 1)), 1)
+}
+
 // Admit spends units of an organisation, or returns the time after which to retry. If
 // the decision is not local, Admit waits up to borrowTimeout for the leader, and without
-// one up to nearbyTimeout for an instance that holds a larger part.
+// one up to NearbyTimeout for an instance that holds a larger part.
 func (q *Buckets) Admit(ctx context.Context, name string, units float64, now time.Time) (ok bool, wait time.Duration) {
 	ok, wait, decided := q.decideLocally(name, units, now)
 	if decided {
@@ -295,32 +343,37 @@
 			return ok, q.recordAnswer(name, units, ok, level, now)
 		}
 	}
-	nearbyCtx, cancel := context.WithTimeout(ctx, nearbyTimeout)
+	nearbyCtx, cancel := context.WithTimeout(ctx, NearbyTimeout)
 	defer cancel()
 	ok, err := q.lender.BorrowNearby(nearbyCtx, name, units)
 	switch {
 	case ctx.Err() != nil:
 		return false, 0 // the caller cancelled, so the leader need not be down
 	case err == nil && ok:
-		q.setAlone()
+		q.partIsNearby(now)
 		return true, 0
 	case err == nil:
-		q.setAlone()
+		q.partIsNearby(now)
 		return false, aloneWait
 	}
 	return q.fallBack(name, units, now)
 }
 
-func (q *Buckets) isAlone() bool {
+// partIsNearby records that there is no leader and that another instance holds the parts of
+// this one, which it may have spent and holds for NearbyHoldTime more.
+func (q *Buckets) partIsNearby(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.alone
+	q.alone = true
+	for name, b := range q.buckets {
+		b.allowance, b.allowanceAt = q.unreported[name]+q.inFlight[name], now.Add(NearbyHoldTime)
+	}
 }
 
-func (q *Buckets) setAlone() {
+func (q *Buckets) isAlone() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.alone = true
+	return q.alone
 }
 
 // decideLocally admits or refuses a request without asking the leader. decided is false
@@ -332,7 +385,7 @@
 	if b == nil || b.rule.Rate <= 0 {
 		return true, 0, true
 	}
-	b.refill(now, 1/float64(max(q.instances, 1)))
+	b.refill(now, q.share())
 	if q.lender == nil {
 		ok, wait = q.admitWithoutLeader(b, name, units, now)
 		return ok, wait, true
@@ -363,7 +416,7 @@
 	if b == nil {
 		return 0
 	}
-	b.leaderLevel, b.leaderLevelAt = level, now
+	b.setLeaderLevel(level, q.share(), now)
 	b.level, b.levelAt = level-q.unreported[name]-q.inFlight[name], now
 	if ok {
 		return 0
@@ -392,12 +445,11 @@
 	if b.level <= b.rule.minLevel(units) {
 		return false, b.rule.waitTime(b.level, units)
 	}
-	lastLevel, since := b.leaderLevel, b.leaderLevelAt
-	if since.IsZero() {
-		lastLevel, since = b.rule.InitialLevel, q.leaderSeen
+	if b.allowanceAt.IsZero() {
+		b.allowance, b.allowanceAt = b.rule.InitialLevel*q.share(), q.leaderSeen
 	}
-	localPart := (max(lastLevel, 0) + b.rule.Rate*now.Sub(since).Seconds()) / float64(max(q.instances, 1))
-	if q.unreported[name]+q.inFlight[name]+units*q.requiredFraction > localPart {
+	b.raiseAllowance(q.share(), now)
+	if q.unreported[name]+q.inFlight[name]+units*q.requiredFraction > b.allowance {
 		return false, aloneWait
 	}
 	b.level -= units
@@ -413,7 +465,7 @@
 	if b == nil {
 		return 0
 	}
-	b.refill(now, 1/float64(max(q.instances, 1)))
+	b.refill(now, q.share())
 	return b.level
 }
 
@@ -469,7 +521,7 @@
 	for name, level := range levels {
 		if b := q.buckets[name]; b != nil {
 			b.level, b.levelAt = level-q.unreported[name], now
-			b.leaderLevel, b.leaderLevelAt = level, now
+			b.setLeaderLevel(level, q.share(), now)
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -17,6 +17,8 @@
 	leaderDown bool // Borrow fails
 	relays     []*Buckets
 	at         int // instance that decides
+	// withoutRelay contains the instances that cannot reach their relay.
+	withoutRelay map[int]bool
 }
 
 func newCluster(n int, rules map[string]Rule) *cluster {
@@ -41,21 +43,37 @@
 
 // BorrowNearby implements Lender.
 func (s *cluster) BorrowNearby(ctx context.Context, name string, units float64) (bool, error) {
-	if s.relays == nil {
+	if s.relays == nil || s.withoutRelay[s.at] {
 		return false, Error.New("no relay")
 	}
 	ok, _ := s.relays[s.at%len(s.relays)].Admit(ctx, name, units, s.now)
 	return ok, nil
 }
 
-// addRelays lets n instances hold a part of the levels for the others.
+// addRelays lets n instances hold the parts of the others.
 func (s *cluster) addRelays(n int, rules map[string]Rule) {
 	for range n {
 		q := NewBuckets(nil)
 		q.Configure(rules, start)
-		q.Confirm(s.ledger.Levels(start), n, start)
 		s.relays = append(s.relays, q)
 	}
+	s.countParts(start)
+	for _, q := range s.relays {
+		q.Confirm(s.ledger.Levels(start), len(s.instances), start)
+	}
+}
+
+// countParts tells each relay how many instances use it.
+func (s *cluster) countParts(now time.Time) {
+	parts := make([]int, len(s.relays))
+	for i := range s.instances {
+		if !s.withoutRelay[i] {
+			parts[i%len(parts)]++
+		}
+	}
+	for i, q := range s.relays {
+		q.SetParts(parts[i], now)
+	}
 }
 
 // admit sends a request to one instance.
@@ -232,6 +250,51 @@
 	}
 }
 
+// Guards against spending the parts of instances twice without a leader: from a relay, and
+// by instances that cannot reach their relay. Which ones can changes all the time.
+func TestPartsAreSpentOnce(t *testing.T) {
+	const rate, burst, units, seconds = 400_000.0, 100_000.0, 4_000.0, 5
+	rules := map[string]Rule{"o": {Rate: rate, Burst: burst}}
+	for _, c := range []struct {
+		name     string
+		without  float64 // share of the instances that reach no relay
+		minShare float64 // of the rate that must be admitted
+	}{
+		{"all reach relays", 0, 0.85},
+		{"some reach none", 0.3, 0.6},
+		{"none reach any", 1, 0.5},
+	} {
+		for seed := range uint64(20) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			s := newCluster(77, rules)
+			s.addRelays(5, rules)
+			s.ledger.Spend("o", burst, start)
+			s.report(start)
+			for _, q := range s.relays {
+				q.Confirm(s.ledger.Levels(start), len(s.instances), start)
+			}
+			s.leaderDown = true
+			spent := 0.0
+			for ms := range seconds * 1000 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				if ms%1000 == 0 {
+					s.withoutRelay = map[int]bool{}
+					for i := range s.instances {
+						s.withoutRelay[i] = rnd.Float64() < c.without
+					}
+					s.countParts(now)
+				}
+				if rnd.Float64() < 2*rate/1000/units && s.admit(rnd.IntN(len(s.instances)), units, now) {
+					spent += units
+				}
+			}
+			if most := 1.1 * rate * seconds; spent > most || spent < c.minShare*rate*seconds {
+				t.Errorf("%s, seed %d: %.0f units were spent, want %.0f to %.0f", c.name, seed, spent, c.minShare*rate*seconds, most)
+			}
+		}
+	}
+}
+
 // Guards against refusals below the rate limit because reports are late while the leader
 // lends: a frozen relay delays the reports of the instances behind it by a second.
 func TestLateReports(t *testing.T) {
