coord: Set aside the parts of silent instances after 0.5 s

Cause: after a cut of the core the leader went on to lend the whole rates for 1 s, and 2 s for instances behind a relay, until they counted as silent. They spend their parts from their first failed call on.

Ruled out: a shorter reportTimeout, since instances and their loads would be dropped from the lists after a single late report.

Before: TestSilentFractionAfterACut sets aside nothing after 0.6 s. After: 3 of 5 parts.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -14,6 +14,10 @@
 	// reportTimeout is the time without a report after which an instance is no longer
 	// listed for callers: five reports.
 	reportTimeout = 5 * syncInterval
+	// quotaSilence is how long after the last report the leader sets aside an instance's part
+	// of the rates: two and a half report intervals. Partitioned instances spend their parts
+	// from their first failed call on.
+	quotaSilence = 500 * time.Millisecond
 	// relayGrace is how much longer the instances behind a silent relay stay listed: the
 	// time in which they find another relay.
 	relayGrace = time.Second
@@ -212,9 +216,9 @@
 	a.useRelays = needsRelays(alive, a.useRelays)
 }
 
-// silentFraction returns which fraction of the instances that accept requests is silent. A
-// silent instance may be partitioned and still admit requests up to its share of the rate
-// limits. mu must be held.
+// silentFraction returns which fraction of the instances that accept requests has not been
+// heard of for quotaSilence. Such an instance may be partitioned and still admit requests up
+// to its share of the rate limits. mu must be held.
 func (a *aggregator) silentFraction(now time.Time) float64 {
 	latest := map[string]*processState{}
 	for key, n := range a.processes {
@@ -228,7 +232,11 @@
 			continue
 		}
 		all++
-		if !n.alive(now) {
+		lastReport := n.lastReport
+		if n.via != nil && !n.silent {
+			lastReport = n.via.lastReport
+		}
+		if now.Sub(lastReport) > quotaSilence {
 			silent++
 		}
 	}
--- a/internal/coord/aggregator_test.go
+++ b/internal/coord/aggregator_test.go
@@ -98,3 +98,34 @@
 		t.Errorf("silent fraction %v, want 0.25", got)
 	}
 }
+
+// Guards against a leader that lends the whole rates for seconds after it has lost contact
+// to a part of the instances, which spend their parts from the first failed call on. One
+// late report must not reserve anything.
+func TestSilentFractionAfterACut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ms   int // since the last reports of a relay and of an instance without one
+		want float64
+	}{
+		{"a report is late", 400, 0},
+		{"cut off", 600, 0.6},
+	} {
+		agg := testAggregator("a", 1, nil, start)
+		report := func(id string, now time.Time, children ...string) {
+			req := &coordpb.Sync{Node: Instance{ID: id, Ready: true, Started: start}.proto()}
+			for _, child := range children {
+				req.Children = append(req.Children, &coordpb.Child{Node: Instance{ID: child, Ready: true, Started: start}.proto()})
+			}
+			agg.applyReport(req, now)
+		}
+		now := start.Add(time.Duration(c.ms) * time.Millisecond)
+		report("relay", start, "i")
+		report("other", start)
+		report("a", now)
+		report("b", now)
+		if got := agg.silentFraction(now); got != c.want {
+			t.Errorf("%s: silent fraction %v, want %v", c.name, got, c.want)
+		}
+	}
+}
