raft: Retry failed elections at random times, and bound the wait for votes

Cause, by a trace of all members: after the leader's disk had stalled, both others became candidates of term 2 within the same milliseconds, voted for themselves, and waited for the vote of the stalled member for as long as its call lasted, in the test until its disk recovered. Over links the call ends after 1 s; but then both retried in the same moment, since their election timeouts had passed during the wait. The wait now ends at its timeout, and the next election is due at a random time after it.

The other failure of the test, "not the leader" instead of an unknown outcome: the trace shows the entry before still being written when the disk stalls, so the proposal never left the queue and is rejected as not run, which is true. The test now waits for that write first; what it accepts is the same.

--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -177,6 +177,13 @@
 		return
 	}
 	g.runElection(term, voters, quorum, false)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.role == Candidate {
+		// The wait for a vote may outlast the election timeout. Candidates that waited for
+		// the same stalled member must not try again at the same time.
+		g.electionDeadline = g.cfg.Clock().Add(time.Duration(g.rng.Int64N(int64(g.cfg.ElectionTimeout))))
+	}
 }
 
 // runElection runs the election for the term after term. With transfer set no
@@ -230,8 +237,13 @@
 		g.wg.Go(func() { responses <- g.requestVote(ctx, m, voterReq) })
 	}
 	for ; len(granted) < quorum && len(granted)+pending >= quorum; pending-- {
-		if m := <-responses; m.ID != "" {
-			granted = append(granted, m)
+		select {
+		case m := <-responses:
+			if m.ID != "" {
+				granted = append(granted, m)
+			}
+		case <-ctx.Done():
+			return granted // a transport may return later
 		}
 	}
 	return granted
--- a/internal/raft/fault_test.go
+++ b/internal/raft/fault_test.go
@@ -161,6 +161,14 @@
 	c := newCluster(t, 3, 76, 0)
 	c.propose("one")
 	old := c.leader("")
+	// The others may have committed the entry before the leader's own disk has it. If that
+	// write stalled, the next proposal would wait behind it and be rejected as not run.
+	eventually(t, "the leader has written its log", func() bool {
+		g := c.group(old)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.role != Leader || g.stable == g.lastIndex()
+	})
 	c.disks[old].BlockSyncs()
 	defer c.disks[old].UnblockSyncs()
 	proposeErr := make(chan error, 1)
@@ -233,6 +241,49 @@
 	}
 }
 
+// stalledVoters is a transport to members that answer pre-votes and whose disks stall
+// before they can record a vote, until it is closed.
+type stalledVoters chan struct{}
+
+func (v stalledVoters) Call(_ context.Context, to string, req *raftpb.Message) (*raftpb.Message, error) {
+	if req.Kind == raftpb.Kind_KIND_PRE_VOTE {
+		return &raftpb.Message{From: to, FromIncarnation: 1, Ok: true}, nil
+	}
+	<-v
+	return nil, errCut
+}
+
+// Guards against a group without a leader although two of its three members work: both
+// candidates wait equally long for the vote of the third one and then try again at the
+// same time, over and over.
+func TestFailedElectionIsRepeatedAtARandomTime(t *testing.T) {
+	t.Parallel()
+	var delays []time.Duration
+	for seed := range uint64(2) {
+		voters := make(stalledVoters)
+		g, err := Open(Config{
+			ID: "a", Members: []string{"a", "b", "c"}, FS: disk.NewFake(seed), Dir: "raft", StateMachine: &testStateMachine{}, Transport: voters,
+			Seed: seed, HeartbeatInterval: time.Hour, ElectionTimeout: 200 * time.Millisecond,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		giveUp := time.AfterFunc(10*time.Second, func() { close(voters) })
+		g.campaign(g.cfg.Clock())
+		if !giveUp.Stop() {
+			t.Fatal("the election waits for a stalled member beyond its timeout")
+		}
+		close(voters)
+		g.mu.Lock()
+		delays = append(delays, g.electionDeadline.Sub(g.cfg.Clock()))
+		g.mu.Unlock()
+		g.Close()
+	}
+	if min(delays[0], delays[1]) <= 0 || (delays[0]-delays[1]).Abs() < 10*time.Millisecond {
+		t.Errorf("the next elections are due after %v", delays)
+	}
+}
+
 // recorder is a transport that records the requests and fails each call.
 type recorder struct{ requests []*raftpb.Message }
 
