coord, edge: Bound the servers in a report and in its reply

Cause, by reading and calculation: instances that are new to a process got the whole list of servers in one reply, 390 KB at 3,000 servers, all at the same time after a start, a change of the leader or the loss of a relay: 117 MB for 300, which leave over links of 10 Mbit/s. And each instance that reports to a leader directly sent it the whole list after a change of the feed. Replies now hold 256 servers at most, reports 128 besides those that accept no new requests; the rest follows, and what a leader has reported itself is not sent to it.

Ruled out: goroutine stacks (7 MB); a limit of whole replies in flight, since the others would wait for all of them.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -44,7 +44,7 @@
 	defer l.mu.Unlock()
 	r := Report{Ready: true, ConfigVersion: l.version, Servers: l.unreported, Spent: l.spent}
 	if full {
-		known, _ := l.servers.Since(0)
+		known, _, _ := l.servers.Since(0, 0)
 		r.Servers = append(known, r.Servers...)
 	}
 	l.inFlight, l.unreported, l.spent = l.unreported, nil, nil
--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -64,6 +64,11 @@
 // retainedPrefixes is how many prefix reports are kept for instances that missed some.
 const retainedPrefixes = 1024
 
+// maxReplyServers bounds the servers in one reply. Many instances are new to a process at
+// the same time when it becomes the leader or a relay; whole lists for all of them would
+// take its memory, as they leave over slow links.
+const maxReplyServers = 256
+
 // newFeed returns an empty feed of a process.
 func newFeed(self Instance) *feed {
 	id := xxhash.Sum64String(self.ID) ^ uint64(self.Started.UnixNano())
@@ -181,14 +186,14 @@
 	if known {
 		serversSeen = req.ServersSeen
 	}
-	servers, change := f.roster.Since(serversSeen)
+	servers, change, more := f.roster.Since(serversSeen, maxReplyServers)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.published
 	out := &coordpb.SyncReply{
 		Epoch: p.term, Leader: p.leader, Feed: f.id, ServersSeen: change, NodesSeen: f.change, HeldSeen: f.nextPrefix,
 		Levels: p.levels, Members: p.members, RolloutsSeen: p.rolloutsSeen, Fronts: uint32(f.ready),
-		ConfigVersion: p.configVersion, UseRelays: p.useRelays,
+		ConfigVersion: p.configVersion, UseRelays: p.useRelays, MoreServers: more,
 	}
 	for _, s := range servers {
 		out.Servers = append(out.Servers, f.encode(s, now))
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -130,7 +130,7 @@
 		t.Error("the report was confirmed without an answer of the leader")
 	}
 	flush(agg, 1, nil, start)
-	if s, _ := agg.feed.roster.Since(0); len(s) != 1 || s[0].State != world.Leaving {
+	if s, _, _ := agg.feed.roster.Since(0, 0); len(s) != 1 || s[0].State != world.Leaving {
 		t.Errorf("the leader has the servers %v, want the one that leaves", s)
 	}
 	for range 3 {
@@ -210,6 +210,41 @@
 	}
 }
 
+// Guards against replies with thousands of servers, of which many instances take the
+// memory of a process that is new to them, and against servers that get lost between parts.
+func TestFeedSendsServersInParts(t *testing.T) {
+	f := newFeed(Instance{ID: "l", Started: start})
+	for i := range 1000 {
+		f.roster.Put(roster.Server{ID: fmt.Sprint(i), Seq: 1, State: world.Ready}, start)
+	}
+	req := &coordpb.Sync{Node: node("x", 1)}
+	got := map[string]*coordpb.Server{}
+	for n := 0; ; n++ {
+		out := f.reply(req, start)
+		if len(out.Servers) > maxReplyServers {
+			t.Fatalf("a reply has %d servers", len(out.Servers))
+		}
+		for _, s := range out.Servers {
+			got[s.Id] = s
+		}
+		req.Feed, req.ServersSeen = out.Feed, out.ServersSeen
+		if n == 1 {
+			for _, id := range []string{"0", "999"} { // one was sent, the other not, as a rule
+				f.roster.Put(roster.Server{ID: id, Seq: 2, State: world.Leaving}, start)
+			}
+		}
+		if !out.MoreServers {
+			break
+		}
+		if n > 20 {
+			t.Fatalf("%d servers after %d replies", len(got), n)
+		}
+	}
+	if len(got) != 1000 || got["0"].Seq != 2 || got["999"].Seq != 2 {
+		t.Errorf("%d servers, announcements %d and %d, want 1000, 2 and 2", len(got), got["0"].Seq, got["999"].Seq)
+	}
+}
+
 // Guards against instances that receive changes twice, miss some, or get the whole state
 // with each reply, over many random histories of a feed.
 func TestFeedSendsChanges(t *testing.T) {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -345,6 +345,9 @@
 	if c.cfg.Self.Durable && reply.Feed != c.feed.id {
 		c.updateFeed(reply, v, now)
 	}
+	if reply.MoreServers && !req.ThroughRelay {
+		c.SyncSoon() // a relay collects the reports of many instances first
+	}
 	c.cfg.Local.Apply(v, now)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,8 +102,7 @@
 	relays   atomic.Int32 // number of relays; 0 if the deployment uses none
 
 	mu         sync.Mutex
-	unreported map[string]roster.Server // announcements not yet reported to the leader, by server ID
-	inFlight   map[string]roster.Server // announcements in the report in flight, by server ID
+	outbox     outbox
 	instances  []coord.Instance
 	rollouts   []coord.Rollout
 	quotaRules map[string]quota.Rule
@@ -126,7 +125,7 @@
 	}
 	e := &Edge{
 		cfg: cfg, net: network, roster: roster.New(),
-		unreported: map[string]roster.Server{}, inFlight: map[string]roster.Server{},
+		outbox: newOutbox(),
 		self: coord.Instance{
 			ID: cfg.PeerAddress, Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, CallerAddress: cfg.CallerAddress,
 			ControlAddress: cfg.ControlAddress, Durable: cfg.DataDir != "", Started: now,
@@ -210,9 +209,7 @@
 	now := e.cfg.Clock()
 	changed := e.roster.Put(s, now)
 	e.mu.Lock()
-	if o, ok := e.unreported[s.ID]; !ok || s.Newer(o) {
-		e.unreported[s.ID] = s
-	}
+	e.outbox.add(s)
 	e.mu.Unlock()
 	if changed {
 		e.updateServers(now)
@@ -235,7 +232,7 @@
 	now := e.cfg.Clock()
 	s := e.roster.Leave(id, now)
 	e.mu.Lock()
-	e.unreported[id] = s
+	e.outbox.add(s)
 	e.mu.Unlock()
 	e.updateServers(now)
 	e.cfg.Log.WithFields(log.Fields{"event": "server.left", "server": id, "service": s.Service}).Info("backend server deregistered")
@@ -344,13 +341,11 @@
 	r.VersionResults = e.takeResults(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.inFlight, e.unreported = e.unreported, map[string]roster.Server{}
 	if full {
-		r.Servers, _ = e.roster.Since(0)
-	}
-	for _, s := range e.inFlight {
-		r.Servers = append(r.Servers, s)
+		all, _, _ := e.roster.Since(0, 0)
+		e.outbox.addAll(all)
 	}
+	r.Servers = e.outbox.take()
 	return r
 }
 
@@ -362,12 +357,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, s := range e.inFlight {
-		if o, ok := e.unreported[id]; !ok || s.Newer(o) {
-			e.unreported[id] = s
-		}
-	}
-	e.inFlight = map[string]roster.Server{}
+	e.outbox.failed()
 }
 
 // Apply implements coord.Local.
@@ -400,7 +390,8 @@
 	e.proxy.LearnPrefixes(v.Prefixes)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.inFlight = map[string]roster.Server{}
+	e.outbox.answered()
+	e.outbox.learned(v.Servers)
 	if v.Instances != nil {
 		e.instances = v.Instances
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -158,19 +159,29 @@
 	}
 }
 
-// Since returns the servers that changed after the given change number, and the
-// number of the last change.
-func (r *Roster) Since(change uint64) ([]Server, uint64) {
+// Since returns the servers that changed after the given change number, ordered by ID, and
+// the number of the last change. If they are more than limit, it returns those that changed
+// first, and the change number to continue from. A limit of 0 means none.
+func (r *Roster) Since(change uint64, limit int) (servers []Server, last uint64, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Server
+	var changed []*entry
 	for _, e := range r.servers {
 		if e.changeNumber > change {
-			out = append(out, e.server)
+			changed = append(changed, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
-	return out, r.lastChange
+	last = r.lastChange
+	if more = limit > 0 && len(changed) > limit; more {
+		slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changeNumber, b.changeNumber) })
+		changed = changed[:limit]
+		last = changed[limit-1].changeNumber
+	}
+	for _, e := range changed {
+		servers = append(servers, e.server)
+	}
+	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return servers, last, more
 }
 
 // Usable returns the servers that may get new requests.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -55,7 +55,7 @@
 	if got := ids(r.Expire(start.Add(time.Second), start.Add(time.Second))); !slices.Equal(got, []string{"a"}) {
 		t.Fatalf("expired %v", got)
 	}
-	all, _ := r.Since(0)
+	all, _, _ := r.Since(0, 0)
 	for _, s := range all {
 		replica.Put(s, start)
 	}
@@ -98,15 +98,15 @@
 func TestSince(t *testing.T) {
 	r := New()
 	r.Put(server("a", 1, 1, world.Ready), start)
-	_, lastChange := r.Since(0)
+	_, lastChange, _ := r.Since(0, 0)
 	if r.Put(server("a", 1, 2, world.Ready), start) {
 		t.Error("a repeated heartbeat counts as a change")
 	}
-	if all, _ := r.Since(lastChange); len(all) != 0 {
+	if all, _, _ := r.Since(lastChange, 0); len(all) != 0 {
 		t.Errorf("%v changed", all)
 	}
 	r.Put(server("a", 1, 3, world.Leaving), start)
-	if all, _ := r.Since(lastChange); len(all) != 1 || all[0].State != world.Leaving {
+	if all, _, _ := r.Since(lastChange, 0); len(all) != 1 || all[0].State != world.Leaving {
 		t.Errorf("changed: %v", all)
 	}
 }
