backnd: Try bytes after responses without a body

60 combinations of a response without a body (204, 304, HEAD, after an interim response), what follows it (a body, a second copy, a response without an id, an interim response, a new line) and when.

--- a/internal/backnd/hostile_test.go
+++ b/internal/backnd/hostile_test.go
@@ -157,6 +157,77 @@
 	}
 }
 
+// Guards against giving a request bytes that a server sends after a response which has no
+// body: they look like the response to the next request. The bytes come with the response,
+// while the connection is idle, or while the next request runs.
+func TestBytesAfterAResponseWithoutABody(t *testing.T) {
+	head := func(status, id, more string) string { return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\n" + more + "\r\n" }
+	for _, c := range []struct {
+		name, method string
+		response     func(id string) string
+	}{
+		{"204", "POST", func(id string) string { return head("204 No Content", id, "") }},
+		{"304", "GET", func(id string) string { return head("304 Not Modified", id, "Content-Length: 8\r\n") }},
+		{"HEAD", "HEAD", func(id string) string { return head("200 OK", id, "Content-Length: 8\r\n") }},
+		{"interim response before", "POST", func(id string) string {
+			return "HTTP/1.1 103 Early Hints\r\nX-Id: other\r\n\r\n" + head("200 OK", id, "Content-Length: 0\r\n")
+		}},
+	} {
+		for _, bytes := range []struct {
+			name string
+			of   func(id string) string
+		}{
+			{"a body", func(string) string { return "the body" }},
+			{"a second copy", func(id string) string { return responseTo(id, "again") }},
+			{"a response without an id", func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain" }},
+			{"an interim response", func(string) string { return "HTTP/1.1 100 Continue\r\n\r\n" }},
+			{"a new line", func(string) string { return "\r\n" }},
+		} {
+			for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+				t.Run(fmt.Sprint(c.name, "/", bytes.name, "/", delay), func(t *testing.T) {
+					t.Parallel()
+					s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+						for {
+							id, err := readRequest(br)
+							if err != nil {
+								return
+							}
+							if id != "first" {
+								time.Sleep(5 * time.Millisecond)
+								_, _ = io.WriteString(conn, responseTo(id, "of "+id))
+								continue
+							}
+							_, _ = io.WriteString(conn, c.response(id))
+							go func() {
+								time.Sleep(delay)
+								_, _ = io.WriteString(conn, bytes.of(id))
+							}()
+						}
+					})
+					cl := New(Config{})
+					defer cl.Close()
+					first := opaque("first")
+					first.Method = c.method
+					if _, body, err := forward(t, cl, s.ln.Addr().String(), first); err != nil || body != "" {
+						t.Errorf("the response without a body: %q, %v", body, err)
+					}
+					for i := range 4 {
+						time.Sleep(time.Duration(i%2) * 8 * time.Millisecond)
+						id := fmt.Sprint("r", i)
+						status, body, err := forward(t, cl, s.ln.Addr().String(), opaque(id))
+						switch {
+						case err != nil && OutcomeOf(err) != Unknown:
+							t.Errorf("request %s: %v, want an unknown outcome", id, err)
+						case err == nil && (status != 200 || body != "of "+id):
+							t.Errorf("request %s got %d %q", id, status, body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against losing the reuse of connections to servers that return the id.
 func TestConnectionsWithIDsAreReused(t *testing.T) {
 	s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
