coord: Relays lend at once after a call to the leader failed

Cause: the leader was slow for some seconds. A relay that was asked to lend called the leader each time, as its reports were answered, and waited 150 ms; the instance behind it gave up after 60 ms and decided by its own part of the rates, which is smaller than a prompt. A relay now asks for 30 ms at most, and for 0.5 s after a failed call lends from the parts that it holds at once.

Ruled out: a lost leader (no event of one between 11 and 18 s); the flood of another organisation (its requests were refused rightly, and others' levels were above zero).

Before: the new case of TestBorrowFromARelay calls the leader. After: it doesn't.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -13,6 +13,15 @@
 	"cranberrypath.example/cranberrypath/internal/quota"
 )
 
+const (
+	// borrowRetryDelay is how long a relay lends from its parts after a call to the leader
+	// failed, before it asks again. A slow leader may still answer reports.
+	borrowRetryDelay = 500 * time.Millisecond
+	// relayedBorrowTimeout bounds a relay's call to the leader, so that it can still lend
+	// before the instance behind it gives up.
+	relayedBorrowTimeout = quota.NearbyTimeout / 2
+)
+
 // Borrow implements quota.Lender: it asks the leader to admit units of an organisation's
 // rate limit, and returns whether they were admitted and the resulting level. The error
 // wraps ErrUnavailable.
@@ -31,6 +40,9 @@
 		if !errors.Is(ctx.Err(), context.Canceled) { // Canceled means that the caller has disconnected
 			c.cfg.Log.WithError(err).WithFields(log.Fields{"event": "quota.alone", "leader": leader, "organisation": organisation}).
 				Warn("borrowing from the leader failed; this instance admits by its share of the rate limits until a report is answered")
+			c.mu.Lock()
+			c.borrowFailedAt = c.cfg.Clock()
+			c.mu.Unlock()
 		}
 		return false, 0, errors.Join(ErrUnavailable, err)
 	}
@@ -98,14 +110,16 @@
 		return nil, Error.Wrap(err)
 	}
 	c.mu.Lock()
-	enabled := c.choice.enabled
+	enabled, failedAt := c.choice.enabled, c.borrowFailedAt
 	c.mu.Unlock()
 	if c.cfg.LendNearby == nil || !enabled {
 		return nil, &link.RemoteError{Code: codeNoLeader} // this instance holds no part
 	}
 	now := c.cfg.Clock()
-	if now.Sub(c.LastContact()) < reportTimeout {
-		admitted, level, err := c.Borrow(ctx, req.Organisation, req.Units)
+	if now.Sub(c.LastContact()) < reportTimeout && now.Sub(failedAt) >= borrowRetryDelay {
+		borrowCtx, cancel := context.WithTimeout(ctx, relayedBorrowTimeout)
+		defer cancel()
+		admitted, level, err := c.Borrow(borrowCtx, req.Organisation, req.Units)
 		if err == nil {
 			return &coordpb.Lent{Admitted: admitted, Level: level}, nil
 		}
--- a/internal/coord/borrow_test.go
+++ b/internal/coord/borrow_test.go
@@ -92,14 +92,16 @@
 		name    string
 		enabled bool
 		contact bool // the leader answered a moment ago, and is this instance
+		slow    bool // the leader answers reports, but a call of a moment ago timed out
 		part    float64
 		want    bool
 		fails   bool
 	}{
-		{"no leader, within the part", true, false, 100, true, false},
-		{"no leader, beyond the part", true, false, 5, false, false},
-		{"the deployment uses no relays", false, false, 100, false, true},
-		{"the leader has just answered and does not any more", true, true, 100, true, false},
+		{"no leader, within the part", true, false, false, 100, true, false},
+		{"no leader, beyond the part", true, false, false, 5, false, false},
+		{"the deployment uses no relays", false, false, false, 100, false, true},
+		{"the leader has just answered and does not any more", true, true, false, 100, true, false},
+		{"each call to the leader would take longer than the caller waits", true, true, true, 100, true, false},
 	} {
 		relay := &Coord{cfg: Config{
 			Self: Instance{ID: "r"}, Clock: func() time.Time { return start },
@@ -109,6 +111,9 @@
 		if c.contact {
 			relay.lastSync = start
 		}
+		if c.slow {
+			relay.leader, relay.borrowFailedAt = "l", start.Add(-borrowRetryDelay/2) // a call would panic
+		}
 		body, err := proto.Marshal(&coordpb.Borrow{Organisation: "o", Units: 10})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -140,6 +140,7 @@
 	founderCandidates []string
 	seen              seenVersions       // from the last reply
 	usageHandover     []*coordpb.Counted // from the last reply
+	borrowFailedAt    time.Time          // when a Borrow call to the leader last failed
 	lastSync          time.Time
 }
 
