roster: Send servers that accept no requests before the rest of a long list

Cause, by reading: an instance that is behind gets servers in the order in which they changed, 256 at a time, and a server that leaves changed last. Up to as many servers that accept no new requests are now sent before their turn.

Ruled out: a change of the order itself, since the position in it is what an instance reports.

Before: TestLeavingServersComeFirst fails. After: it passes.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -161,7 +161,8 @@
 
 // Since returns the servers that changed after the given change number, ordered by ID, and
 // the number of the last change. If they are more than limit, it returns those that changed
-// first, and the change number to continue from. A limit of 0 means none.
+// first, and the change number to continue from. Up to limit servers that accept no new
+// requests come before their turn, since requests to them fail. A limit of 0 means none.
 func (r *Roster) Since(change uint64, limit int) (servers []Server, last uint64, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -174,8 +175,14 @@
 	last = r.lastChange
 	if more = limit > 0 && len(changed) > limit; more {
 		slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.changeNumber, b.changeNumber) })
-		changed = changed[:limit]
 		last = changed[limit-1].changeNumber
+		page := changed[:limit:limit]
+		for _, e := range changed[limit:] {
+			if e.server.State != world.Ready && len(page) < 2*limit {
+				page = append(page, e)
+			}
+		}
+		changed = page
 	}
 	for _, e := range changed {
 		servers = append(servers, e.server)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -140,3 +141,30 @@
 		}
 	}
 }
+
+// Guards against sending requests to servers that have announced their leaving, because the
+// instance still receives thousands of servers that changed before.
+func TestLeavingServersComeFirst(t *testing.T) {
+	r, now := New(), time.UnixMilli(1_700_000_000_000)
+	for i := range 100 {
+		r.Put(Server{ID: fmt.Sprint(i), Seq: 1, State: world.Ready}, now)
+	}
+	r.Put(Server{ID: "50", Seq: 2, State: world.Leaving}, now)
+	got, last, more := r.Since(0, 10)
+	if !more || len(got) != 11 || !slices.ContainsFunc(got, func(s Server) bool { return s.ID == "50" && s.State == world.Leaving }) {
+		t.Fatalf("%d servers, more %v, want 10 and the leaving one: %v", len(got), more, got)
+	}
+	seen := map[string]uint64{}
+	for pages := 1; more; pages++ {
+		got, last, more = r.Since(last, 10)
+		for _, s := range got {
+			seen[s.ID] = max(seen[s.ID], s.Seq)
+		}
+		if pages > 20 {
+			t.Fatal("the pages do not end")
+		}
+	}
+	if len(seen) != 90 || seen["50"] != 2 {
+		t.Errorf("%d servers followed, want the other 90", len(seen))
+	}
+}
