--- a/internal/edge/outbox.go
+++ b/internal/edge/outbox.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"maps"
+	"slices"
+
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
@@ -43,24 +46,26 @@
 	}
 }
 
-// take returns the servers for the next report: all that accept no new requests, since
-// these wait for the leader's answer, and up to maxReportServers others.
+// take returns the servers for the next report: all announcements of servers that accept no
+// new requests, since these wait for the leader's answer, and up to maxReportServers others.
 func (o *outbox) take() []roster.Server {
 	o.inFlight = map[string]roster.Server{}
-	var out []roster.Server
-	for _, from := range []map[string]roster.Server{o.fresh, o.backlog} {
-		for id, s := range from {
-			if len(out) >= maxReportServers && s.State == world.Ready {
-				continue
-			}
-			if _, ok := o.inFlight[id]; !ok {
-				o.inFlight[id] = s
-				out = append(out, s)
-			}
-			delete(from, id)
+	for id, s := range o.fresh {
+		if s.State != world.Ready || len(o.inFlight) < maxReportServers {
+			o.inFlight[id] = s
+			delete(o.fresh, id)
+		}
+	}
+	for id, s := range o.backlog {
+		if len(o.inFlight) >= maxReportServers {
+			break
+		}
+		if _, ok := o.inFlight[id]; !ok {
+			o.inFlight[id] = s
 		}
+		delete(o.backlog, id)
 	}
-	return out
+	return slices.Collect(maps.Values(o.inFlight))
 }
 
 // failed puts the servers of an unanswered report back.
--- a/internal/edge/outbox_test.go
+++ b/internal/edge/outbox_test.go
@@ -14,11 +14,15 @@
 	o := newOutbox()
 	var all []roster.Server
 	for i := range 1000 {
-		all = append(all, roster.Server{ID: fmt.Sprint(i), Seq: 5, State: world.Ready})
+		state := world.Ready
+		if i%2 == 1 {
+			state = world.Gone // known for some time, so that no server waits
+		}
+		all = append(all, roster.Server{ID: fmt.Sprint(i), Seq: 5, State: state})
 	}
 	o.addAll(all)
 	leaving := roster.Server{ID: "leaving", Seq: 1, State: world.Leaving}
-	o.add(roster.Server{ID: "7", Seq: 6, State: world.Ready})
+	o.add(roster.Server{ID: "8", Seq: 6, State: world.Ready})
 	got := map[string]roster.Server{}
 	for n := 0; len(got) < 1001; n++ {
 		if n > 20 {
@@ -45,7 +49,7 @@
 		}
 		o.answered()
 	}
-	if got["7"].Seq != 6 {
+	if got["8"].Seq != 6 {
 		t.Error("an announcement was replaced by an older one")
 	}
 }
