--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -141,7 +141,6 @@
 	seen              seenVersions       // from the last reply
 	usageHandover     []*coordpb.Counted // from the last reply
 	borrowFailedAt    time.Time          // when a Borrow call to the leader last failed
-	totalsAt          time.Time          // when the report was sent whose reply had the last loads of all servers
 	lastSync          time.Time
 }
 
--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -69,24 +69,6 @@
 // take its memory, as they leave over slow links.
 const maxReplyServers = 256
 
-const (
-	// totalBytes is the encoded size of one server's load, as a rule.
-	totalBytes = 6
-	// totalsBytesPerSecond bounds the loads that one instance receives. A relay, which
-	// passes them on, gets relayTotalsFactor times as many.
-	totalsBytesPerSecond = 20 << 10
-	relayTotalsFactor    = 4
-)
-
-// totalsInterval returns how long an instance's loads of n servers are recent enough.
-func totalsInterval(n int, relay bool) time.Duration {
-	d := time.Duration(n) * totalBytes * time.Second / totalsBytesPerSecond
-	if relay {
-		d /= relayTotalsFactor
-	}
-	return d
-}
-
 // newFeed returns an empty feed of a process.
 func newFeed(self Instance) *feed {
 	id := xxhash.Sum64String(self.ID) ^ uint64(self.Started.UnixNano())
@@ -216,10 +198,7 @@
 	for _, s := range servers {
 		out.Servers = append(out.Servers, f.encode(s, now))
 	}
-	age := time.Duration(req.TotalsAgeMs) * time.Millisecond
-	if out.TotalsOmitted = known && age > 0 && age < totalsInterval(len(p.totals), req.Node.Durable); !out.TotalsOmitted {
-		out.Totals = f.totalsToProto(p.totals)
-	}
+	out.Totals = f.totalsToProto(p.totals)
 	if req.Node.ConfigVersion < p.configVersion {
 		out.Config = p.config
 	}
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -242,44 +242,6 @@
 	}
 }
 
-// Guards against a leader whose replies consist of the loads of thousands of servers, of
-// which each instance gets all five times a second, and against loads that are late in small
-// deployments or missing at an instance that has none.
-func TestFeedSendsTotalsInTime(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		servers int
-		durable bool
-		ageMs   int64
-		omitted bool
-	}{
-		{"few servers", 246, false, 200, false},
-		{"few servers, relay", 246, true, 100, false},
-		{"many servers, recent loads", 3000, false, 200, true},
-		{"many servers, loads of a second", 3000, false, 1000, false},
-		{"many servers, no loads yet", 3000, false, 0, false},
-		{"many servers, relay, recent loads", 3000, true, 100, true},
-		{"many servers, relay", 3000, true, 300, false},
-	} {
-		f := newFeed(Instance{ID: "l", Started: start})
-		var loads []Load
-		for i := range c.servers {
-			f.roster.Put(roster.Server{ID: fmt.Sprint(i), Seq: 1, State: world.Ready}, start)
-			loads = append(loads, Load{Server: fmt.Sprint(i), Running: 1})
-		}
-		f.publish(published{totals: loads})
-		req := &coordpb.Sync{Node: node("x", 1), TotalsAgeMs: c.ageMs}
-		req.Node.Durable = c.durable
-		if f.reply(req, start).TotalsOmitted {
-			t.Errorf("%s: no loads from a process that is new to the instance", c.name)
-		}
-		req.Feed = f.id
-		if out := f.reply(req, start); out.TotalsOmitted != c.omitted || (out.Totals == nil) != c.omitted {
-			t.Errorf("%s: omitted %v, want %v", c.name, out.TotalsOmitted, c.omitted)
-		}
-	}
-}
-
 // Guards against replies with thousands of servers, of which many instances take the
 // memory of a process that is new to them, and against servers that get lost between parts.
 func TestFeedSendsServersInParts(t *testing.T) {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -179,11 +179,6 @@
 		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
-	c.mu.Lock()
-	if !c.totalsAt.IsZero() {
-		req.TotalsAgeMs = max(now.Sub(c.totalsAt).Milliseconds(), 1)
-	}
-	c.mu.Unlock()
 	for _, s := range r.Servers {
 		req.Servers = append(req.Servers, serverToProto(s, now))
 	}
@@ -338,9 +333,7 @@
 		feed: reply.Feed, term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		prefixes: reply.HeldSeen,
 	}
-	if v.Loads = c.loadsFromReply(reply, req.Feed); v.Loads != nil {
-		c.totalsAt = sentAt
-	}
+	v.Loads = c.loadsFromReply(reply, req.Feed)
 	if reply.NodesChanged {
 		v.Instances = c.instancesFromReply(reply)
 	}
@@ -358,8 +351,7 @@
 	c.cfg.Local.Apply(v, now)
 }
 
-// loadsFromReply decodes the outstanding work, or returns nil if the reply has none because
-// that of an earlier one is recent. mu must be held.
+// loadsFromReply decodes the outstanding work. mu must be held.
 func (c *Coord) loadsFromReply(reply *coordpb.SyncReply, feedBefore uint64) []Load {
 	if reply.Feed != feedBefore {
 		c.serverIDs = make(map[uint32]string, len(reply.Servers))
@@ -367,9 +359,6 @@
 	for _, s := range reply.Servers {
 		c.serverIDs[s.Number] = s.Id
 	}
-	if reply.TotalsOmitted {
-		return nil
-	}
 	t := reply.Totals
 	n := min(len(t.GetServers()), len(t.GetRunning()), len(t.GetWaiting()), len(t.GetTokens()))
 	out := make([]Load, 0, n)
@@ -423,9 +412,6 @@
 	c.feed.mu.Lock()
 	before := c.feed.published
 	c.feed.mu.Unlock()
-	if v.Loads == nil {
-		p.totals = before.totals
-	}
 	p.configVersion, p.config, p.rollouts = before.configVersion, before.config, before.rollouts
 	if reply.Config != nil {
 		p.configVersion, p.config = reply.ConfigVersion, reply.Config
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -68,7 +68,7 @@
 	Servers        []roster.Server // changed servers
 	Instances      []Instance      // all instances that report
 	Levels         map[string]float64
-	Loads          []Load // of all instances together; nil if those of an earlier reply are recent enough
+	Loads          []Load // of all instances together
 	Rollouts       []Rollout
 	Prefixes       []CachedPrefix
 	ReadyInstances int       // number of instances that accept requests
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -386,9 +386,7 @@
 		e.relayQuota.Confirm(v.Levels, v.ReadyInstances, now)
 	}
 	e.relays.Store(int32(v.Relays))
-	if v.Loads != nil {
-		e.proxy.SetLoads(v.Loads, v.ReportSentAt)
-	}
+	e.proxy.SetLoads(v.Loads, v.ReportSentAt)
 	e.proxy.LearnPrefixes(v.Prefixes)
 	e.mu.Lock()
 	defer e.mu.Unlock()
