--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -1,7 +1,6 @@
 package coord
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -279,7 +278,7 @@
 	relays   []Instance // instances that may serve as relays
 	current  string     // relay that the last report went to, or ""
 	refusals int        // reports in a row that current could not forward
-	avoid    map[string]avoidance
+	avoid    map[string]time.Time
 	// partAt is the relay that holds this instance's part of the rates, until partUntil;
 	// other relays may hold it until elsewhereUntil.
 	partAt                    string
@@ -312,31 +311,19 @@
 	}
 }
 
-// avoidance is for how long and why an instance avoids a relay.
-type avoidance struct {
-	until    time.Time
-	answered bool // it had no leader; otherwise it did not answer
-}
-
 // target returns the relay to report to, or "" if there is none.
 func (c *relayChoice) target(self Instance, now time.Time) string {
 	if self.Durable || !c.enabled {
 		return ""
 	}
-	if id := chooseRelay(self.ID, self.DataCentre, c.relays, c.avoided(now)); id != "" {
-		return id
-	}
-	// No relay had a leader lately. Those that answer will have the next one, which could not
-	// answer all instances itself.
-	maps.DeleteFunc(c.avoid, func(_ string, a avoidance) bool { return a.answered })
 	return chooseRelay(self.ID, self.DataCentre, c.relays, c.avoided(now))
 }
 
 // avoided returns the relays that failed recently.
 func (c *relayChoice) avoided(now time.Time) []string {
 	var out []string
-	for id, a := range c.avoid {
-		if now.Before(a.until) {
+	for id, until := range c.avoid {
+		if now.Before(until) {
 			out = append(out, id)
 		} else {
 			delete(c.avoid, id)
@@ -355,7 +342,7 @@
 	}
 	c.refusals = 0
 	if c.avoid == nil {
-		c.avoid = map[string]avoidance{}
+		c.avoid = map[string]time.Time{}
 	}
-	c.avoid[id] = avoidance{now.Add(relayAvoidTime + rand.N(relayAvoidTime)), answered}
+	c.avoid[id] = now.Add(relayAvoidTime + rand.N(relayAvoidTime))
 }
