--- a/internal/backnd/hostile_test.go
+++ b/internal/backnd/hostile_test.go
@@ -161,7 +161,9 @@
 // body: they look like the response to the next request. The bytes come with the response,
 // while the connection is idle, or while the next request runs.
 func TestBytesAfterAResponseWithoutABody(t *testing.T) {
-	head := func(status, id, more string) string { return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\n" + more + "\r\n" }
+	head := func(status, id, more string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Id: " + id + "\r\n" + more + "\r\n"
+	}
 	for _, c := range []struct {
 		name, method string
 		response     func(id string) string
