coord, raft, proxy: Log who votes, which members are silent, and how old a configuration is

Lost elections, new leaders and membership changes now list the voters and how long each has been silent; reads of the durable state tell their index, term and what is left of the lease; refusals for an unknown route or key tell when a leader last confirmed the configuration. No decision changes.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -142,6 +142,8 @@
 	usageHandover     []*coordpb.Counted // from the last reply
 	borrowFailedAt    time.Time          // when a Borrow call to the leader last failed
 	lastSync          time.Time
+	electionLoggedAt  time.Time   // when the last election seen by logElection ended
+	ledWith           raft.Status // of the replicated log while this instance led
 }
 
 // member is the open replicated log and state of an instance with a disk.
@@ -290,7 +292,7 @@
 func (c *Coord) Read(ctx context.Context) (DurableState, error) {
 	resp := &coordpb.Answer{}
 	err := c.callLeader(ctx, callRead, &coordpb.Ask{Id: c.cfg.Self.ID}, resp, func(m *member) error {
-		state, err := m.read(ctx)
+		state, err := c.readMember(ctx, m)
 		resp.State = state
 		return err
 	})
@@ -304,11 +306,19 @@
 	return d, nil
 }
 
-func (m *member) read(ctx context.Context) (*coordpb.State, error) {
-	if _, err := m.group.Barrier(ctx); err != nil {
+// readMember reads the state of this instance's member, which leads.
+func (c *Coord) readMember(ctx context.Context, m *member) (*coordpb.State, error) {
+	index, err := m.group.Barrier(ctx)
+	if err != nil {
 		return nil, err
 	}
-	return m.state.copy(), nil
+	s := m.state.copy()
+	now := c.leaseTime(c.cfg.Clock())
+	lease, _ := m.group.Lease(now)
+	c.cfg.Log.WithFields(log.Fields{
+		"event": "config.read", "config": s.GetConfig().GetVersion(), "index": index, "term": lease.Term, "leaseMs": lease.Until.Sub(now).Milliseconds(),
+	}).Info("the durable state was read")
+	return s, nil
 }
 
 func (c *Coord) propose(ctx context.Context, cmd *coordpb.Command) (*coordpb.State, error) {
@@ -411,7 +421,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := m.read(ctx)
+	s, err := c.readMember(ctx, m)
 	return &coordpb.Answer{State: s}, toRemoteError(err)
 }
 
--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -172,6 +172,13 @@
 		logger.WithError(err).Warn("membership change failed; retrying")
 		return
 	}
+	c.mu.Lock()
+	m, agg := c.member, c.aggregator
+	c.mu.Unlock()
+	if m != nil && agg != nil {
+		now := c.cfg.Clock()
+		logger = logger.WithField("members", memberLogs(m.group.Status(), c.leaseTime(agg.electedAt), c.leaseTime(now)))
+	}
 	logger.Info("membership changed")
 }
 
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -149,7 +149,7 @@
 	req.Urgent = urgent
 	windows := req.Windows
 	children := c.relay.take(req, now)
-	sentAt := now
+	sentAt, confirmedAt := now, c.leaseTime(now)
 	reply, err := c.sendSync(req, now)
 	now = c.cfg.Clock()
 	if err != nil {
@@ -157,7 +157,7 @@
 		c.cfg.Local.ReportFailed(now)
 		return err
 	}
-	c.applyReply(reply, req, sentAt, now)
+	c.applyReply(reply, req, sentAt, confirmedAt, now)
 	c.relay.finish(children, reply.Epoch, nil)
 	c.confirmWindows(windows, reply, seen, now)
 	if reply.Feed != seen.feed && seen.feed != 0 {
@@ -306,11 +306,14 @@
 }
 
 // applyReply records the reply and passes the changes to Local.
-func (c *Coord) applyReply(reply *coordpb.SyncReply, req *coordpb.Sync, sentAt, now time.Time) {
+func (c *Coord) applyReply(reply *coordpb.SyncReply, req *coordpb.Sync, sentAt, confirmedAt, now time.Time) {
 	v := View{
 		Leader: reply.Leader, Term: reply.Epoch, ReadyInstances: int(reply.Fronts), Levels: countsFromProto(reply.Levels),
 		Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt,
 	}
+	if !reply.Unconfirmed {
+		v.ConfirmedAt = confirmedAt
+	}
 	if reply.Config != nil {
 		v.Version, v.Config = reply.ConfigVersion, reply.Config
 	}
@@ -407,7 +410,7 @@
 	c.feed.addPrefixes(reply.Held)
 	p := published{
 		term: reply.Epoch, leader: reply.Leader, levels: reply.Levels, totals: v.Loads, members: reply.Members,
-		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays,
+		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays, unconfirmed: reply.Unconfirmed,
 	}
 	c.feed.mu.Lock()
 	before := c.feed.published
@@ -488,7 +491,7 @@
 	p := published{
 		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
 		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(), rolloutsSeen: rolloutsFingerprint(rollouts),
-		useRelays: agg.usesRelays(),
+		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)),
 	}
 	for _, r := range rollouts {
 		p.rollouts = append(p.rollouts, r.proto())
@@ -523,16 +526,21 @@
 	}
 	lease, ok := m.group.Lease(c.leaseTime(now))
 	st := m.group.Status()
+	c.logElection(st)
 	c.mu.Lock()
 	switch {
 	case st.Role != raft.Leader:
 		if c.aggregator != nil {
-			c.cfg.Log.WithField("event", "leader.ended").WithField("term", c.aggregator.term).Info("this instance no longer leads")
+			c.cfg.Log.WithField("event", "leader.ended").WithField("term", c.aggregator.term).
+				WithField("members", memberLogs(c.ledWith, c.leaseTime(c.aggregator.electedAt), c.leaseTime(now))).Info("this instance no longer leads")
 		}
 		c.aggregator = nil
 	case ok && (c.aggregator == nil || c.aggregator.term != lease.Term):
 		c.aggregator = newAggregator(c.cfg.Self.ID, c.feed, lease.Term, c.usageHandover, now)
-		c.cfg.Log.WithField("event", "leader.began").WithField("term", lease.Term).Info("this instance leads")
+		c.cfg.Log.WithFields(electionFields(st.LastElection)).WithField("event", "leader.began").Info("this instance leads")
+	}
+	if st.Role == raft.Leader {
+		c.ledWith = st
 	}
 	if st.Leader != "" && st.Role != raft.Leader {
 		c.leader = st.Leader
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -75,6 +75,9 @@
 	Relays         int       // number of instances that may serve as relays; 0 if the deployment uses none
 	Parts          int       // number of instances whose parts of the rates this instance holds as a relay
 	ReportSentAt   time.Time // when the answered report was sent
+	// ConfirmedAt is a time at or after which the configuration was the newest; zero if the
+	// leader could not be sure. Unlike ReportSentAt it counts suspensions of the machine.
+	ConfirmedAt time.Time
 }
 
 // Local is implemented by the instance that a Coord belongs to. The methods are called
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,11 +101,12 @@
 	draining atomic.Bool
 	relays   atomic.Int32 // number of relays; 0 if the deployment uses none
 
-	mu         sync.Mutex
-	outbox     outbox
-	instances  []coord.Instance
-	rollouts   []coord.Rollout
-	quotaRules map[string]quota.Rule
+	mu          sync.Mutex
+	confirmedAt time.Time // see coord.View.ConfirmedAt
+	outbox      outbox
+	instances   []coord.Instance
+	rollouts    []coord.Rollout
+	quotaRules  map[string]quota.Rule
 }
 
 // prefillPerToken is the prefill time per prompt token of model servers that do not
@@ -142,7 +143,7 @@
 	}
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
-		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
+		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -390,6 +391,9 @@
 	e.proxy.LearnPrefixes(v.Prefixes)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !v.ConfirmedAt.IsZero() {
+		e.confirmedAt = v.ConfirmedAt
+	}
 	e.outbox.answered()
 	e.outbox.learned(v.Servers)
 	if v.Instances != nil {
@@ -431,6 +435,21 @@
 	e.cfg.Log.WithFields(log.Fields{"event": "config.applied", "config": c.Version, "leader": v.Leader}).Info("configuration applied")
 }
 
+// configAge returns the time since a leader confirmed that the configuration is the newest.
+func (e *Edge) configAge(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaseTime(now).Sub(e.confirmedAt)
+}
+
+// leaseTime returns now with the time for which the machine was suspended.
+func (e *Edge) leaseTime(now time.Time) time.Time {
+	if e.cfg.Suspended == nil {
+		return now
+	}
+	return now.Add(e.cfg.Suspended())
+}
+
 func (e *Edge) currentQuotaRules() (uint64, map[string]quota.Rule, map[string]quota.Level) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -48,6 +48,9 @@
 	org      *routes.Organisation
 	deadline time.Time // the earlier of the caller's and the route's
 
+	refusedByConfig bool          // the configuration has no such route or key
+	configAge       time.Duration // when it was refused; see Config.ConfigAge
+
 	parts        []coord.Part // the last part is specific to this request
 	prefixBlocks []uint64
 
@@ -132,11 +135,11 @@
 		return &Refusal{Cause: NoConfig, RetryAfter: maxRetryAfter}
 	}
 	if f.route = f.cfg.Match(f.r.Host, f.r.Path); f.route == nil {
-		return &Refusal{Cause: NoRoute}
+		return f.refuseByConfig(NoRoute, now)
 	}
 	f.org = f.cfg.Organisation(f.r.Key)
 	if f.org == nil && f.cfg.HasOrganisations() && !f.route.Anonymous {
-		return &Refusal{Cause: NoKey}
+		return f.refuseByConfig(NoKey, now)
 	}
 	timeout := f.route.Timeout
 	if f.r.CallerTimeout > 0 {
@@ -162,6 +165,12 @@
 	return nil
 }
 
+// refuseByConfig returns the refusal of a request that the configuration does not allow.
+func (f *inflight) refuseByConfig(cause Cause, now time.Time) error {
+	f.refusedByConfig, f.configAge = true, f.p.cfg.ConfigAge(now)
+	return &Refusal{Cause: cause}
+}
+
 // cost returns the units charged to the organisation's rate limit.
 func (f *inflight) cost() float64 {
 	switch {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,9 +79,12 @@
 	// UsageWindow is the length of the windows in which started requests are counted.
 	UsageWindow time.Duration
 	Clock       func() time.Time
-	Log         log.Interface
-	Seed        uint64
-	Meter       metric.Meter // nil for none
+	// ConfigAge returns the time since a leader confirmed that the configuration is the
+	// newest; nil means that it always is.
+	ConfigAge func(now time.Time) time.Duration
+	Log       log.Interface
+	Seed      uint64
+	Meter     metric.Meter // nil for none
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
 }
@@ -119,6 +122,9 @@
 // New returns a proxy without configuration and servers. It fails only if the
 // metrics cannot be created.
 func New(cfg Config) (*Proxy, error) {
+	if cfg.ConfigAge == nil {
+		cfg.ConfigAge = func(time.Time) time.Duration { return 0 }
+	}
 	m, err := newRequestMetrics(cfg.Meter)
 	if err != nil {
 		return nil, err
@@ -350,6 +356,9 @@
 	if f.cfg != nil {
 		fields["config"] = f.cfg.Version
 	}
+	if f.refusedByConfig {
+		fields["configAgeMs"] = f.configAge.Milliseconds()
+	}
 	if f.route != nil {
 		name = f.route.Name
 		fields["route"], fields["service"] = name, f.service
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -236,16 +236,22 @@
 		voterReq.ToIncarnation = m.Incarnation
 		g.wg.Go(func() { responses <- g.requestVote(ctx, m, voterReq) })
 	}
-	for ; len(granted) < quorum && len(granted)+pending >= quorum; pending-- {
+	timedOut := false // a transport may return after ctx ends
+	for ; !timedOut && len(granted) < quorum && len(granted)+pending >= quorum; pending-- {
 		select {
 		case m := <-responses:
 			if m.ID != "" {
 				granted = append(granted, m)
 			}
 		case <-ctx.Done():
-			return granted // a transport may return later
+			timedOut = true
 		}
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastElection = Election{
+		Term: req.Term, At: g.cfg.Clock(), PreVote: req.Kind == raftpb.Kind_KIND_PRE_VOTE, Voters: voters.ids(), Granted: granted.ids(), Needed: quorum,
+	}
 	return granted
 }
 
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -42,6 +42,14 @@
 	PreviousLeaseEnd time.Time
 }
 
+// Current reports whether the state machine of this member has every command that was
+// acknowledged before now: it holds the lease and has applied the log of earlier leaders.
+func (g *Group) Current(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.role == Leader && g.applied >= g.termStartIndex && now.Before(g.leaseUntil(now))
+}
+
 // Lease returns the lease of this member, and false if it holds none at now.
 func (g *Group) Lease(now time.Time) (Lease, bool) {
 	g.mu.Lock()
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -53,6 +53,14 @@
 	return slices.DeleteFunc(slices.Clone(m), func(x Member) bool { return x.ID == id })
 }
 
+func (m members) ids() []string {
+	out := make([]string, len(m))
+	for i, x := range m {
+		out[i] = x.ID
+	}
+	return out
+}
+
 func (m members) voters() members {
 	return slices.DeleteFunc(slices.Clone(m), func(x Member) bool { return x.Learner })
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -197,6 +197,8 @@
 	pendingRestore     *raftpb.Snapshot
 	incomingSnapshot   partialSnapshot
 
+	lastElection Election
+
 	transferTarget string    // voter to receive leadership; the queue waits until the transfer ends
 	transferring   bool      // a transfer started by runTimers is in progress
 	lastTransferAt time.Time // when runTimers last started a transfer
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -33,9 +33,20 @@
 	// IncarnationMismatch means that the group has this member with another
 	// incarnation: this process has lost its state and must be added again.
 	IncarnationMismatch bool
+	LastElection        Election
 	Err                 error // why the member stopped; nil while it runs
 }
 
+// Election is the result of an election, or of the pre-vote before it.
+type Election struct {
+	Term    uint64
+	At      time.Time // when the votes were counted; zero if the member has held none since its start
+	PreVote bool      // the votes only tell whether an election could succeed
+	Voters  []string
+	Granted []string // including this member
+	Needed  int
+}
+
 // Status returns the state of this member.
 func (g *Group) Status() Status {
 	g.mu.Lock()
@@ -43,7 +54,8 @@
 	s := Status{
 		Group: g.cfg.Group, ID: g.cfg.ID, Incarnation: g.state.Incarnation, Term: g.state.Term, Role: g.role,
 		Leader: g.leader, First: g.base + 1, Last: g.lastIndex(), Commit: g.commit, Applied: g.applied,
-		Snapshot: g.snapshotIndex, Members: slices.Clone(g.members()), IncarnationMismatch: g.incarnationMismatch, Err: g.err,
+		Snapshot: g.snapshotIndex, Members: slices.Clone(g.members()), IncarnationMismatch: g.incarnationMismatch,
+		LastElection: g.lastElection, Err: g.err,
 	}
 	if g.role != Leader {
 		return s
