coord: Remove silent voters before their replacements are added

Each loss was within the tolerance.

Cause: a lost voter stayed in the group for 12 s of silence, which every change of leader began anew, and replacements were added before anything was removed. So each replacement raised the majority while the number of living voters stayed the same: 4 of 4, 4 of 5, 4 of 6, and with the next loss 3 of 6, for good, because a removal needs the majority that it is to restore. Class of fault: a repair that waits longer than the time in which the next loss must be borne.

The majority then follows the members that live, and each replacement makes the group stronger. What can't be added (its process answers nobody) gives way to others for 2 s instead of holding up all changes.

Ruled out: adding and removing in one change, which keeps one majority in common only for even sizes.

--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,9 +21,12 @@
 	founderWait = 1500 * time.Millisecond
 	// membershipInterval is the interval at which the leader checks the membership.
 	membershipInterval = 200 * time.Millisecond
-	// removeSilentAfter is the time without contact after which a member is removed.
-	// Restarts and freezes last a few seconds; a member that returns later is added again.
-	removeSilentAfter = 12 * time.Second
+	// removeSilentAfter is the time without contact after which a member is removed if
+	// enough others are left. It must be shorter than the time in which a deployment expects
+	// to bear its next loss. A member that returns is added again.
+	removeSilentAfter = 2 * electionTimeout
+	// addRetryDelay is how long a member that could not be added gives way to others.
+	addRetryDelay = 2 * time.Second
 	// segmentBytes and snapshotBytes limit the log to a few MB, because disks are small.
 	segmentBytes  = 1 << 20
 	snapshotBytes = 2 << 20
@@ -145,6 +149,7 @@
 // manageMembers adds reporting instances with a disk to the group and removes silent
 // members, while this instance leads.
 func (c *Coord) manageMembers() {
+	addFailedAt := map[string]time.Time{}
 	for sleep(c.ctx, membershipInterval) {
 		now := c.cfg.Clock()
 		c.mu.Lock()
@@ -156,21 +161,26 @@
 		if _, ok := m.group.Lease(c.leaseTime(now)); !ok {
 			continue
 		}
-		if add, remove := nextMembershipChange(m.group.Status(), agg.reportingDurable(now), c.cfg.MinVoters, c.leaseTime(agg.electedAt), c.leaseTime(now)); add != "" {
-			c.changeMember("member.added", add, m.group.Add)
-		} else if remove != "" {
+		maps.DeleteFunc(addFailedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= addRetryDelay })
+		reporting := slices.DeleteFunc(agg.reportingDurable(now), func(id string) bool { return !addFailedAt[id].IsZero() })
+		add, remove := nextMembershipChange(m.group.Status(), reporting, c.cfg.MinVoters, c.leaseTime(agg.electedAt), c.leaseTime(now))
+		switch {
+		case remove != "":
 			c.changeMember("member.removed", remove, m.group.Remove)
+		case add != "" && !c.changeMember("member.added", add, m.group.Add):
+			addFailedAt[add] = c.cfg.Clock()
 		}
 	}
 }
 
-func (c *Coord) changeMember(event, id string, change func(context.Context, string) error) {
+// changeMember makes a change and reports whether it is committed.
+func (c *Coord) changeMember(event, id string, change func(context.Context, string) error) bool {
 	ctx, cancel := context.WithTimeout(c.ctx, electionTimeout)
 	defer cancel()
 	logger := c.cfg.Log.WithField("event", event).WithField("member", id)
 	if err := change(ctx, id); err != nil {
 		logger.WithError(err).Warn("membership change failed; retrying")
-		return
+		return false
 	}
 	c.mu.Lock()
 	m, agg := c.member, c.aggregator
@@ -180,45 +190,51 @@
 		logger = logger.WithField("members", memberLogs(m.group.Status(), c.leaseTime(agg.electedAt), c.leaseTime(now)))
 	}
 	logger.Info("membership changed")
+	return true
 }
 
 // nextMembershipChange returns the next member to add or remove, or empty strings.
 // reporting lists the instances with a disk that report. Members change one at a time.
-// Additions go first, because a member that lost its disk counts towards the size of the
-// quorum but cannot vote until it is added again.
+//
+// A silent voter weakens the group until it is removed: every member that is added
+// raises the majority that the others must reach without it. So silent voters are
+// removed before replacements are added, unless too few voters would be left.
 func nextMembershipChange(st raft.Status, reporting []string, minVoters int, electedAt, now time.Time) (add, remove string) {
-	peers := map[string]raft.PeerStatus{}
+	contacts := map[string]time.Time{st.ID: now}
 	for _, p := range st.Peers {
-		if p.Contact.Before(electedAt) {
-			p.Contact = electedAt // a new leader does not know earlier contacts
+		contacts[p.ID] = later(p.Contact, electedAt) // a new leader does not know earlier contacts
+		if p.IncarnationMismatch && slices.Contains(reporting, p.ID) {
+			return p.ID, "" // it lost its disk, so it cannot vote until it is added again
 		}
-		peers[p.ID] = p
 	}
-	healthyVoters, hasLearner := 1, false // the leader itself is healthy
+	healthyVoters, hasLearner := 0, false
+	silentVoter, silentLearner := "", ""
 	for _, m := range st.Members {
-		if m.ID == st.ID {
-			continue
-		}
-		if m.Learner {
-			hasLearner = true
-		} else if now.Sub(peers[m.ID].Contact) < removeSilentAfter {
+		contact, known := contacts[m.ID]
+		silent := known && now.Sub(contact) >= removeSilentAfter
+		hasLearner = hasLearner || m.Learner
+		switch {
+		case silent && m.Learner:
+			silentLearner = m.ID
+		case silent:
+			silentVoter = m.ID
+		case known && !m.Learner:
 			healthyVoters++
 		}
 	}
+	if silentLearner != "" {
+		return "", silentLearner
+	}
+	if silentVoter != "" && healthyVoters >= minVoters {
+		return "", silentVoter
+	}
+	if hasLearner {
+		return "", ""
+	}
 	for _, id := range reporting {
-		i := slices.IndexFunc(st.Members, func(m raft.Member) bool { return m.ID == id })
-		if i < 0 && !hasLearner || i >= 0 && peers[id].IncarnationMismatch { // another incarnation: the member lost its disk
+		if !slices.ContainsFunc(st.Members, func(m raft.Member) bool { return m.ID == id }) {
 			return id, ""
 		}
 	}
-	for _, m := range st.Members {
-		p, ok := peers[m.ID]
-		if m.ID == st.ID || !ok || now.Sub(p.Contact) < removeSilentAfter {
-			continue
-		}
-		if m.Learner || healthyVoters >= minVoters {
-			return "", m.ID
-		}
-	}
 	return "", ""
 }
