proxy: Refuse nothing for good by a configuration that nobody confirms

Callers got 404 for routes that had been added and acknowledged seconds before, from instances that knew that they had not heard from a leader for longer than a change may take.

Cause: an instance refused by the configuration that it had, however old its last confirmation. Class of fault: a definite answer from state whose validity is not known. A missing route or key is now final only if a leader confirmed the configuration within the time in which changes must be in force (config-apply-ms); with an older confirmation the answer is 503 with Retry-After, which is true: the request has not run, and another instance or a later moment may serve it. Requests that the configuration allows are still served: for callers an instance that is cut off is better than none.

--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -88,6 +88,10 @@
 			logLine("n1", 500, `"event":"process.started","node":"n1"`),
 			requestEnded("n1", 900, "r", "noConfig", `"runs":0`, ""),
 		}},
+		{"no leader confirms the configuration", LeaderAway, []string{
+			logLine("n1", 100, `"event":"leader.lost"`),
+			requestEnded("n1", 900, "r", "staleConfig", `"config":3,"configAgeMs":2100`, ""),
+		}},
 		{"all servers left", NoServers, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			logLine("n1", 300, `"event":"server.left","server":"i-1","service":"s"`),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -14,7 +14,7 @@
 	switch end.reason {
 	case "noRoute", "noKey":
 		return l.notInConfig(end)
-	case "noConfig":
+	case "noConfig", "staleConfig":
 		return append(l.instanceStarting(end), l.leaderUnreachable(end)...)
 	case "overQuota":
 		return l.rateExceeded(end)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,6 +62,10 @@
 	// HeartbeatInterval is the interval of the heartbeats of backend servers.
 	HeartbeatInterval time.Duration
 	RetryLimit        proxy.RetryLimit
+	// ConfigMaxAge is the time in which a configuration must be in force at all instances.
+	// An instance that no leader has answered for longer refuses nothing for good. 0 means
+	// no limit.
+	ConfigMaxAge time.Duration
 	// QuotaTolerance is how far organisations may exceed their quotas.
 	QuotaTolerance quota.Tolerance
 	// DutyPlatform makes the platform calls that one instance performs on behalf of
@@ -143,7 +147,7 @@
 	}
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
-		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
+		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -135,11 +135,11 @@
 		return &Refusal{Cause: NoConfig, RetryAfter: maxRetryAfter}
 	}
 	if f.route = f.cfg.Match(f.r.Host, f.r.Path); f.route == nil {
-		return f.refuseByConfig(NoRoute, now)
+		return f.refuseByConfig(ctx, NoRoute, now)
 	}
 	f.org = f.cfg.Organisation(f.r.Key)
 	if f.org == nil && f.cfg.HasOrganisations() && !f.route.Anonymous {
-		return f.refuseByConfig(NoKey, now)
+		return f.refuseByConfig(ctx, NoKey, now)
 	}
 	timeout := f.route.Timeout
 	if f.r.CallerTimeout > 0 {
@@ -165,9 +165,17 @@
 	return nil
 }
 
-// refuseByConfig returns the refusal of a request that the configuration does not allow.
-func (f *inflight) refuseByConfig(cause Cause, now time.Time) error {
-	f.refusedByConfig, f.configAge = true, f.p.cfg.ConfigAge(now)
+// refuseByConfig refuses a request that the configuration does not allow. If no leader has
+// confirmed the configuration lately, a newer one may allow it, so the caller may try again.
+func (f *inflight) refuseByConfig(ctx context.Context, cause Cause, now time.Time) error {
+	age := f.p.cfg.ConfigAge(now)
+	if f.p.Config() != f.cfg {
+		return f.admit(ctx, now) // age is that of the configuration that has come into force since
+	}
+	f.refusedByConfig, f.configAge = true, age
+	if limit := f.p.cfg.MaxConfigAge; limit > 0 && age > limit {
+		return &Refusal{Cause: StaleConfig, RetryAfter: maxRetryAfter + f.retryJitter()}
+	}
 	return &Refusal{Cause: cause}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,20 +40,21 @@
 
 // The causes of refusals. With causes up to NoTime the request certainly did not run.
 const (
-	NoConfig  Cause = iota // no configuration is known yet
-	NoRoute                // no route matches
-	NoKey                  // the API key is unknown or missing
-	OverQuota              // the organisation exceeds its rate limit
-	NoServer               // no server can run the request
-	Full                   // all servers tried rejected the request
-	NoTime                 // the deadline expired before a server started the request
-	TimedOut               // the deadline expired while a server may have run the request
-	Lost                   // a server may have run the request, but its response was lost
+	NoConfig    Cause = iota // no configuration is known yet
+	NoRoute                  // no route matches
+	NoKey                    // the API key is unknown or missing
+	StaleConfig              // no route matches or the key is unknown, but the configuration may not be the newest
+	OverQuota                // the organisation exceeds its rate limit
+	NoServer                 // no server can run the request
+	Full                     // all servers tried rejected the request
+	NoTime                   // the deadline expired before a server started the request
+	TimedOut                 // the deadline expired while a server may have run the request
+	Lost                     // a server may have run the request, but its response was lost
 )
 
 // String returns the reason code used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"noConfig", "noRoute", "noKey", "overQuota", "noServer", "full", "noTime", "timedOut", "lost"}[c]
+	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "noTime", "timedOut", "lost"}[c]
 }
 
 // Refusal is the final error of a request that got no response from a backend server.
@@ -82,9 +83,12 @@
 	// ConfigAge returns the time since a leader confirmed that the configuration is the
 	// newest; nil means that it always is.
 	ConfigAge func(now time.Time) time.Duration
-	Log       log.Interface
-	Seed      uint64
-	Meter     metric.Meter // nil for none
+	// MaxConfigAge is the ConfigAge up to which a request may be refused for good because the
+	// configuration doesn't allow it; 0 means any.
+	MaxConfigAge time.Duration
+	Log          log.Interface
+	Seed         uint64
+	Meter        metric.Meter // nil for none
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
 }
