coord: Found a group only once in the life of a process

An instance answered reads of the configuration with an older one (none at all), announced itself as the leader, and held the duties beside the real leader.

Cause: the founder of the group remembered for the life of its process that it may found it. If its log failed later and was found corrupt, the log was removed and reopened with the same permission. Without the leader at that moment (elections, a cut), the process founded a second group of one after an election timeout. That group accepts no commands, which need more members, but it answers reads and leads. Class of fault: a permission for the first start that outlives it. The permission now ends once the log has been opened; what comes later joins the group, whose members wait for it.

Test: TestFounderWithACorruptLogJoinsTheGroup, before: "read version 0 of a group of its own". While the leader is there it adds the member first, and the test passed before.

--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -41,13 +41,16 @@
 		}
 	}
 	for c.ctx.Err() == nil {
-		c.runMemberOnce(founder)
+		if c.runMemberOnce(founder) {
+			founder = "" // the group exists: a member without its log must not found another one
+		}
 		sleep(c.ctx, reopenDelay)
 	}
 }
 
-// runMemberOnce opens the member and returns once the log fails or the instance stops.
-func (c *Coord) runMemberOnce(founder string) {
+// runMemberOnce opens the member and returns once the log fails or the instance stops. It
+// reports whether the log was opened.
+func (c *Coord) runMemberOnce(founder string) bool {
 	failure := make(chan error, 1)
 	m := &member{state: newStateMachine()}
 	cfg := raft.Config{
@@ -64,7 +67,7 @@
 		if walog.Corrupt.Has(err) {
 			c.wipeLog()
 		}
-		return
+		return false
 	}
 	m.group = group
 	c.mu.Lock()
@@ -83,6 +86,7 @@
 	if err := group.Close(); err != nil {
 		c.cfg.Log.WithError(err).WithField("event", "log.closeFailed").Warn("closing the replicated log failed")
 	}
+	return true
 }
 
 // wipeLog removes a corrupt log. The member rejoins under a new incarnation, which the
