raft: Don't elect after a restart once a leader was confirmed

Two members could hold a leader lease at the same time: two instances that both decide, and reads of an older state at one of them.

Cause: if all members have restarted, one of them may be elected without waiting for leases, as there can be none. Whether all have restarted was asked in the pre-vote; the vote then ignored every lease, also one confirmed in between. A member whose term was ahead of the others, since a vote request had reached it alone before the restart, could answer for itself: the others elected a leader of just that term while its pre-votes were on their way, it followed and confirmed that leader, and then won the next term while the leader's lease was valid. Class of fault: a check and the act that it permits, with a change between them. A member that has heard from a leader since its start no longer begins this election; one that has not lacks the leader's first entry, and no majority votes for it.

--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -176,7 +176,7 @@
 	if granted := g.collectVotes(req, voters, quorum, g.cfg.ElectionTimeout); len(granted) < quorum {
 		return
 	}
-	g.runElection(term, voters, quorum, false)
+	g.runElection(term, voters, quorum, electionAfterTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.role == Candidate {
@@ -186,20 +186,42 @@
 	}
 }
 
-// runElection runs the election for the term after term. With transfer set no
-// pre-vote is needed and confirmed leases are ignored: the leader of term has given up
-// leadership, or all voters have restarted.
-func (g *Group) runElection(term uint64, voters members, quorum int, transfer bool) {
+// electionReason is why a member may run an election.
+type electionReason uint8
+
+const (
+	electionAfterTimeout  electionReason = iota
+	electionAfterTransfer                // the leader has given up leadership
+	electionAfterRestart                 // all voters have restarted
+)
+
+// mayElect reports whether an election may start now. The caller holds mu.
+func (g *Group) mayElect(reason electionReason) bool {
+	switch reason {
+	case electionAfterTransfer:
+		return true
+	case electionAfterRestart:
+		// The voters may have elected a leader after they answered the pre-vote. While
+		// this member has not heard from it, its log lacks that leader's first entry, so
+		// that no majority votes for this member.
+		return !g.participated
+	}
+	return g.confirmedLeaseExpired(g.cfg.Clock())
+}
+
+// runElection runs the election for the term after term. Except after a timeout no
+// pre-vote is needed and the voters ignore the leases that they have confirmed.
+func (g *Group) runElection(term uint64, voters members, quorum int, reason electionReason) {
 	var req *raftpb.Message
 	g.diskMu.Lock()
 	g.mu.Lock()
-	started := g.err == nil && g.state.Term == term && g.role != Leader && (transfer || g.confirmedLeaseExpired(g.cfg.Clock())) &&
+	started := g.err == nil && g.state.Term == term && g.role != Leader && g.mayElect(reason) &&
 		g.advanceTerm(term+1, formatVote(g.cfg.ID, g.state.Incarnation))
 	if started {
 		g.becomeFollower("")
 		g.role, g.participated = Candidate, true
 		req = g.newMessageLocked(raftpb.Kind_KIND_VOTE)
-		req.Index, req.LogTerm, req.Transfer = g.lastIndex(), g.termAt(g.lastIndex()), transfer
+		req.Index, req.LogTerm, req.Transfer = g.lastIndex(), g.termAt(g.lastIndex()), reason != electionAfterTimeout
 	}
 	g.mu.Unlock()
 	g.diskMu.Unlock()
--- a/internal/raft/restart_election.go
+++ b/internal/raft/restart_election.go
@@ -85,7 +85,7 @@
 	if granted < quorum {
 		return false
 	}
-	g.runElection(term, voters, quorum, true)
+	g.runElection(term, voters, quorum, electionAfterRestart)
 	return true
 }
 
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -216,5 +216,5 @@
 	voters, quorum := g.electorate()
 	g.resetElectionTimer(g.cfg.Clock())
 	g.mu.Unlock()
-	g.runElection(term, voters, quorum, true)
+	g.runElection(term, voters, quorum, electionAfterTransfer)
 }
