raft: Ask a leader that removes itself before an election after a restart

Two members could hold a leader lease at the same time when a leader was removed by a command of its operator and all other members restarted before the removal was committed.

Cause: the election after a restart asks the voters of the newest membership whether all of them have restarted. A leader that has appended its own removal is none of them, but it leads until the removal is committed. If the last membership is not known to be committed, the voters that it removes are now asked as well.

--- a/internal/raft/restart_election.go
+++ b/internal/raft/restart_election.go
@@ -58,22 +58,29 @@
 		return false
 	}
 	voters, quorum := g.electorate()
+	asked := append(slices.Clone(voters), g.possibleRemovedLeaders()...)
 	term := g.state.Term
 	req := g.newMessageLocked(raftpb.Kind_KIND_PRE_VOTE)
 	req.Term, req.Index, req.LogTerm, req.Transfer = term+1, g.lastIndex(), g.termAt(g.lastIndex()), true
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(g.ctx, g.cfg.ElectionTimeout)
 	defer cancel()
-	votes := make(chan restartVote, len(voters))
-	for _, m := range voters {
+	votes := make(chan restartVote, len(asked))
+	pending := 0
+	for i, m := range asked {
 		if m.ID != g.cfg.ID {
+			pending++
 			voterReq := proto.CloneOf(req)
 			voterReq.ToIncarnation = m.Incarnation
-			g.wg.Go(func() { votes <- g.requestRestartVote(ctx, m, voterReq) })
+			g.wg.Go(func() {
+				vote := g.requestRestartVote(ctx, m, voterReq)
+				vote.granted = vote.granted && i < len(voters)
+				votes <- vote
+			})
 		}
 	}
 	granted := 1
-	for range len(voters) - 1 {
+	for range pending {
 		vote := <-votes
 		if !vote.restarted {
 			return false
@@ -89,6 +96,20 @@
 	return true
 }
 
+// possibleRemovedLeaders returns the voters that the last membership change removed, if
+// one of them may lead: a leader that removes itself keeps its lease until the change is
+// committed. A later leader was elected after that lease. The caller holds mu.
+func (g *Group) possibleRemovedLeaders() members {
+	n := len(g.memberships)
+	if n < 2 || g.memberships[n-1].index <= g.commit || g.termAt(g.memberships[n-1].index) != g.termAt(g.lastIndex()) {
+		return nil
+	}
+	return slices.DeleteFunc(g.memberships[n-2].members.voters(), func(m Member) bool {
+		_, kept := g.members().find(m.ID)
+		return kept
+	})
+}
+
 // restartVote is the response of one voter to the pre-vote after a restart.
 type restartVote struct{ restarted, granted bool }
 
--- a/internal/raft/restart_lease_test.go
+++ b/internal/raft/restart_lease_test.go
@@ -219,3 +219,51 @@
 	close(preVotesDone)
 	c.expectOneLease(next)
 }
+
+// Guards against two leases at once: a leader has appended its own removal and waits for
+// the commit, and all other members restart.
+func TestRestartElectionBesideALeaderThatRemovesItself(t *testing.T) {
+	ids := []string{"a", "b", "c", "d"}
+	c := newScriptedCluster(t, ids...)
+	lead := c.leader()
+	c.clock.pause()
+	c.run(func(from, to string, req *raftpb.Message, deliver func() *raftpb.Message) *raftpb.Message {
+		resp := deliver()
+		if from == lead && req.Kind == raftpb.Kind_KIND_APPEND {
+			return nil // the response is lost
+		}
+		return resp
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_ = c.group(lead).Remove(ctx, lead)
+	eventually(t, "all have the removal", func() bool {
+		for _, id := range ids {
+			if len(c.group(id).Status().Members) != len(ids)-1 {
+				return false
+			}
+		}
+		return true
+	})
+	c.run(func(from, to string, req *raftpb.Message, deliver func() *raftpb.Message) *raftpb.Message {
+		if from == lead || to == lead {
+			return nil
+		}
+		return deliver()
+	})
+	for _, id := range ids {
+		if id != lead {
+			c.stop(id)
+		}
+	}
+	for _, id := range ids {
+		if id != lead {
+			c.start(id)
+		}
+	}
+	for end := time.Now().Add(800 * time.Millisecond); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if l := c.leases(); len(l) > 1 {
+			t.Fatalf("leases with their terms: %v", l)
+		}
+	}
+}
