raft: Treat missing files of a member as corruption

An instance whose log was removed in part (the removal of a corrupt log starts with term and votes and a power loss can interrupt it) tried to open it again every second for the rest of its life, and was missing from the group without a sign but log.openFailed: one tolerated loss fewer.

Cause: only errors of class Corrupt lead to a new, empty log; missing files were plain errors. They mean the same: acknowledged records may be gone. The member now joins again under a new incarnation, as after the loss of its disk. Class of fault: a lost member that the group does not know to be lost.

--- a/internal/raft/load.go
+++ b/internal/raft/load.go
@@ -56,14 +56,14 @@
 	hasState := len(states.Records) > 0
 	switch {
 	case hasState && content.New:
-		return Error.New("group %d: the log is missing although the member has started before", g.cfg.Group)
+		return walog.Corrupt.New("group %d: the log is missing although the member has started before", g.cfg.Group)
 	case hasState:
 		g.state = &raftpb.State{}
 		// Before the restart this member may have confirmed a leader's lease.
 		g.lastLeaderContact = g.cfg.Clock()
-		return Error.Wrap(proto.Unmarshal(states.Records[len(states.Records)-1], g.state))
+		return walog.Corrupt.Wrap(proto.Unmarshal(states.Records[len(states.Records)-1], g.state))
 	case snap != nil || len(content.Records) > 0:
-		return Error.New("group %d: term and vote are missing although the member has started before", g.cfg.Group)
+		return walog.Corrupt.New("group %d: term and vote are missing although the member has started before", g.cfg.Group)
 	}
 	return g.saveState(&raftpb.State{Incarnation: rand.Uint64()>>1 + 1})
 }
@@ -90,12 +90,12 @@
 	for i, b := range content.Records {
 		e := &raftpb.Entry{}
 		if err := proto.Unmarshal(b, e); err != nil || e.Index != content.First+uint64(i) {
-			return Error.New("group %d: log record %d is not an entry", g.cfg.Group, content.First+uint64(i))
+			return walog.Corrupt.New("group %d: log record %d is not an entry", g.cfg.Group, content.First+uint64(i))
 		}
 		all = append(all, e)
 	}
 	if content.First > g.base+1 {
-		return Error.New("group %d: the log starts at %d but the snapshot ends at %d", g.cfg.Group, content.First, g.base)
+		return walog.Corrupt.New("group %d: the log starts at %d but the snapshot ends at %d", g.cfg.Group, content.First, g.base)
 	}
 	covered := int(g.base + 1 - content.First)
 	if covered > 0 && (covered > len(all) || all[covered-1].Term != g.baseTerm) {
@@ -143,7 +143,7 @@
 	}
 	snap := &raftpb.Snapshot{}
 	if err := proto.Unmarshal(content, snap); err != nil {
-		return nil, Error.Wrap(err)
+		return nil, walog.Corrupt.Wrap(err)
 	}
 	g.lastSnapshotBytes = len(content)
 	return snap, nil
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -215,8 +215,9 @@
 	cancelLeader   context.CancelFunc
 }
 
-// Open starts the member with the state in cfg.Dir. It returns an error if the
-// state is damaged or partly missing: such a member must be wiped and added again.
+// Open starts the member with the state in cfg.Dir. It returns an error of class
+// walog.Corrupt if the state is damaged or partly missing: such a member must be wiped
+// and added again.
 func Open(cfg Config) (*Group, error) {
 	cfg = cfg.withDefaults()
 	g := &Group{
