claim: Count operations instead of seconds in the linearizability tests

The load of TestClaimsAreLinearizable and TestFullGroupsAreLinearizable was what six clients managed in the time of the faults, about 3 s. A group refuses only once its claims fill it, so with few operations there is nothing to refuse yet.

Each round now waits for 40 operations in addition to its pause, and after the last fault the clients go on until the wanted grants and refusals are there, for at most 30 s. The numbers, the faults, their seed and the check of the history are as before, and no round is shorter.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -353,29 +353,28 @@
 // another one, and a repeated command with a second effect. Leaders are partitioned and
 // connections are reset during the test.
 func TestClaimsAreLinearizable(t *testing.T) {
-	granted, _ := checkHistory(t, 0)
-	if granted < 50 {
-		t.Fatalf("only %d grants; want at least 50", granted)
-	}
+	checkHistory(t, 0, 50, 0)
 }
 
 // Guards against a refusal by a full group that still grants the claim, so that a call
 // reported as not executed could run, and against a claim that is evicted to free space.
 func TestFullGroupsAreLinearizable(t *testing.T) {
-	granted, refused := checkHistory(t, 8<<10)
-	if granted < 10 || refused < 50 {
-		t.Fatalf("only %d grants and %d refusals; want at least 10 and 50", granted, refused)
-	}
+	checkHistory(t, 8<<10, 10, 50)
 }
 
+// minRoundOps is the minimum number of operations that end between two faults.
+const minRoundOps = 40
+
 // checkHistory checks that a history of operations on three groups, each limited to
-// limit bytes, is linearizable. It returns the numbers of granted and refused claims.
-func checkHistory(t *testing.T, limit int) (granted, refused int) {
+// limit bytes, is linearizable. The clients go on after the faults until at least
+// minGranted claims were granted and minRefused refused.
+func checkHistory(t *testing.T, limit, minGranted, minRefused int) {
 	const groups = 3
 	t.Log("seed 41")
 	s := newLimitedCluster(t, groups, 150*time.Millisecond, fakeDisk, limit)
 	var mu sync.Mutex
 	var ops []porcupine.Operation
+	var granted, refused, unknown int
 	start := time.Now()
 	record := func(client int, i op, f func() (outcome, error)) outcome {
 		call := time.Since(start)
@@ -392,8 +391,31 @@
 		mu.Lock()
 		defer mu.Unlock()
 		ops = append(ops, porcupine.Operation{ClientId: client, Input: i, Output: o, Call: int64(call), Return: int64(end)})
+		switch {
+		case o.refused:
+			refused++
+		case o.unknown:
+			unknown++
+		case o.state.status == Granted:
+			granted++
+		}
 		return o
 	}
+	counts := func() (total, grants, refusals int) {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(ops), granted, refused
+	}
+	await := func(what string, reached func() bool) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); !reached(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				total, granted, refused := counts()
+				t.Errorf("no %s: %d operations, %d grants, %d refused", what, total, granted, refused)
+				return
+			}
+		}
+	}
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range 6 {
@@ -401,7 +423,9 @@
 	}
 	rng := rand.New(rand.NewPCG(41, 41))
 	for range 6 {
+		before, _, _ := counts()
 		time.Sleep(250 * time.Millisecond)
+		await("operations between two faults", func() bool { total, _, _ := counts(); return total >= before+minRoundOps })
 		isolated := rng.IntN(3)
 		other := s.members[(isolated+1)%3]
 		if rng.IntN(2) == 0 {
@@ -420,25 +444,16 @@
 			s.faults.Set(s.members[isolated].Address, m.ID, faults.Rule{})
 		}
 	}
+	await(fmt.Sprintf("%d grants and %d refusals", minGranted, minRefused), func() bool {
+		_, granted, refused := counts()
+		return granted >= minGranted && refused >= minRefused
+	})
 	close(done)
 	wg.Wait()
-	unknown := 0
-	for _, o := range ops {
-		if o.Output.(outcome).refused {
-			refused++
-		}
-		if o.Output.(outcome).state.status == Granted {
-			granted++
-		}
-		if o.Output.(outcome).unknown {
-			unknown++
-		}
-	}
 	t.Logf("%d operations, %d grants, %d refused, %d of unknown outcome", len(ops), granted, refused, unknown)
 	if res := porcupine.CheckOperationsTimeout(linearModel, ops, 15*time.Second); res != porcupine.Ok {
 		t.Fatalf("linearizability check: %v", res)
 	}
-	return granted, refused
 }
 
 func runClient(s *cluster, n int, done <-chan struct{}, record func(int, op, func() (outcome, error)) outcome) {
