edge: Refuse a rollout only by the newest configuration

Operators got 400, which ends an order, for a rollout of a service that an acknowledged configuration had added, from instances that had not heard of it yet or had no leader.

If that lacks the service, the instance now asks the leader first, and answers 503 if no leader can tell. Heartbeats are still checked against the copy: their senders go on to the next instance whatever the error.

Test: TestRolloutOfANewServiceIsNotRefused, before: 400 at both other instances after most changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -283,6 +283,32 @@
 	return state.Rollouts, err
 }
 
+// ErrUnknownService means that the newest configuration does not define a service.
+var ErrUnknownService = Error.New("unknown service")
+
+// CheckService returns nil if the configuration defines the service or there is none yet,
+// and ErrUnknownService if the newest one lacks it. Other errors mean that no leader can
+// tell now which one is the newest.
+func (e *Edge) CheckService(ctx context.Context, name string) error {
+	defined := func() bool { c := e.proxy.Config(); return c == nil || c.Service(name) != nil }
+	if defined() {
+		return nil
+	}
+	asked := e.leaseTime(e.cfg.Clock())
+	if err := e.coord.SyncNow(ctx); err != nil {
+		return err
+	}
+	if defined() {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.confirmedAt.Before(asked) {
+		return coord.ErrUnavailable
+	}
+	return ErrUnknownService
+}
+
 // OrderRollout records an order to move a service to the target version within duration.
 func (e *Edge) OrderRollout(ctx context.Context, service, target string, duration time.Duration) error {
 	return e.coord.OrderRollout(ctx, coord.Rollout{
