node: Refuse changes of members beside a dead voter

An operator who replaced a lost control member by `member add NEW` and then `member remove OLD`, as docs/operators.md said, had the dead member in the group meanwhile: of three voters and a new one three had to answer, so that the next loss ended the group for good, and so did a forgotten remove. `member remove` of a working member beside a dead one was worse: the removal itself could never be committed.

The leader of each group now waits until every other voter has answered since the request. If one has not answered for 2 s, or answers with an empty disk, it refuses with 409 voterSilent, names it and says what to do, unless the change ends that voter's own vote. That never costs tolerance: without a dead voter the majority is at most as large. Changes that leave the voters as they are need no answer.

--- a/internal/contrl/api.go
+++ b/internal/contrl/api.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -261,8 +263,18 @@
 	}{s.cfg.Instance, g.Leader, g.IsLeader, g.Term, append([]MemberStatus{}, g.Members...)}, nil
 }
 
+// VoterSilentError means that a change of members was refused, because these voters do not
+// answer and must be removed, or added again if they have lost their disks, before it.
+type VoterSilentError struct{ Voters []string }
+
+func (e *VoterSilentError) Error() string {
+	v := strings.Join(e.Voters, ", ")
+	return "no answer from " + v + "; first remove " + v + ", or add it again if it runs with an empty disk"
+}
+
 // Membership changes the members of every replicated group of the deployment.
-// Both operations are idempotent and may be called on any member.
+// Both operations are idempotent, may be called on any member and return a
+// *VoterSilentError if a dead voter must be dealt with first.
 type Membership interface {
 	// Add adds an instance as a member. It counts for quorums once it has caught up.
 	Add(ctx context.Context, node string) error
@@ -281,7 +293,12 @@
 	if s.cfg.Membership == nil {
 		return nil, newHTTPError(fasthttp.StatusNotFound, "path", "this process cannot change the members")
 	}
-	if err := change(s.cfg.Membership, ctx, r.param); err != nil {
+	err := change(s.cfg.Membership, ctx, r.param)
+	var silent *VoterSilentError
+	if errors.As(err, &silent) {
+		return nil, newHTTPError(fasthttp.StatusConflict, "voterSilent", err.Error())
+	}
+	if err != nil {
 		return nil, newHTTPError(fasthttp.StatusServiceUnavailable, "outcomeUnknown", "not all groups have changed; repeat the request: "+err.Error())
 	}
 	log.WithField("node", r.param).WithField("operator", r.operator).Info(kind)
--- a/internal/node/change.go
+++ b/internal/node/change.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/structpb"
 
+	"cranberrypath.example/cranberrypath/internal/contrl"
 	"cranberrypath.example/cranberrypath/internal/event"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/raft"
@@ -18,6 +21,9 @@
 	// codeNotLeader is the error code of a member that does not lead the group. The
 	// error message is the leader's peer address, or empty if unknown.
 	codeNotLeader = "notLeader"
+	// codeVoterSilent is the error code of a *contrl.VoterSilentError. The error message holds
+	// the voters, separated by spaces.
+	codeVoterSilent = "voterSilent"
 	// changeRetryDelay is the delay between attempts while a group has no leader or
 	// another change is not committed yet.
 	changeRetryDelay = 100 * time.Millisecond
@@ -46,7 +52,7 @@
 	}
 	for group := range c.groups {
 		if err := c.changeGroupMembers(ctx, group, member, add); err != nil {
-			return Error.New("group %d: %v", group, err)
+			return fmt.Errorf("group %d: %w", group, err)
 		}
 	}
 	c.node.event(event.Of(eventKind).WithInstance(member))
@@ -60,8 +66,9 @@
 		if errors.As(err, &nl) {
 			err = c.forwardMemberChange(ctx, c.node.controlAddress(nl.Leader), group, member, add)
 		}
-		if err == nil {
-			return nil
+		var silent *contrl.VoterSilentError
+		if err == nil || errors.As(err, &silent) {
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -71,11 +78,16 @@
 	}
 }
 
+// applyMemberChange changes the members of a group that this member leads.
 func (c *control) applyMemberChange(ctx context.Context, group int, member string, add bool) error {
+	g := c.groups[group]
+	if err := c.awaitVoters(ctx, g, member, add); err != nil {
+		return err
+	}
 	if add {
-		return c.groups[group].Add(ctx, member)
+		return g.Add(ctx, member)
 	}
-	return c.groups[group].Remove(ctx, member)
+	return g.Remove(ctx, member)
 }
 
 func (c *control) forwardMemberChange(ctx context.Context, addr string, group int, member string, add bool) error {
@@ -86,7 +98,12 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(c.node.net.Call(ctx, addr, memberChangeCall, req, &structpb.Struct{}))
+	err = c.node.net.Call(ctx, addr, memberChangeCall, req, &structpb.Struct{})
+	var remoteErr *link.RemoteError
+	if errors.As(err, &remoteErr) && remoteErr.Code == codeVoterSilent {
+		return &contrl.VoterSilentError{Voters: strings.Fields(remoteErr.Message)}
+	}
+	return Error.Wrap(err)
 }
 
 // handleMemberChange applies a change forwarded by another member to a group that
@@ -105,5 +122,9 @@
 	if errors.As(err, &nl) {
 		return nil, &link.RemoteError{Code: codeNotLeader, Message: c.node.controlAddress(nl.Leader)}
 	}
+	var silent *contrl.VoterSilentError
+	if errors.As(err, &silent) {
+		return nil, &link.RemoteError{Code: codeVoterSilent, Message: strings.Join(silent.Voters, " ")}
+	}
 	return &structpb.Struct{}, err
 }
--- a/internal/site/member_test.go
+++ b/internal/site/member_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +109,61 @@
 		t.Fatalf("got %v, %v", m.Members, err)
 	}
 }
+
+// Guards against a group that a series of replaced members leaves without a majority: a new
+// member was added beside a dead one, which kept its vote, or a working one was removed.
+func TestChangeOfMembersBesideADeadOne(t *testing.T) {
+	s := startControlInstances(t, 4)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	c := s.OperatorClient()
+	defer c.Close()
+	node := func(i int) string { return s.Settings(i).Node }
+	const working, lost, spare = 1, 2, 3
+	for _, i := range []int{spare, lost} {
+		if i == lost {
+			if _, err := c.RemoveMember(ctx, node(spare)); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.Wipe(spare); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.StartInstance(spare); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.StopInstance(ctx, i, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Addresses = slices.DeleteFunc(c.Addresses, func(addr string) bool {
+		return addr == s.Settings(spare).Listen.Operators || addr == s.Settings(lost).Listen.Operators
+	})
+	for _, change := range []struct {
+		name string
+		do   func(context.Context, string) (oprcli.Members, error)
+		node int
+	}{{"add", c.AddMember, spare}, {"remove", c.RemoveMember, working}} {
+		_, err := change.do(ctx, node(change.node))
+		var refused *oprcli.ResponseError
+		if !errors.As(err, &refused) || refused.Code != "voterSilent" || !strings.Contains(refused.Message, node(lost)) {
+			t.Fatalf("%s beside the lost member: got %v, want voterSilent", change.name, err)
+		}
+	}
+	if _, err := c.RemoveMember(ctx, node(lost)); err != nil {
+		t.Fatal(err)
+	}
+	for voter := false; !voter; {
+		m, err := c.AddMember(ctx, node(spare))
+		if err != nil {
+			t.Fatal(err)
+		}
+		voter = len(m.Members) == 3 && !slices.ContainsFunc(m.Members, func(m oprcli.Member) bool { return !m.Voter })
+	}
+	if err := s.StopInstance(ctx, working, false); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.SetPreset(ctx, oprcli.NewCommandID(), "ordinary", 0); err != nil {
+		t.Fatalf("after the next loss: %v", err)
+	}
+}
