raft: Forget a leader that is silent for an election timeout

An instance served by an old configuration for 12 s after it was reachable again, and would have until its old leader came back.

Cause: a follower kept the name of its leader until a candidate or a new leader spoke to it. A member that was removed while it was cut off hears from neither, and its process took the leader from its log on every report, so it asked the dead one again and again. A follower whose election timeout has passed now has no leader, and its process searches like any other.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -17,6 +17,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/disk"
+	"cranberrypath.example/cranberrypath/internal/faults"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/raft"
@@ -94,6 +95,7 @@
 	t         *testing.T
 	seeds     []string
 	instances []*instance
+	links     *faults.Links // between the instances
 }
 
 // usedAddresses counts the allocated loopback addresses. Each instance has its own IP
@@ -107,7 +109,7 @@
 
 func deploy(t *testing.T, disks, others int) *deployment {
 	t.Helper()
-	d := &deployment{t: t}
+	d := &deployment{t: t, links: faults.New()}
 	for range disks + others {
 		d.instances = append(d.instances, &instance{addr: freeAddress()})
 	}
@@ -131,7 +133,7 @@
 func (d *deployment) start(inst *instance, first bool) {
 	d.t.Helper()
 	var err error
-	inst.net, err = link.Listen(link.Config{Node: inst.addr, Listen: inst.addr})
+	inst.net, err = link.Listen(link.Config{Node: inst.addr, Listen: inst.addr, Dial: d.links.Dialer(inst.addr)})
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -504,7 +506,7 @@
 				}
 				return nil, &link.RemoteError{Code: codeNotLeader}
 			})
-			d := &deployment{t: t, seeds: []string{addr}}
+			d := &deployment{t: t, seeds: []string{addr}, links: faults.New()}
 			inst := &instance{addr: freeAddress()}
 			d.start(inst, false)
 			defer d.stop(inst)
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -43,6 +43,11 @@
 			g.becomeFollower("")
 			g.resetElectionTimer(now)
 		}
+		if g.role == Follower && g.leader != "" && !now.Before(g.electionDeadline) {
+			// A member that has been removed does not hear from later leaders, and its callers
+			// must look for them.
+			g.becomeFollower("")
+		}
 		g.transferIfNeeded(now)
 		startElection := g.role != Leader && !stalled && !now.Before(g.electionDeadline) && g.canCampaign()
 		g.mu.Unlock()
