coord: Remove a silent voter while voters enough are left, silent or not

With two tolerated losses that overlap, one member away while another was replaced, a third loss within the tolerance could end the group: 3 of 6 voters were able to vote.

Cause: a silent voter was removed only if as many others as the deployment needs were heard from. But a removal never raises the majority, whoever else is silent; only the size of the group is bounded, for the copies of what is committed. So the silent voters that stay now count towards that size.

Evidence: found by a reviewer with the model of the group.

--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -211,25 +211,29 @@
 			return p.ID, "" // it lost its disk, so it cannot vote until it is added again
 		}
 	}
-	healthyVoters, hasLearner := 0, false
+	voters, hasLearner := 0, false
 	silentVoter, silentLearner := "", ""
 	for _, m := range st.Members {
 		contact, known := contacts[m.ID]
 		silent := known && now.Sub(contact) >= removeSilentAfter
-		hasLearner = hasLearner || m.Learner
 		switch {
 		case silent && m.Learner:
 			silentLearner = m.ID
 		case silent:
 			silentVoter = m.ID
-		case known && !m.Learner:
-			healthyVoters++
+		}
+		if m.Learner {
+			hasLearner = true
+		} else {
+			voters++
 		}
 	}
 	if silentLearner != "" {
 		return "", silentLearner
 	}
-	if silentVoter != "" && healthyVoters >= minVoters {
+	// Silent voters that stay count as well: the others need a smaller majority without
+	// this one, and never a larger one.
+	if silentVoter != "" && voters > minVoters {
 		return "", silentVoter
 	}
 	if hasLearner {
