coord: Count the silence of a new member from when it was added

A new member whose disk hung for a moment was removed within 0.2 s of being added, and added again, until its disk was fast enough: the group did not get the member that it was waiting for.

Cause: the silence of a member without a contact counted from the election of its leader. The same with 12 s, for leaders older than that.

--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -206,7 +206,8 @@
 func nextMembershipChange(st raft.Status, reporting []string, minVoters int, electedAt, now time.Time) (add, remove string) {
 	contacts := map[string]time.Time{st.ID: now}
 	for _, p := range st.Peers {
-		contacts[p.ID] = later(p.Contact, electedAt) // a new leader does not know earlier contacts
+		// A new leader does not know earlier contacts, and a new member has had none.
+		contacts[p.ID] = later(later(p.Contact, p.AddedAt), electedAt)
 		if p.IncarnationMismatch && slices.Contains(reporting, p.ID) {
 			return p.ID, "" // it lost its disk, so it cannot vote until it is added again
 		}
--- a/internal/coord/trace.go
+++ b/internal/coord/trace.go
@@ -20,7 +20,7 @@
 func memberLogs(st raft.Status, electedAt, now time.Time) []memberLog {
 	contacts := map[string]time.Time{st.ID: now}
 	for _, p := range st.Peers {
-		contacts[p.ID] = p.Contact
+		contacts[p.ID] = later(p.Contact, p.AddedAt)
 	}
 	out := make([]memberLog, len(st.Members))
 	for i, m := range st.Members {
--- a/internal/raft/leader.go
+++ b/internal/raft/leader.go
@@ -16,6 +16,7 @@
 	incarnation           uint64
 	nextIndex, matchIndex uint64
 	lastContact           time.Time // when the last confirmed request was sent
+	addedAt               time.Time // when this leader began to replicate to the member
 	incarnationMismatch   bool
 	shuttingDown          bool
 	promoting             bool
@@ -159,7 +160,7 @@
 		}
 		ctx, stop := context.WithCancel(g.leaderCtx)
 		p := &peer{
-			id: m.ID, incarnation: m.Incarnation, nextIndex: g.lastIndex(), needsProbe: true, wake: make(chan struct{}, 1), stop: stop,
+			id: m.ID, incarnation: m.Incarnation, nextIndex: g.lastIndex(), addedAt: g.cfg.Clock(), needsProbe: true, wake: make(chan struct{}, 1), stop: stop,
 		}
 		p.nextIndex = max(p.nextIndex, 1)
 		g.peers[m.ID] = p
--- a/internal/raft/status.go
+++ b/internal/raft/status.go
@@ -10,6 +10,7 @@
 	Member
 	Match   uint64
 	Contact time.Time // when the last confirmed message was sent, by the leader's clock
+	AddedAt time.Time // when this leader began to replicate to the member
 	// IncarnationMismatch means that the process answers with another incarnation: it has lost
 	// its state and must be added again.
 	IncarnationMismatch bool
@@ -63,7 +64,7 @@
 	s.LeaseUntil = g.leaseUntil(g.cfg.Clock())
 	for _, m := range s.Members {
 		if p := g.peers[m.ID]; p != nil {
-			s.Peers = append(s.Peers, PeerStatus{Member: m, Match: p.matchIndex, Contact: p.lastContact, IncarnationMismatch: p.incarnationMismatch})
+			s.Peers = append(s.Peers, PeerStatus{Member: m, Match: p.matchIndex, Contact: p.lastContact, AddedAt: p.addedAt, IncarnationMismatch: p.incarnationMismatch})
 		}
 	}
 	return s
