raft: Elect a leader when the member with the longer log is one term behind

A group of which a majority ran had no leader for good. One member was a term ahead, after an election whose votes were lost; the other had entries that it lacked. The first could not win, because its log was shorter. The second was refused each pre-vote, because the first had reached the term that it asked for, and never learned that term: it took over a term from a response only if the term was later than the one asked for, which in a pre-vote is already the next one.

A member now takes over any term later than its own from a response to its pre-vote, and asks for the term after it.

--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -297,7 +297,11 @@
 	if resp.Stranger || m.Incarnation != 0 && m.Incarnation != resp.FromIncarnation {
 		return Member{}
 	}
-	if resp.Term > req.Term {
+	term := req.Term
+	if req.Kind == raftpb.Kind_KIND_PRE_VOTE {
+		term-- // a voter that has reached the term asked for never grants a pre-vote for it
+	}
+	if resp.Term > term {
 		g.observeTerm(resp.Term)
 	}
 	if !resp.Ok {
