proxy: Log what requests have in common when a server crashes

No line named the prompt parts of a request whose connection broke, nor told a server that had crashed from a connection that was reset. After a broken connection, server.broke now holds the parts that other requests may share, and whether the server has crashed: it was ready and accepts no new connection, or has started anew.

--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -152,6 +152,20 @@
 	return newConn(nc, addr, c.cfg.ReadBufferBytes), nil
 }
 
+// Accepts reports whether a server accepts a new connection. It is true if that cannot be
+// told in time.
+func (c *Client) Accepts(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	defer cancel()
+	nc, err := c.cfg.Dial(ctx, addr)
+	if err == nil {
+		_ = nc.Close()
+		return true
+	}
+	var netErr net.Error
+	return ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 func (c *Client) popIdle(addr string) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/backnd/forward_test.go
+++ b/internal/backnd/forward_test.go
@@ -238,3 +238,32 @@
 		t.Errorf("the next request shared the connection: %v", err)
 	}
 }
+
+// Guards against a server that counts as crashed although it accepts connections, or because
+// the attempt took too long.
+func TestAccepts(t *testing.T) {
+	s := newConnServer(t, func(int, net.Conn, *bufio.Reader) {})
+	closed := newConnServer(t, func(int, net.Conn, *bufio.Reader) {})
+	_ = closed.ln.Close()
+	c := New(Config{})
+	defer c.Close()
+	slow := New(Config{DialTimeout: time.Millisecond, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	defer slow.Close()
+	for _, x := range []struct {
+		name string
+		c    *Client
+		addr string
+		want bool
+	}{
+		{"listening", c, s.ln.Addr().String(), true},
+		{"closed", c, closed.ln.Addr().String(), false},
+		{"unknown in time", slow, closed.ln.Addr().String(), true},
+	} {
+		if got := x.c.Accepts(context.Background(), x.addr); got != x.want {
+			t.Errorf("%s: %v, want %v", x.name, got, x.want)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,6 +78,8 @@
 	// DecodeConfig decodes and validates the content of a configuration.
 	DecodeConfig func(content []byte) (*routes.Config, error)
 	Sender       proxy.Sender
+	// Accepts reports whether a backend server accepts a new connection.
+	Accepts func(ctx context.Context, s roster.Server) bool
 	// AddressTTL is how long callers may cache the result of Addresses.
 	AddressTTL time.Duration
 	Clock      func() time.Time
@@ -146,7 +148,7 @@
 		metricMeter = cfg.Meters
 	}
 	e.proxy, err = proxy.New(proxy.Config{
-		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
+		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
 	})
 	if err == nil && metricMeter != nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -131,4 +131,7 @@
 	p.addLoad(change)
 	p.table.Ended(a.server.ID, route.Result{Cost: a.choice.Cost, Failed: a.failed, ConnectFailed: a.connectFailed, Duration: now.Sub(a.sentAt)}, now)
 	p.recordVersionResult(a, now)
+	if a.connectionBroke() {
+		p.recordBreak(a, now)
+	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -89,6 +89,9 @@
 	Log          log.Interface
 	Seed         uint64
 	Meter        metric.Meter // nil for none
+	// Accepts reports whether a server accepts a new connection. After a broken connection it
+	// tells a server that has crashed from one that has not; nil means that none has.
+	Accepts func(ctx context.Context, s roster.Server) bool
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
 }
