blame: Refuse requests with a prompt part under which servers crash

The path of the platform never asked what the requests at a crash have in common, and package poison counts by the whole request, while no two of these are alike.

Package blame counts the crashes under each prompt part but the last, and under the request as a whole. A completion clears the keys of its request, so sound parts that are often beside the deadly one are acquitted. A key is blamed after three crashes of different servers, one after the other; a key that was sound shortly before, or that another key was always beside, needs more. Crashes under a blamed key are no evidence against others. Only servers that accept no new connection have crashed. Requests with a blamed key are refused before a server is chosen; after 15 s and more, instance after instance may let one through to see whether the key is sound.

Instances exchange the crashes with their reports to the leader and its replies, through relays as well, so that an instance that restarts learns them with its first reply and a new leader has them.

TestPartThatCrashesServers and TestRequestThatCrashesServers failed before: 32 and 20 sends to servers instead of at most 4.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
+	"cranberrypath.example/cranberrypath/internal/blame"
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/link"
@@ -75,6 +76,8 @@
 	// LendNearby admits units of an organisation's rate from the parts of so many instances,
 	// which this instance holds as a relay while there is no leader. Only instances with a
 	// disk need it.
+	// Blame holds the crashes of backend servers, which all instances exchange.
+	Blame      *blame.Ledger
 	LendNearby func(organisation string, units float64, parts int, now time.Time) bool
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
@@ -139,6 +142,7 @@
 	firstAskedAt      time.Time // when this instance was first asked for the founder
 	founderCandidates []string
 	seen              seenVersions       // from the last reply
+	crashesSent       uint64             // change number of Config.Blame up to which seen.feed has the records
 	usageHandover     []*coordpb.Counted // from the last reply
 	borrowFailedAt    time.Time          // when a Borrow call to the leader last failed
 	lastSync          time.Time
@@ -155,6 +159,9 @@
 // Start starts the coordination. Close stops it.
 func Start(cfg Config) *Coord {
 	ctx, cancel := context.WithCancel(context.Background())
+	if cfg.Blame == nil {
+		cfg.Blame = blame.New(cfg.Self.ID)
+	}
 	c := &Coord{
 		cfg: cfg, ctx: ctx, cancel: cancel, syncRequests: make(chan chan error, 16), feed: newFeed(cfg.Self), relay: newRelay(),
 		instances: map[string]Instance{}, serverIDs: map[uint32]string{}, windowsSent: map[int64]float64{},
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -145,7 +145,7 @@
 	c.mu.Unlock()
 	// A relay has the servers from the leader, and a new leader has them as a relay.
 	r := c.cfg.Local.Report(seen.feed == 0 && direct, now)
-	req := c.newSyncRequest(r, seen, number, now)
+	req, lastCrash := c.newSyncRequest(r, seen, number, now)
 	req.Urgent = urgent
 	windows := req.Windows
 	children := c.relay.take(req, now)
@@ -160,6 +160,10 @@
 	c.applyReply(reply, req, sentAt, confirmedAt, now)
 	c.relay.finish(children, reply.Epoch, nil)
 	c.confirmWindows(windows, reply, seen, now)
+	c.crashesSent = lastCrash
+	if reply.Feed != seen.feed {
+		c.crashesSent = 0
+	}
 	if reply.Feed != seen.feed && seen.feed != 0 {
 		// The new leader or relay has none of the earlier reports; the next report is a
 		// full one.
@@ -171,21 +175,25 @@
 	return nil
 }
 
-func (c *Coord) newSyncRequest(r Report, seen seenVersions, number uint64, now time.Time) *coordpb.Sync {
+// newSyncRequest returns the next report, and the change number up to which it contains the
+// crashes.
+func (c *Coord) newSyncRequest(r Report, seen seenVersions, number uint64, now time.Time) (req *coordpb.Sync, crashes uint64) {
 	self := c.cfg.Self
 	self.Ready = r.Ready
-	req := &coordpb.Sync{
+	req = &coordpb.Sync{
 		Node: self.proto(), Feed: seen.feed, Epoch: seen.term, ServersSeen: seen.servers, NodesSeen: seen.instances, RolloutsSeen: seen.rollouts, Held: prefixesToProto(r.Prefixes), HeldSeen: seen.prefixes, Judged: r.VersionResults,
 		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
+	records, lastCrash := c.cfg.Blame.Since(c.crashesSent, maxCrashRecords, now)
+	req.Crashes, req.CrashesSeen = crashesToProto(records, now), seen.crashes
 	for _, s := range r.Servers {
 		req.Servers = append(req.Servers, serverToProto(s, now))
 	}
 	for _, w := range c.windowsDue(r.Windows, now) {
 		req.Windows = append(req.Windows, w.proto())
 	}
-	return req
+	return req, lastCrash
 }
 
 // windowsDue returns the usage windows that have changed since they were last confirmed.
@@ -307,6 +315,7 @@
 
 // applyReply records the reply and passes the changes to Local.
 func (c *Coord) applyReply(reply *coordpb.SyncReply, req *coordpb.Sync, sentAt, confirmedAt, now time.Time) {
+	c.cfg.Blame.Merge(crashesFromProto(reply.Crashes, now), now)
 	v := View{
 		Leader: reply.Leader, Term: reply.Epoch, ReadyInstances: int(reply.Fronts), Levels: countsFromProto(reply.Levels),
 		Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt,
@@ -334,7 +343,7 @@
 	c.usageHandover = reply.Counted
 	c.seen = seenVersions{
 		feed: reply.Feed, term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
-		prefixes: reply.HeldSeen,
+		prefixes: reply.HeldSeen, crashes: reply.CrashesSeen,
 	}
 	v.Loads = c.loadsFromReply(reply, req.Feed)
 	if reply.NodesChanged {
@@ -464,6 +473,7 @@
 func (c *Coord) relaySync(ctx context.Context, req *coordpb.Sync, now time.Time) (proto.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayHoldTime)
 	defer cancel()
+	c.cfg.Blame.Merge(crashesFromProto(req.Crashes, now), now) // in the next report of this instance
 	done := c.relay.add(req, now)
 	elsewhere := time.Duration(req.PartElsewhereMs) * time.Millisecond
 	c.relay.extendPresent(req.Node.Id, elsewhere, now, now.Add(relayHoldTime+quota.NearbyHoldTime))
@@ -481,12 +491,13 @@
 	case <-ctx.Done():
 		return nil, &link.RemoteError{Code: codeNoLeader}
 	}
-	return c.feed.reply(req, c.cfg.Clock()), nil
+	return c.reply(req, c.cfg.Clock()), nil
 }
 
 func (c *Coord) answerSync(agg *aggregator, m *member, req *coordpb.Sync, now time.Time) *coordpb.SyncReply {
 	c.configureLedger(agg, now)
 	agg.applyReport(req, now)
+	c.cfg.Blame.Merge(crashesFromProto(req.Crashes, now), now)
 	cfg, rollouts := m.state.config(), m.state.rollouts()
 	p := published{
 		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
@@ -503,7 +514,7 @@
 		p.counted = agg.usageHandover(now)
 	}
 	c.feed.publish(p)
-	return c.feed.reply(req, now)
+	return c.reply(req, now)
 }
 
 // rolloutsFingerprint hashes the rollouts to a number that differs after each change.
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -101,6 +101,7 @@
 	instances uint64
 	rollouts  uint64
 	prefixes  uint64
+	crashes   uint64
 }
 
 func (n Instance) proto() *coordpb.Node {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/metric"
 
+	"cranberrypath.example/cranberrypath/internal/blame"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/duty"
@@ -96,6 +97,7 @@
 	net               *link.Transport
 	coord             *coord.Coord
 	proxy             *proxy.Proxy
+	blame             *blame.Ledger
 	quota             *quota.Buckets
 	relayQuota        *quota.Buckets // parts of the rates of the instances behind this relay; nil without a disk
 	roster            *roster.Roster
@@ -131,7 +133,7 @@
 		return nil, Error.Wrap(err)
 	}
 	e := &Edge{
-		cfg: cfg, net: network, roster: roster.New(),
+		cfg: cfg, net: network, roster: roster.New(), blame: blame.New(cfg.PeerAddress),
 		outbox: newOutbox(),
 		self: coord.Instance{
 			ID: cfg.PeerAddress, Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, CallerAddress: cfg.CallerAddress,
@@ -150,6 +152,7 @@
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
+		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() },
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -160,7 +163,7 @@
 	}
 	e.coord = coord.Start(coord.Config{
 		Self: e.self, Net: network, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.DataDir, Bootstrap: cfg.Bootstrap,
-		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, LendNearby: e.lendNearby, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
+		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, LendNearby: e.lendNearby, Blame: e.blame, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
 	})
 	if e.self.Durable {
 		e.rolloutController = startRolloutController(e)
@@ -396,6 +399,8 @@
 // Apply implements coord.Local.
 func (e *Edge) Apply(v coord.View, now time.Time) {
 	e.proxy.SetInstances(v.ReadyInstances)
+	e.blame.SetInstances(v.ReadyInstances)
+	e.proxy.LogVerdicts(now)
 	changed := v.Config != nil
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -40,6 +40,7 @@
 	status          int
 	timeToFirstByte time.Duration // 0 without a response
 	err             error
+	completed       bool          // the response is complete and reports no failure
 	lastEventAt     time.Time     // when events last arrived
 	maxEventGap     time.Duration // longest time between events
 	lastByte        *atomic.Int64 // when the server last sent a byte to any request, Unix time in ns
@@ -131,7 +132,10 @@
 	p.addLoad(change)
 	p.table.Ended(a.server.ID, route.Result{Cost: a.choice.Cost, Failed: a.failed, ConnectFailed: a.connectFailed, Duration: now.Sub(a.sentAt)}, now)
 	p.recordVersionResult(a, now)
-	if a.connectionBroke() {
+	switch {
+	case a.completed:
+		p.cfg.Blame.Completed(a.req.blameKeys, now)
+	case a.connectionBroke():
 		p.recordBreak(a, now)
 	}
 }
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/blame"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/route"
@@ -51,6 +52,7 @@
 	refusedByConfig bool          // the configuration has no such route or key
 	configAge       time.Duration // when it was refused; see Config.ConfigAge
 
+	blameKeys    []blame.Key
 	parts        []coord.Part // the last part is specific to this request
 	prefixBlocks []uint64
 
@@ -153,6 +155,10 @@
 	if svc.Engine != nil && svc.Engine.MemoryTokens > 0 && f.r.PromptTokens+f.r.MaxOutputTokens > svc.Engine.MemoryTokens {
 		return &Refusal{Cause: NoServer}
 	}
+	f.blameKeys = f.newBlameKeys()
+	if f.isBlamed(now) {
+		return &Refusal{Cause: CrashesServers, RetryAfter: blamedRetryAfter}
+	}
 	f.parts = chainHashes(f.r.Parts)
 	f.prefixBlocks = blocks(f.parts)
 	f.lastEventID = f.r.LastEventID
@@ -199,6 +205,9 @@
 		if ctx.Err() != nil || !now.Before(f.deadline) {
 			return f.finalError(NoTime)
 		}
+		if f.sends > 0 && f.isBlamed(now) {
+			return f.finalError(CrashesServers)
+		}
 		choice, err := f.p.table.Pick(f.routeQuery(now), now)
 		if errors.Is(err, route.ErrNoServer) && f.p.starting(now) && f.awaitServer(ctx) {
 			continue
@@ -242,8 +251,11 @@
 		f.p.cfg.Quota.Refund(f.org.Name, f.cost())
 	}
 	retryAfter := minRetryAfter
-	if cause == NoServer {
+	switch cause {
+	case NoServer:
 		retryAfter = maxRetryAfter // a server takes seconds to start
+	case CrashesServers:
+		retryAfter = blamedRetryAfter
 	}
 	return &Refusal{Cause: cause, RetryAfter: retryAfter + f.retryJitter()}
 }
@@ -390,6 +402,7 @@
 		return f.responseLost(err)
 	}
 	t.recordFirstByte(resp.Status)
+	t.completed = len(body) <= maxBufferedBytes && resp.Status < http.StatusBadRequest
 	if promisesNotRun(resp.Status) {
 		// Callers take this status as proof that the request did not run.
 		t.failed = true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/blame"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/judge"
 	"cranberrypath.example/cranberrypath/internal/limit"
@@ -40,21 +41,22 @@
 
 // The causes of refusals. With causes up to NoTime the request certainly did not run.
 const (
-	NoConfig    Cause = iota // no configuration is known yet
-	NoRoute                  // no route matches
-	NoKey                    // the API key is unknown or missing
-	StaleConfig              // no route matches or the key is unknown, but the configuration may not be the newest
-	OverQuota                // the organisation exceeds its rate limit
-	NoServer                 // no server can run the request
-	Full                     // all servers tried rejected the request
-	NoTime                   // the deadline expired before a server started the request
-	TimedOut                 // the deadline expired while a server may have run the request
-	Lost                     // a server may have run the request, but its response was lost
+	NoConfig       Cause = iota // no configuration is known yet
+	NoRoute                     // no route matches
+	NoKey                       // the API key is unknown or missing
+	StaleConfig                 // no route matches or the key is unknown, but the configuration may not be the newest
+	OverQuota                   // the organisation exceeds its rate limit
+	NoServer                    // no server can run the request
+	Full                        // all servers tried rejected the request
+	CrashesServers              // it has something in common with requests that crash servers
+	NoTime                      // the deadline expired before a server started the request
+	TimedOut                    // the deadline expired while a server may have run the request
+	Lost                        // a server may have run the request, but its response was lost
 )
 
 // String returns the reason code used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "noTime", "timedOut", "lost"}[c]
+	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "crashesServers", "noTime", "timedOut", "lost"}[c]
 }
 
 // Refusal is the final error of a request that got no response from a backend server.
@@ -92,6 +94,10 @@
 	// Accepts reports whether a server accepts a new connection. After a broken connection it
 	// tells a server that has crashed from one that has not; nil means that none has.
 	Accepts func(ctx context.Context, s roster.Server) bool
+	// Blame finds out which requests crash servers.
+	Blame *blame.Ledger
+	// CrashRecorded is called after a server crashed under a request; nil does nothing.
+	CrashRecorded func()
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
 }
@@ -132,6 +138,9 @@
 	if cfg.ConfigAge == nil {
 		cfg.ConfigAge = func(time.Time) time.Duration { return 0 }
 	}
+	if cfg.Blame == nil {
+		cfg.Blame = blame.New("")
+	}
 	m, err := newRequestMetrics(cfg.Meter)
 	if err != nil {
 		return nil, err
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -154,6 +154,7 @@
 		case err == nil:
 			continue
 		case err == io.EOF:
+			t.completed = true
 			if !f.headerSent {
 				_ = f.writeEvents(resp, nil)
 			}
