blame: Tell apart parts that were at the same crashes

A request and one beside it that are retried together are at the same crashes, and their parts look equally guilty.

Parts with the same crashes are now blamed after three, and requests with them are let through one after the other within seconds: the sound part's completes, and the deadly one's next crash speaks for the others. A request as a whole is no twin of its own parts.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -21,8 +21,7 @@
 
 const (
 	// Threshold is the number of successive crashes after which a key is blamed. Two also
-	// occur to a request that is retried beside the cause of both. Keys with the same
-	// crashes need one more, which mostly tells them apart.
+	// occur to a request that is retried beside the cause of both.
 	Threshold = 3
 	// soundThreshold is the same for a key with which requests completed shortly before the
 	// first crash: what it is often beside is more likely to be the cause.
@@ -32,6 +31,10 @@
 	// each crash beyond Threshold.
 	ProbeInterval = 15 * time.Second
 	maxDoublings  = 5
+	// twinProbeInterval and twinProbeSpacing replace ProbeInterval and probeSpacing for parts
+	// that were at the same crashes, until a request with one of them tells them apart.
+	twinProbeInterval = time.Second
+	twinProbeSpacing  = 500 * time.Millisecond
 	// probeSpacing is the mean time between the probes of a key by two instances. The others
 	// learn of the result of the first within a few reports.
 	probeSpacing = 2 * time.Second
@@ -53,19 +56,22 @@
 	decisionTime = time.Second
 )
 
-// Key identifies a prompt part, or a request as a whole, at a service.
+// Key identifies a prompt part, or a request as a whole, at a service. Its lowest bit is set
+// for a request.
 type Key uint64
 
 // PartKey returns the key of a prompt part at a service.
-func PartKey(service, part string) Key { return hash("part", service, part) }
+func PartKey(service, part string) Key { return hash("part", service, part) &^ 1 }
 
 // RequestKey returns the key of a request as a whole.
 func RequestKey(service, caller, method, target string, body []byte) Key {
 	d := newHash("request", service, caller, method, target)
 	_, _ = d.Write(body) // never fails
-	return Key(d.Sum64())
+	return Key(d.Sum64()) | 1
 }
 
+func (k Key) isRequest() bool { return k&1 == 1 }
+
 // Server identifies one incarnation of a backend server.
 type Server uint64
 
@@ -129,7 +135,8 @@
 	rotatedAt                  time.Time
 
 	blamed    map[Key][]Crash
-	decidedAt time.Time // zero if the records have changed since
+	twins     map[Key]bool // blamed parts whose crashes are also those of other parts
+	decidedAt time.Time    // zero if the records have changed since
 	verdicts  []Verdict
 }
 
@@ -259,12 +266,15 @@
 func (l *Ledger) nextProbe(k Key) time.Time {
 	s := l.suspects[k]
 	last := s.open[len(s.open)-1]
-	d := ProbeInterval << min(max(len(s.open)-Threshold, 0), maxDoublings)
+	d, spacing := ProbeInterval<<min(max(len(s.open)-Threshold, 0), maxDoublings), probeSpacing
+	if l.twins[k] {
+		d, spacing = twinProbeInterval, twinProbeSpacing
+	}
 	if s.probed.After(last.At) {
 		return s.probed.Add(d)
 	}
 	phase := float64(hash(l.self, strconv.FormatUint(uint64(k), 16), strconv.FormatUint(uint64(last.Server), 16))) / (1 << 64)
-	return last.At.Add(d + time.Duration(phase*float64(l.instances)*float64(probeSpacing)))
+	return last.At.Add(d + time.Duration(phase*float64(l.instances)*float64(spacing)))
 }
 
 // Verdicts returns the decisions that have changed since the last call.
@@ -435,8 +445,12 @@
 	l.expire(now)
 	l.decidedAt = now
 	blamed, explained := map[Key][]Crash{}, map[Server]bool{}
+	l.twins = map[Key]bool{}
 	for _, sound := range []bool{false, true} {
 		for found := l.mostCrashes(sound, explained); len(found) > 0; found = l.mostCrashes(sound, explained) {
+			for _, k := range found {
+				l.twins[k] = l.hasTwin(k, explained)
+			}
 			for _, k := range found {
 				blamed[k] = slices.Clone(l.suspects[k].open)
 				for _, c := range blamed[k] {
@@ -461,15 +475,19 @@
 // mostCrashes returns the keys to blame that have the most crashes which are not explained.
 // mu must be held.
 func (l *Ledger) mostCrashes(sound bool, explained map[Server]bool) []Key {
+	needed := Threshold
+	if sound {
+		needed = soundThreshold
+	}
 	var found []Key
 	most := 0
 	for k, s := range l.suspects {
-		if s.sound != sound || len(s.open) < Threshold || s.count(explained) < Threshold {
+		if s.sound != sound || len(s.open) < needed || s.count(explained) < needed {
 			continue
 		}
 		n := s.crashes(explained)
 		switch {
-		case n < most || !l.tellsApart(s, explained):
+		case n < most || l.isOutdone(s, explained):
 		case n > most:
 			most, found = n, []Key{k}
 		default:
@@ -479,41 +497,36 @@
 	return found
 }
 
-// tellsApart reports whether the crashes under s speak against it rather than against
-// another key: none was present at all of them and at others, and if one was present at
-// exactly these, there must be one crash more. A key that was sound before is no
-// alternative to one that was not. mu must be held.
-func (l *Ledger) tellsApart(s *suspect, explained map[Server]bool) bool {
-	servers := map[Server]bool{}
-	for _, c := range s.open {
-		if !explained[c.Server] {
-			servers[c.Server] = true
-		}
-	}
-	needed := Threshold
-	if s.sound {
-		needed = soundThreshold
-	}
-	alike := 0
+// isOutdone reports whether another key was present at all crashes under s and at others. A
+// key that was sound before does not outdo one that was not. mu must be held.
+func (l *Ledger) isOutdone(s *suspect, explained map[Server]bool) bool {
+	n := s.crashes(explained)
 	for _, other := range l.suspects {
-		if other == s || other.sound && !s.sound || len(other.open) < len(servers) {
-			continue
-		}
-		shared := 0
-		for _, c := range other.open {
-			if servers[c.Server] {
-				shared++
-			}
+		if other != s && (s.sound || !other.sound) && other.crashes(explained) > n && other.covers(s, explained) {
+			return true
 		}
-		switch {
-		case shared < len(servers):
-		case other.crashes(explained) > len(servers):
-			return false
-		default:
-			alike = 1
+	}
+	return false
+}
+
+// hasTwin reports whether the crashes under a part are also those under another part, so
+// that either may be the cause. mu must be held.
+func (l *Ledger) hasTwin(k Key, explained map[Server]bool) bool {
+	s := l.suspects[k]
+	n := s.crashes(explained)
+	for other, o := range l.suspects {
+		if o != s && !k.isRequest() && !other.isRequest() && o.sound == s.sound && o.crashes(explained) == n && o.covers(s, explained) {
+			return true
 		}
 	}
-	return s.count(explained) >= needed+alike
+	return false
+}
+
+// covers reports whether s includes all crashes under other that are not explained.
+func (s *suspect) covers(other *suspect, explained map[Server]bool) bool {
+	return !slices.ContainsFunc(other.open, func(c Crash) bool {
+		return !explained[c.Server] && !slices.ContainsFunc(s.open, func(o Crash) bool { return o.Server == c.Server })
+	})
 }
 
 // crashes returns the number of crashes of servers that are not explained.
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -280,6 +280,45 @@
 	}
 }
 
+// Guards against blame for a part that was beside the cause at each crash, for longer than
+// the next request with either needs to tell them apart.
+func TestTwins(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		probe          Key // of the request that is let through
+		crashes        bool
+		deadly, acquit Key
+	}{
+		{"the sound one completes", 4, false, 2, 4},
+		{"the deadly one crashes", 2, true, 2, 4},
+	} {
+		l := New("a")
+		for i := range 3 {
+			l.Crashed(Server(i), []Key{2, 4, 5}, at(100*i), at(100*i+90))
+		}
+		if !isBlamed(l, at(300), 2) || !isBlamed(l, at(300), 4) {
+			t.Errorf("%s: not blamed after three crashes", c.name)
+		}
+		let := 300
+		for isBlamed(l, at(let), c.probe) {
+			if let += 10; let > 3000 {
+				t.Fatalf("%s: no probe within 3 s", c.name)
+			}
+		}
+		if c.crashes {
+			l.Crashed(9, []Key{c.probe}, at(let), at(let+100))
+		} else {
+			l.Completed([]Key{c.probe}, at(let+100))
+		}
+		if now := at(let + 200); !isBlamed(l, now, c.deadly) || isBlamed(l, now, c.acquit) {
+			t.Errorf("%s: the probe does not tell the parts apart", c.name)
+		}
+		if now := at(let).Add(ProbeInterval / 2); !isBlamed(l, now, c.deadly) {
+			t.Errorf("%s: the deadly part is probed again", c.name)
+		}
+	}
+}
+
 // Guards against records that are skipped when they are sent in parts.
 func TestSinceInParts(t *testing.T) {
 	l := New("a")
