blame: Count crashes by the last request that the server held

A part in many requests waits at several servers at a time, and the first of its requests at a server was sent before the crash of another.

What counts now is for how long the server held the last such request. This is a duration, which does not change on the way from instance to instance.

TestCrashesUnderSeveralRequests failed before.

The simulation drew its parts from a map, so a seed did not repeat; now it does.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -50,7 +50,7 @@
 	// that become known later.
 	completionMemory = 5 * time.Second
 	maxCompletions   = 1 << 15
-	// minCorrection is the least correction of a crash's time that is passed on.
+	// minCorrection is the least correction of a crash's times that is passed on.
 	minCorrection = 10 * time.Millisecond
 	// decisionTime is how long a decision holds without new records.
 	decisionTime = time.Second
@@ -94,7 +94,7 @@
 // Crash states that a server crashed while it held a request with a key.
 type Crash struct {
 	Server  Server
-	Sent    time.Time // when the server got the first such request that it held
+	Held    time.Duration // for how long the server held the last such request that it got
 	At      time.Time
 	Cleared bool // a request with the key has completed since
 }
@@ -158,7 +158,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, k := range keys {
-		l.put(k, Crash{Server: s, Sent: sent, At: now}, now)
+		l.put(k, Crash{Server: s, Held: now.Sub(sent), At: now}, now)
 	}
 }
 
@@ -319,14 +319,14 @@
 // put adds a crash and reports whether other instances must learn of a change.
 func (s *suspect) put(c Crash) bool {
 	if s.cleared.Cleared && s.cleared.Server == c.Server {
-		s.cleared = s.cleared.earliest(c)
+		s.cleared = s.cleared.combine(c)
 		return false
 	}
 	i := slices.IndexFunc(s.open, func(o Crash) bool { return o.Server == c.Server })
 	switch {
 	case c.Cleared:
 		if i >= 0 {
-			c = c.earliest(s.open[i])
+			c = c.combine(s.open[i])
 		}
 		if s.cleared.Cleared && !c.At.After(s.cleared.At) {
 			return false
@@ -338,9 +338,9 @@
 		return false
 	case i >= 0:
 		before := s.open[i]
-		s.open[i] = before.earliest(c)
+		s.open[i] = before.combine(c)
 		s.sort()
-		return before.Sent.Sub(c.Sent) >= minCorrection || before.At.Sub(c.At) >= minCorrection
+		return before.Held-c.Held >= minCorrection || before.At.Sub(c.At) >= minCorrection
 	}
 	s.open = append(s.open, c)
 	s.sort()
@@ -354,12 +354,10 @@
 	slices.SortFunc(s.open, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// earliest combines two reports of one crash. A report seems later the longer it was on its
+// combine combines two reports of one crash. A report seems later the longer it was on its
 // way.
-func (c Crash) earliest(other Crash) Crash {
-	if other.Sent.Before(c.Sent) {
-		c.Sent = other.Sent
-	}
+func (c Crash) combine(other Crash) Crash {
+	c.Held = min(c.Held, other.Held)
 	if other.At.Before(c.At) {
 		c.At = other.At
 	}
@@ -388,7 +386,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range s.open {
-		if !explained[c.Server] && !c.Sent.Add(overlap).Before(last) {
+		if !explained[c.Server] && !c.At.Add(overlap-c.Held).Before(last) {
 			n++
 			last = c.At
 		}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -120,7 +120,6 @@
 				r, last := l.Since(seen[from][to], 2, now.Add(-30*time.Millisecond))
 				for i := range r {
 					for j := range r[i].Crashes {
-						r[i].Crashes[j].Sent = r[i].Crashes[j].Sent.Add(30 * time.Millisecond)
 						r[i].Crashes[j].At = r[i].Crashes[j].At.Add(30 * time.Millisecond)
 					}
 				}
@@ -166,7 +165,7 @@
 	l.Completed([]Key{1}, at(1000))
 	var crashes []Crash
 	for i := range 3 {
-		crashes = append(crashes, Crash{Server: Server(i), Sent: at(100 * i), At: at(100*i + 90)})
+		crashes = append(crashes, Crash{Server: Server(i), Held: 90 * time.Millisecond, At: at(100*i + 90)})
 	}
 	l.Merge([]Record{{Key: 1, Crashes: crashes}, {Key: 2, Crashes: crashes}}, at(1100))
 	if isBlamed(l, at(1100), 1) {
@@ -319,6 +318,19 @@
 	}
 }
 
+// Guards against a frequent key whose crashes seem to overlap, since each server held several
+// requests with it.
+func TestCrashesUnderSeveralRequests(t *testing.T) {
+	l := New("a")
+	for i := range 3 {
+		l.Crashed(Server(i), []Key{1}, at(0), at(200*i+190))
+		l.Crashed(Server(i), []Key{1}, at(200*i), at(200*i+190))
+	}
+	if !isBlamed(l, at(1000), 1) {
+		t.Error("not blamed for three crashes, each soon after a request of its own")
+	}
+}
+
 // Guards against records that are skipped when they are sent in parts.
 func TestSinceInParts(t *testing.T) {
 	l := New("a")
--- a/internal/blame/simulation_test.go
+++ b/internal/blame/simulation_test.go
@@ -23,7 +23,7 @@
 	seen, sent  []uint64
 	servers     []*simServer
 	incarnation int
-	deadly      map[Key]bool
+	deadly      []Key
 
 	crashes                       int // under a deadly part
 	sentAfter                     int // requests with a deadly part sent later than 3 s after its fifth crash
@@ -44,7 +44,7 @@
 }
 
 func newSimulation(seed uint64, deadly ...Key) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), deadly: map[Key]bool{}, deadlyCrashes: map[Key][]int{}}
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), deadly: deadly, deadlyCrashes: map[Key][]int{}}
 	s.seen, s.sent = make([]uint64, simInstances), make([]uint64, simInstances)
 	for i := range simInstances {
 		s.ledgers = append(s.ledgers, New(fmt.Sprint(i)))
@@ -54,9 +54,6 @@
 		s.servers = append(s.servers, &simServer{})
 		s.restart(s.servers[len(s.servers)-1], 0)
 	}
-	for _, k := range deadly {
-		s.deadly[k] = true
-	}
 	return s
 }
 
@@ -71,9 +68,7 @@
 		Key(100 + s.rng.IntN(3)), Key(200 + s.rng.IntN(40)), Key(1000 + s.rng.IntN(2000)), Key(1_000_000 + serial),
 	}}
 	if s.rng.Float64() < share {
-		for k := range s.deadly {
-			r.deadly = k
-		}
+		r.deadly = s.deadly[s.rng.IntN(len(s.deadly))]
 		r.keys = append(r.keys, r.deadly)
 	}
 	return r
@@ -157,7 +152,7 @@
 	d := time.Duration(ms) * time.Millisecond
 	for i := range records {
 		for j, c := range records[i].Crashes {
-			records[i].Crashes[j].Sent, records[i].Crashes[j].At = c.Sent.Add(d), c.At.Add(d)
+			records[i].Crashes[j].At = c.At.Add(d)
 		}
 	}
 	return records
--- a/internal/coord/crashes.go
+++ b/internal/coord/crashes.go
@@ -30,7 +30,7 @@
 		out[i] = &coordpb.Crashes{Key: uint64(r.Key), Sound: r.Sound}
 		for _, c := range r.Crashes {
 			out[i].Servers = append(out[i].Servers, uint64(c.Server))
-			out[i].SentAgoMs = append(out[i].SentAgoMs, max(now.Sub(c.Sent).Milliseconds(), 0))
+			out[i].HeldMs = append(out[i].HeldMs, max(c.Held.Milliseconds(), 0))
 			out[i].AgoMs = append(out[i].AgoMs, max(now.Sub(c.At).Milliseconds(), 0))
 			out[i].Cleared = append(out[i].Cleared, c.Cleared)
 		}
@@ -42,13 +42,13 @@
 	var out []blame.Record
 	for _, p := range all {
 		n := len(p.Servers)
-		if len(p.SentAgoMs) != n || len(p.AgoMs) != n || len(p.Cleared) != n {
+		if len(p.HeldMs) != n || len(p.AgoMs) != n || len(p.Cleared) != n {
 			continue // malformed message
 		}
 		r := blame.Record{Key: blame.Key(p.Key), Sound: p.Sound}
 		for i, s := range p.Servers {
 			r.Crashes = append(r.Crashes, blame.Crash{
-				Server: blame.Server(s), Sent: now.Add(-time.Duration(p.SentAgoMs[i]) * time.Millisecond),
+				Server: blame.Server(s), Held: time.Duration(p.HeldMs[i]) * time.Millisecond,
 				At: now.Add(-time.Duration(p.AgoMs[i]) * time.Millisecond), Cleared: p.Cleared[i],
 			})
 		}
