cause: Explain refusals for crashes of servers

explain told of a request refused by crashesServers that its cause is unknown. The line of the request now names the key, and the cause blamed shows the crashes under it.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -26,6 +26,7 @@
 	LeaderAway       Code = "leaderAway"       // the instance could not reach the leader
 	OverRate         Code = "overRate"         // the organisation exceeded its rate limit
 	NoServers        Code = "noServers"        // the instance knew no ready server of the service
+	Blamed           Code = "blamed"           // servers crash under what the request holds
 	ServerGone       Code = "serverGone"       // the server deregistered, stopped announcing itself or was ejected
 	ServerFailing    Code = "serverFailing"    // other requests failed at the server too
 	ServerRefused    Code = "serverRefused"    // the server refused the request
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -97,6 +97,15 @@
 			logLine("n1", 300, `"event":"server.left","server":"i-1","service":"s"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
 		}},
+		{"servers crash under a part of the prompt", Blamed, []string{
+			logLine("n2", 100, `"event":"server.broke","server":"i-1","crashed":true,"parts":["p"],"keys":["1f","2e"]`),
+			logLine("n1", 300, `"event":"key.blamed","key":"2e"`),
+			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
+		}},
+		{"servers crash under another part", Unexplained, []string{
+			logLine("n2", 100, `"event":"server.broke","server":"i-1","crashed":true,"parts":["p"],"keys":["1f"]`),
+			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
+		}},
 		{"a server is known", Unexplained, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
@@ -184,7 +193,7 @@
 		t.Fatal(err)
 	}
 	for _, c := range []Code{
-		ConfigBehind, NotInConfig, InstanceStarting, InstanceCutOff, LeaderAway, OverRate, NoServers, ServerGone,
+		ConfigBehind, NotInConfig, InstanceStarting, InstanceCutOff, LeaderAway, OverRate, NoServers, Blamed, ServerGone,
 		ServerFailing, ServerRefused, ServerError, ConnectionLost, NoAnswer, Overloaded, TooLittleTime, Unexplained,
 	} {
 		if !strings.Contains(string(page), "`"+string(c)+"`") {
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -20,6 +20,8 @@
 		return l.rateExceeded(end)
 	case "noServer":
 		return append(l.instanceStarting(end), l.noServers(end)...)
+	case "crashesServers":
+		return l.blamed(end)
 	}
 	f := l.instanceCutOff(end)
 	for i := len(end.attempts) - 1; i >= 0; i-- {
@@ -100,6 +102,19 @@
 	return append(out, l.leaderUnreachable(end)...)
 }
 
+// blamed finds the crashes for which the instance refused a request, by any instance.
+func (l *Logs) blamed(end requestEnd) []Finding {
+	key := end.Detail["key"]
+	e := l.findEvents(time.Time{}, end.Time, func(e event.Event) bool {
+		return e.Kind == "key.blamed" && e.Node == end.Node && e.Detail["key"] == key ||
+			e.Kind == "server.broke" && e.Detail["crashed"] == "true" && strings.Contains(e.Detail["keys"], `"`+key+`"`)
+	}, "key.blamed", "server.broke")
+	if key == "" || len(e) == 0 {
+		return nil
+	}
+	return []Finding{{Blamed, fmt.Sprintf("servers crashed under requests with key %s", key), e[max(len(e)-maxEvidence, 0):]}}
+}
+
 func (l *Logs) noServers(end requestEnd) []Finding {
 	service := end.Detail["service"]
 	ready := map[string]bool{}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -30,7 +30,8 @@
 // isBlamed reports whether the request must not be sent because of what it has in common
 // with requests that crash servers.
 func (f *inflight) isBlamed(now time.Time) bool {
-	_, blamed := f.p.cfg.Blame.Blamed(f.blameKeys, now)
+	k, blamed := f.p.cfg.Blame.Blamed(f.blameKeys, now)
+	f.blamedFor = k
 	return blamed
 }
 
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -53,6 +53,7 @@
 	configAge       time.Duration // when it was refused; see Config.ConfigAge
 
 	blameKeys    []blame.Key
+	blamedFor    blame.Key    // the key for which the request was refused; 0 for none
 	parts        []coord.Part // the last part is specific to this request
 	prefixBlocks []uint64
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -385,6 +385,9 @@
 	if len(f.attemptLogs) > 0 {
 		fields["tried"] = f.attemptLogs
 	}
+	if f.blamedFor != 0 {
+		fields["key"] = hexKeys([]blame.Key{f.blamedFor})[0]
+	}
 	if f.lastErr != nil {
 		fields["error"] = f.lastErr.Error()
 	}
