blame: Probe two parts only with requests that tell them apart

Nearly all requests with one part also held another, which was at the same crashes, so that both were blamed, and probes within seconds of each other ended server after server without telling them apart. Only a request that holds some of such parts but not all is let through early now.

TestTwinsInEachRequest failed before: 43 crashes in a minute instead of at most 5.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -32,7 +32,8 @@
 	ProbeInterval = 15 * time.Second
 	maxDoublings  = 5
 	// twinProbeInterval and twinProbeSpacing replace ProbeInterval and probeSpacing for parts
-	// that were at the same crashes, until a request with one of them tells them apart.
+	// that were at the same crashes and a request that tells them apart, since it holds only
+	// some of them.
 	twinProbeInterval = time.Second
 	twinProbeSpacing  = 500 * time.Millisecond
 	// probeSpacing is the mean time between the probes of a key by two instances. The others
@@ -135,8 +136,8 @@
 	rotatedAt                  time.Time
 
 	blamed    map[Key][]Crash
-	twins     map[Key]bool // blamed parts whose crashes are also those of other parts
-	decidedAt time.Time    // zero if the records have changed since
+	twins     map[Key][]Key // for blamed parts, the other parts that were at the same crashes
+	decidedAt time.Time     // zero if the records have changed since
 	verdicts  []Verdict
 }
 
@@ -246,7 +247,7 @@
 	for _, k := range keys {
 		if l.blamed[k] != nil {
 			blamed = append(blamed, k)
-			due = due && !now.Before(l.nextProbe(k))
+			due = due && !now.Before(l.nextProbe(k, keys))
 		}
 	}
 	switch {
@@ -261,13 +262,13 @@
 	return 0, false
 }
 
-// nextProbe returns from when on this instance may let a request with a blamed key through.
-// The instances' times are spread, so that one after the other probes. mu must be held.
-func (l *Ledger) nextProbe(k Key) time.Time {
+// nextProbe returns from when on this instance may let a request with the given keys through
+// although one of them is blamed. The instances' times are spread, so that one after the other probes. mu must be held.
+func (l *Ledger) nextProbe(k Key, keys []Key) time.Time {
 	s := l.suspects[k]
 	last := s.open[len(s.open)-1]
 	d, spacing := ProbeInterval<<min(max(len(s.open)-Threshold, 0), maxDoublings), probeSpacing
-	if l.twins[k] {
+	if slices.ContainsFunc(l.twins[k], func(twin Key) bool { return !slices.Contains(keys, twin) }) {
 		d, spacing = twinProbeInterval, twinProbeSpacing
 	}
 	if s.probed.After(last.At) {
@@ -443,11 +444,11 @@
 	l.expire(now)
 	l.decidedAt = now
 	blamed, explained := map[Key][]Crash{}, map[Server]bool{}
-	l.twins = map[Key]bool{}
+	l.twins = map[Key][]Key{}
 	for _, sound := range []bool{false, true} {
 		for found := l.mostCrashes(sound, explained); len(found) > 0; found = l.mostCrashes(sound, explained) {
 			for _, k := range found {
-				l.twins[k] = l.hasTwin(k, explained)
+				l.twins[k] = l.twinsOf(k, explained)
 			}
 			for _, k := range found {
 				blamed[k] = slices.Clone(l.suspects[k].open)
@@ -507,17 +508,21 @@
 	return false
 }
 
-// hasTwin reports whether the crashes under a part are also those under another part, so
-// that either may be the cause. mu must be held.
-func (l *Ledger) hasTwin(k Key, explained map[Server]bool) bool {
+// twinsOf returns the other parts that were at exactly the crashes under a part, so that
+// each may be the cause. mu must be held.
+func (l *Ledger) twinsOf(k Key, explained map[Server]bool) []Key {
+	if k.isRequest() {
+		return nil
+	}
 	s := l.suspects[k]
 	n := s.crashes(explained)
+	var out []Key
 	for other, o := range l.suspects {
-		if o != s && !k.isRequest() && !other.isRequest() && o.sound == s.sound && o.crashes(explained) == n && o.covers(s, explained) {
-			return true
+		if o != s && !other.isRequest() && o.sound == s.sound && o.crashes(explained) == n && o.covers(s, explained) {
+			out = append(out, other)
 		}
 	}
-	return false
+	return out
 }
 
 // covers reports whether s includes all crashes under other that are not explained.
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -318,6 +318,25 @@
 	}
 }
 
+// Guards against servers that crash one after the other to tell two parts apart, by requests
+// that hold both.
+func TestTwinsInEachRequest(t *testing.T) {
+	l := New("a")
+	crashes := 3
+	for i := range crashes {
+		l.Crashed(Server(i), []Key{2, 4}, at(100*i), at(100*i+90))
+	}
+	for ms := 300; ms < 60_000; ms += 100 {
+		if !isBlamed(l, at(ms), 2, 4) {
+			l.Crashed(Server(crashes), []Key{2, 4}, at(ms), at(ms+90))
+			crashes++
+		}
+	}
+	if crashes > 5 {
+		t.Errorf("%d crashes in a minute, want at most 5", crashes)
+	}
+}
+
 // Guards against a frequent key whose crashes seem to overlap, since each server held several
 // requests with it.
 func TestCrashesUnderSeveralRequests(t *testing.T) {
