--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -384,7 +384,8 @@
 			}
 		}
 	}
-	if ServerOf("i", 1) == ServerOf("i", 2) || ServerOf("i", 1) == ServerOf("j", 1) || ServerOf("i", 1) != ServerOf("i", 1) {
+	first, again := ServerOf("i", 1), ServerOf("i", 1)
+	if first == ServerOf("i", 2) || first == ServerOf("j", 1) || first != again {
 		t.Error("servers are not told apart by name and incarnation")
 	}
 }
--- a/internal/blame/simulation_test.go
+++ b/internal/blame/simulation_test.go
@@ -25,10 +25,10 @@
 	incarnation int
 	deadly      []Key
 
-	crashes                       int // under a deadly part
-	sentAfter                     int // requests with a deadly part sent later than 3 s after its fifth crash
-	deadlyCrashes                 map[Key][]int
-	sound, soundRefused, accepted int
+	crashes             int // under a deadly part
+	sentAfter           int // requests with a deadly part sent later than 3 s after its fifth crash
+	deadlyCrashes       map[Key][]int
+	sound, soundRefused int
 }
 
 type simServer struct {
