--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -358,6 +358,19 @@
 	return addresses[:min(len(addresses), maxAddresses)], e.cfg.AddressTTL
 }
 
+// IsInstanceAddress reports whether an instance accepts callers, operators or peers on an
+// address. A backend server there would make requests circulate.
+func (e *Edge) IsInstanceAddress(addr string) bool {
+	if addr == e.self.CallerAddress || addr == e.self.ControlAddress || addr == e.self.ID {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.instances, func(inst coord.Instance) bool {
+		return addr == inst.CallerAddress || addr == inst.ControlAddress || addr == inst.ID
+	})
+}
+
 // Report implements coord.Local.
 func (e *Edge) Report(full bool, now time.Time) coord.Report {
 	spent := e.quota.TakeSpent()
