edge: Forget backend servers that are gone

The leader forgets a gone server after a minute, but the other instances kept it as long as they ran. An entry with a start time in the future thus hid the true server of its id from each instance until it restarted, and instances that stay up gathered the ids of all servers that ever ran. Instances now forget them after the same time.

TestGoneServersAreForgotten failed before: no usable server.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -414,6 +414,7 @@
 	e.proxy.SetInstances(v.ReadyInstances)
 	e.blame.SetInstances(v.ReadyInstances)
 	e.proxy.LogVerdicts(now)
+	e.roster.ForgetGone(now)
 	changed := v.Config != nil
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -110,14 +110,10 @@
 func (r *Roster) Expire(before, now time.Time) []Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetGone(now)
 	var out []Server
-	for id, e := range r.servers {
-		switch {
-		case e.server.State == world.Gone:
-			if now.Sub(e.lastAnnouncedAt) > goneRetention {
-				delete(r.servers, id)
-			}
-		case e.lastAnnouncedAt.Before(before):
+	for _, e := range r.servers {
+		if e.server.State != world.Gone && e.lastAnnouncedAt.Before(before) {
 			r.lastChange++
 			e.server.State, e.server.Expired, e.changeNumber, e.lastAnnouncedAt = world.Gone, true, r.lastChange, now
 			out = append(out, e.server)
@@ -126,6 +122,22 @@
 	return out
 }
 
+// ForgetGone deletes gone servers after goneRetention.
+func (r *Roster) ForgetGone(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forgetGone(now)
+}
+
+// forgetGone deletes gone servers after goneRetention. mu must be held.
+func (r *Roster) forgetGone(now time.Time) {
+	for id, e := range r.servers {
+		if e.server.State == world.Gone && now.Sub(e.lastAnnouncedAt) > goneRetention {
+			delete(r.servers, id)
+		}
+	}
+}
+
 // maxClockSkew is the tolerated clock difference between a server and an instance when
 // the server announces its end.
 const maxClockSkew = time.Second
