route: Clear a server's expected prefill with its last request

A request that declared a prompt of 2^30 tokens added 6 hours to the expected prefill of the server that it was sent to, which then got no other request from that instance while another server was there, also after the request had ended. Without a request in flight nothing is prefilled, so the time is cleared; and a request counts for 2^20 tokens at most in the estimates.

--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -36,6 +36,9 @@
 	// maxLookupTokens is the largest prompt of the lookup class. Longer prompts belong to
 	// the review class, which the route table routes separately.
 	maxLookupTokens = 2048
+	// maxRoutedTokens bounds the tokens that a request adds to the estimates of the route
+	// table, whatever its caller declares.
+	maxRoutedTokens = 1 << 20
 )
 
 // inflight is the state of one request in flight.
@@ -275,7 +278,8 @@
 func (f *inflight) routeQuery(now time.Time) route.Query {
 	q := route.Query{
 		Service: f.service, Version: f.p.versionGroup(f.service), DataCentre: f.p.cfg.DataCentre, Class: world.Call,
-		Prefix: f.prefixBlocks, PromptTokens: f.r.PromptTokens, MaxTokens: f.r.MaxOutputTokens, Exclude: f.triedServers,
+		Prefix: f.prefixBlocks, PromptTokens: min(f.r.PromptTokens, maxRoutedTokens), MaxTokens: min(f.r.MaxOutputTokens, maxRoutedTokens),
+		Exclude: f.triedServers,
 	}
 	if shared := len(f.parts) - 1; shared > 0 {
 		q.AffinityKey = f.parts[shared-1].Hash
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -368,3 +368,35 @@
 		t.Errorf("%d blocks, want 5", got)
 	}
 }
+
+// Guards against one request that declares a huge prompt and thereby keeps a backend
+// server from getting others for hours.
+func TestHugePromptDoesNotBlockAServer(t *testing.T) {
+	s := &scriptedSender{}
+	for range 41 {
+		s.responses = append(s.responses, scriptedResponse{status: 200, body: "ok"})
+	}
+	p := newProxy(t, s, 2)
+	c := testConfig(t)
+	c.Services[0].Engine = nil
+	p.SetConfig(c, time.Now())
+	now := time.Now()
+	for i := range 41 {
+		r := &Request{ID: fmt.Sprint(i), Method: "GET", Host: "h", Path: "/safe/", URI: "/safe/", Arrived: now, CallerTimeout: 5 * time.Second, Key: "k"}
+		if i == 0 {
+			r.HasTokens, r.PromptTokens = true, 1<<30
+		}
+		if err := p.Serve(context.Background(), httptest.NewRecorder(), r); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	first, n := s.attempts[0].Server.ID, 0
+	for _, a := range s.attempts[1:] {
+		if a.Server.ID == first {
+			n++
+		}
+	}
+	if n < 5 {
+		t.Errorf("%d of 40 requests reached the server of the huge one", n)
+	}
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -329,6 +329,9 @@
 	}
 	s.outstanding--
 	s.recordChange(now, -1)
+	if s.outstanding == 0 {
+		s.prefillUntil = now // no request is left whose prompt could be prefilled
+	}
 	if res.Cost.Class == world.Review && s.outstandingReviews > 0 {
 		s.outstandingReviews--
 	}
