backnd: Reject announcements whose numbers are out of range

Instances exchange slots, blocks and requests in 32 bits, so an announcement with 2^32+1 slots had one slot on every other instance. An incarnation, sequence number or number of a cache event of 2^64-1 left no room for the next one, and port 0 and the unspecified address put a server into use that nobody can connect to. Such announcements, and names of more than 256 bytes, are rejected.

--- a/internal/backnd/wire.go
+++ b/internal/backnd/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -129,6 +130,14 @@
 	return a, nil
 }
 
+// Bounds of what an announcement may state. Instances exchange counts in 32 bits, and no
+// later announcement could exceed the highest incarnation or sequence number.
+const (
+	maxNameBytes = 256
+	maxCount     = 1<<31 - 1
+	maxNumber    = 1<<63 - 1
+)
+
 func (w *wireAnnouncement) validate() (world.State, error) {
 	var state world.State
 	switch w.State {
@@ -142,14 +151,20 @@
 		return 0, Error.New("state is %q; want starting, ready or leaving", w.State)
 	}
 	const maxAgeMillis = 3_600_000
-	_, addrErr := netip.ParseAddrPort(w.Address)
+	addr, addrErr := netip.ParseAddrPort(w.Address)
 	switch {
-	case w.ID == "" || len(w.ID) > 256:
-		return 0, Error.New("id has %d bytes; want 1 to 256", len(w.ID))
+	case w.ID == "" || len(w.ID) > maxNameBytes:
+		return 0, Error.New("id has %d bytes; want 1 to %d", len(w.ID), maxNameBytes)
 	case w.Service == "":
 		return 0, Error.New("service is missing")
-	case addrErr != nil:
-		return 0, Error.New("address is %q; want an IP address and port", w.Address)
+	case max(len(w.Service), len(w.Role), len(w.DataCentre), len(w.Zone), len(w.MachineClass)) > maxNameBytes || slices.ContainsFunc(slices.Concat(w.Versions, w.Adapters), func(name string) bool { return len(name) > maxNameBytes }):
+		return 0, Error.New("a name has more than %d bytes", maxNameBytes)
+	case addrErr != nil || addr.Port() == 0 || addr.Addr().Zone() != "" || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
+		return 0, Error.New("address is %.80q; want an IP address and port", w.Address)
+	case w.Incarnation > maxNumber || w.Seq > maxNumber || w.CacheEvents != nil && w.CacheEvents.From > maxNumber:
+		return 0, Error.New("incarnation, seq and from must not exceed %d", uint64(maxNumber))
+	case max(w.Slots, w.CacheBlocks, w.Load.Running, w.Load.Waiting) > maxCount || w.Price > maxCount || w.Load.TokensPerSecond > maxCount:
+		return 0, Error.New("slots, cacheBlocks, price and load must not exceed %d", maxCount)
 	case w.Kind != decl.Model && w.Kind != decl.Plain:
 		return 0, Error.New("kind is %q; want model or plain", w.Kind)
 	case w.Slots < 0 || w.CacheBlocks < 0 || w.Load.Running < 0 || w.Load.Waiting < 0 || w.Price < 0:
--- a/internal/backnd/wire_test.go
+++ b/internal/backnd/wire_test.go
@@ -63,11 +63,46 @@
 	}
 }
 
+// Guards against numbers that change or overflow when other instances get them, and
+// addresses that nobody can connect to.
+func TestAnnouncementOutOfRange(t *testing.T) {
+	for _, tt := range []struct{ old, new string }{
+		{`"slots":8`, `"slots":4294967297`},
+		{`"slots":8`, `"slots":1e300`},
+		{`"cacheBlocks":1000`, `"cacheBlocks":4294967297`},
+		{`"price":1.5`, `"price":1e300`},
+		{`"running":3`, `"running":4294967297`},
+		{`"waiting":1`, `"waiting":9223372036854775807`},
+		{`"tokensPerSecond":90.5`, `"tokensPerSecond":1e300`},
+		{`"prefillMicrosPerToken":60`, `"prefillMicrosPerToken":1e300`},
+		{`"ageMillis":400`, `"ageMillis":9223372036854775807`},
+		{`"from":17`, `"from":18446744073709551615`},
+		{`"incarnation":2`, `"incarnation":18446744073709551615`},
+		{`"seq":9`, `"seq":18446744073709551615`},
+		{`:4000"`, `:0"`},
+		{`:4000"`, `:65536"`},
+		{`127.0.0.1:4000`, `0.0.0.0:4000`},
+		{`127.0.0.1:4000`, `[fe80::1%eth0]:4000`},
+		{`"later":"ignored"`, `"later":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000)},
+		{`"plans"`, `"` + strings.Repeat("p", 300) + `"`},
+		{`"v1"`, `"` + strings.Repeat("v", 300) + `"`},
+	} {
+		body := strings.Replace(announcementJSON, tt.old, tt.new, 1)
+		if body == announcementJSON {
+			t.Fatalf("%s is not part of the announcement", tt.old)
+		}
+		if a, err := DecodeAnnouncement([]byte(body), testTime); err == nil {
+			t.Errorf("%.60s was accepted as %+v", tt.new, a)
+		}
+	}
+}
+
 func FuzzDecodeAnnouncement(f *testing.F) {
 	f.Add([]byte(announcementJSON))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, err := DecodeAnnouncement(b, testTime)
-		if err == nil && (a.Backend.ID == "" || a.Load.MeasuredAt.After(testTime) || a.Load.PrefillPerToken < 0) {
+		if err == nil && (a.Backend.ID == "" || a.Load.MeasuredAt.After(testTime) || a.Load.PrefillPerToken < 0 ||
+			max(a.Backend.Slots, a.Backend.CacheBlocks, a.Load.Running, a.Load.Waiting) > maxCount || a.Seq > maxNumber || a.CacheEvents != nil && a.CacheEvents.Next() < a.CacheEvents.From) {
 			t.Fatalf("accepted %+v", a)
 		}
 	})
