quota: Bound the wait time of refused requests

With a rate near 0 the wait time overflowed: the longest duration on arm64, to which a jitter was then added, and the lowest on x86-64. It is an hour at most.

TestWaitTimeOfATinyRate failed before for all three rates, on arm64.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -81,9 +81,16 @@
 	return 0
 }
 
+// maxWait bounds the wait times of refused requests; near a rate of 0 they would overflow.
+const maxWait = time.Hour
+
 // waitTime returns how long the level takes to rise until the request is admitted.
 func (r Rule) waitTime(level, units float64) time.Duration {
-	return time.Duration(max(r.minLevel(units)-level, 0) / r.Rate * float64(time.Second))
+	missing := max(r.minLevel(units)-level, 0)
+	if missing >= r.Rate*maxWait.Seconds() {
+		return maxWait
+	}
+	return time.Duration(missing / r.Rate * float64(time.Second))
 }
 
 // Level is the level of a bucket at a time.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -655,3 +655,15 @@
 		}
 	}
 }
+
+// Guards against waiting times that overflow for a rate near 0.
+func TestWaitTimeOfATinyRate(t *testing.T) {
+	for _, rate := range []float64{1e-300, 1e-12, 0} {
+		if d := (Rule{Rate: rate, Burst: 1}).waitTime(-5, 1); d != maxWait {
+			t.Errorf("rate %v: %v, want %v", rate, d, maxWait)
+		}
+	}
+	if d := (Rule{Rate: 10, Burst: 10}).waitTime(-5, 1); d != 500*time.Millisecond {
+		t.Errorf("%v, want 500 ms", d)
+	}
+}
