platform: Keep SIGHUP from ending an instance that starts

SIGHUP ends a Go process until it is handled, which an instance did only after its packages were initialised and its settings read. Settings that changed meanwhile ended it. The signal is ignored early in the initialisation and handled before the settings are read, so that no change is missed.

What remains is the start of the Go runtime. TestReloadWhileSettingsAreRead ended with "signal: hangup" before.

--- a/cmd/cranberrypath/main.go
+++ b/cmd/cranberrypath/main.go
@@ -6,10 +6,11 @@
 
 	"cranberrypath.example/cranberrypath/internal/comand"
 	"cranberrypath.example/cranberrypath/platform"
+	"cranberrypath.example/cranberrypath/platform/hangup"
 )
 
 func main() {
 	os.Exit(comand.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr, comand.Extra{
-		Name: "platform", Summary: "run one process on the Carnmore Plinth platform", Run: platform.Run,
+		Name: hangup.Command, Summary: "run one process on the Carnmore Plinth platform", Run: platform.Run,
 	}))
 }
