proxy: Send nothing more to a server that says in a response that it leaves

Servers now say in all their responses that they leave, but this was ignored: until its heartbeat said so, a server went on getting requests, and a heartbeat that says ready but has a higher sequence number made it usable again.

The roster marks the incarnation, and the mark goes to the other instances like an announcement. Leaving now comes before the sequence number in the order of announcements, as the end already did, so no replica returns from it, in whatever order reports arrive. A leaving server that falls silent is gone for good. It stays present while it sends heartbeats, so caches are fetched from it as before. If a server had restarted before the request was sent, its new incarnation gave the response and gets the mark when its first heartbeat arrives. A 421 says nothing about the server that was asked.

updateServers copied the roster without a lock, so a copy from before a change could replace the one after it. It takes a lock now.

--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -129,7 +129,7 @@
 		switch e.Kind {
 		case "server.announced":
 			ready[e.Detail["server"]] = e.Detail["state"] == "ready"
-		case "server.left", "server.silent", "server.quiet":
+		case "server.left", "server.leaving", "server.silent", "server.quiet":
 			delete(ready, e.Detail["server"])
 		default:
 			continue
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,6 +109,8 @@
 	draining atomic.Bool
 	relays   atomic.Int32 // number of relays; 0 if the deployment uses none
 
+	serversMu sync.Mutex // held while the roster is copied to the request path
+
 	mu          sync.Mutex
 	confirmedAt time.Time // see coord.View.ConfirmedAt
 	outbox      outbox
@@ -152,7 +154,7 @@
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
-		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() },
+		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -249,7 +251,28 @@
 	return e.coord.SyncNow(ctx)
 }
 
-func (e *Edge) updateServers(now time.Time) { e.proxy.SetServers(e.roster.Present(), now) }
+// markLeaving records that a backend server has said in its response to a request sent at the
+// given time that it leaves, and reports it to the other instances.
+func (e *Edge) markLeaving(s roster.Server, sent time.Time) {
+	leaving, changed := e.roster.MarkLeaving(s.ID, s.Incarnation, sent)
+	if !changed {
+		return
+	}
+	e.updateServers(e.cfg.Clock())
+	e.mu.Lock()
+	e.outbox.add(leaving)
+	e.mu.Unlock()
+	e.cfg.Log.WithFields(log.Fields{"event": "server.leaving", "server": s.ID, "service": s.Service}).Info("backend server said in a response that it leaves")
+	e.coord.SyncSoon()
+}
+
+// updateServers copies the roster to the request path. Without the lock, a copy made before
+// a change could replace the one made after it.
+func (e *Edge) updateServers(now time.Time) {
+	e.serversMu.Lock()
+	defer e.serversMu.Unlock()
+	e.proxy.SetServers(e.roster.Present(), now)
+}
 
 // Configure proposes a configuration. It returns nil once the configuration is durable
 // or superseded by a higher version.
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -351,6 +351,9 @@
 	}
 	defer resp.Body.Close()
 	f.delivered++
+	if !resp.WrongServer { // otherwise the response says nothing about this server
+		p.applyAnswer(server, sent, resp)
+	}
 	if resp.NotRun || resp.WrongServer {
 		t.failed = resp.WrongServer
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBytes)) // lets the connection be reused
@@ -366,6 +369,14 @@
 	return f.forwardResponse(t, resp)
 }
 
+// applyAnswer applies what a server says about itself in its response to a request sent at
+// the given time.
+func (p *Proxy) applyAnswer(s roster.Server, sent time.Time, resp *Response) {
+	if resp.Leaving && p.cfg.ServerLeaves != nil {
+		p.cfg.ServerLeaves(s, sent)
+	}
+}
+
 func (f *inflight) newAttempt(s roster.Server, now time.Time) Attempt {
 	a := Attempt{Server: s, TimeLeft: f.deadline.Sub(now), LastEventID: f.lastEventID}
 	if f.org != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,6 +100,9 @@
 	CrashRecorded func()
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
+	// ServerLeaves is called with a server that says that it leaves, in its response to a
+	// request sent at the given time. SetServers has been called when it returns.
+	ServerLeaves func(s roster.Server, sent time.Time)
 }
 
 // RetryLimit bounds the retries sent to one service by all instances together.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -34,6 +34,7 @@
 	truncated     bool // reading the body ends with an error instead of io.EOF
 	hang          bool // no response until the attempt is cancelled
 	onlyComments  bool // the body is comments until the attempt is cancelled
+	leaving       bool
 }
 
 var (
@@ -73,7 +74,7 @@
 	}
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
-		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream,
+		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving,
 	}, nil
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -59,7 +59,9 @@
 	// NotRun means that the server states that it did not run the request.
 	NotRun bool
 	// WrongServer means that a different server now uses the address.
-	WrongServer   bool
+	WrongServer bool
+	// Leaving means that the server accepts no new requests from now on.
+	Leaving       bool
 	IsEventStream bool // the body is an event stream
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster tracks the backend servers that announce themselves. Replicas on
 // several instances are merged by the incarnation and sequence number of each
-// announcement, so a late or duplicate announcement never revives a server that has
-// left or restarted.
+// announcement, so a late or duplicate announcement never revives a server that is
+// leaving, has left or has restarted.
 package roster
 
 import (
@@ -39,13 +39,27 @@
 // announcedEnd reports whether the server itself announced its end.
 func (s Server) announcedEnd() bool { return s.State == world.Gone && !s.Expired }
 
+// StartedBefore reports whether this incarnation started before t.
+func (s Server) StartedBefore(t time.Time) bool { return time.UnixMilli(s.Incarnation).Before(t) }
+
+// stage orders the states that an incarnation never returns from: it leaves and ends.
+func (s Server) stage() int {
+	switch {
+	case s.announcedEnd():
+		return 2
+	case s.State == world.Leaving:
+		return 1
+	}
+	return 0
+}
+
 // Newer reports whether s supersedes other, an announcement of the same server.
 func (s Server) Newer(other Server) bool {
 	switch {
 	case s.Incarnation != other.Incarnation:
 		return s.Incarnation > other.Incarnation
-	case s.announcedEnd() != other.announcedEnd():
-		return s.announcedEnd() // the end of an incarnation is final
+	case s.stage() != other.stage():
+		return s.stage() > other.stage()
 	case s.Seq != other.Seq:
 		return s.Seq > other.Seq
 	}
@@ -59,7 +73,11 @@
 type entry struct {
 	server          Server
 	lastAnnouncedAt time.Time
+	lastSeq         uint64 // of any announcement of the incarnation, also one that changes nothing
 	changeNumber    uint64 // number of the last relevant change of the server
+	// saidLeavingTo is when the last request was sent that the server answered by saying that
+	// it leaves.
+	saidLeavingTo time.Time
 }
 
 // Roster holds the known servers. It is safe for concurrent use.
@@ -82,10 +100,20 @@
 		e = &entry{}
 		r.servers[s.ID] = e
 	} else if !s.Newer(e.server) {
+		// A server that leaves may still announce itself as ready. It is present nevertheless.
+		if s.Incarnation == e.server.Incarnation && s.Seq > e.lastSeq && e.server.State == world.Leaving {
+			e.lastSeq, e.lastAnnouncedAt = s.Seq, now
+		}
 		return false
 	}
+	if s.stage() == 0 && s.State != world.Gone && s.StartedBefore(e.saidLeavingTo.Add(-maxClockSkew)) {
+		s.State = world.Leaving // it had restarted before it said so
+	}
 	relevant := e.changeNumber == 0 || changed(e.server, s)
-	e.server, e.lastAnnouncedAt = s, now
+	if s.Incarnation != e.server.Incarnation {
+		e.lastSeq = 0
+	}
+	e.server, e.lastAnnouncedAt, e.lastSeq = s, now, max(e.lastSeq, s.Seq)
 	if relevant {
 		r.lastChange++
 		e.changeNumber = r.lastChange
@@ -105,6 +133,32 @@
 	return a != b
 }
 
+// MarkLeaving records that an incarnation of a server has said in its response to a request
+// sent at the given time that it leaves. It returns the server as it is known now and whether
+// that is a change.
+func (r *Roster) MarkLeaving(id string, incarnation int64, sent time.Time) (Server, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[id]
+	if e == nil {
+		return Server{}, false
+	}
+	if sent.After(e.saidLeavingTo) {
+		e.saidLeavingTo = sent
+	}
+	if e.server.stage() > 0 || e.server.Incarnation != incarnation && !e.server.StartedBefore(sent.Add(-maxClockSkew)) {
+		return Server{}, false
+	}
+	r.lastChange++
+	if e.server.Expired {
+		e.server.Expired = false // an incarnation that leaves does not return
+	} else {
+		e.server.State = world.Leaving
+	}
+	e.changeNumber = r.lastChange
+	return e.server, true
+}
+
 // Expire marks servers as gone that were last announced earlier than before, and
 // deletes gone servers after goneRetention. It returns the servers that it marked.
 func (r *Roster) Expire(before, now time.Time) []Server {
@@ -115,7 +169,9 @@
 	for _, e := range r.servers {
 		if e.server.State != world.Gone && e.lastAnnouncedAt.Before(before) {
 			r.lastChange++
-			e.server.State, e.server.Expired, e.changeNumber, e.lastAnnouncedAt = world.Gone, true, r.lastChange, now
+			// A server that leaves does not return.
+			e.server.State, e.server.Expired = world.Gone, e.server.State != world.Leaving
+			e.changeNumber, e.lastAnnouncedAt = r.lastChange, now
 			out = append(out, e.server)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -33,6 +33,8 @@
 	}{
 		{"ready", []Server{server("a", 1, 1, world.Ready)}, []string{"a"}},
 		{"late ready announcement", []Server{server("a", 1, 3, world.Leaving), server("a", 1, 2, world.Ready)}, nil},
+		{"ready announcement after leaving", []Server{server("a", 1, 3, world.Leaving), server("a", 1, 4, world.Ready)}, nil},
+		{"restart after leaving", []Server{server("a", 1, 3, world.Leaving), server("a", 2, 1, world.Ready)}, []string{"a"}},
 		{"after the end", []Server{server("a", 1, 3, world.Gone), server("a", 1, 9, world.Ready)}, nil},
 		{"restart under the same id", []Server{server("a", 1, 9, world.Gone), server("a", 2, 1, world.Ready)}, []string{"a"}},
 		{"late announcement of the previous incarnation", []Server{server("a", 2, 1, world.Leaving), server("a", 1, 9, world.Ready)}, nil},
@@ -168,3 +170,82 @@
 		t.Errorf("%d servers followed, want the other 90", len(seen))
 	}
 }
+
+// Guards against new requests to a server that has said in a response that it leaves,
+// whatever the announcements say that it sent before or sends later.
+func TestMarkLeaving(t *testing.T) {
+	const sentMillis = 10_000
+	sent := time.UnixMilli(sentMillis)
+	r, replica := New(), New()
+	r.Put(server("a", 1, 5, world.Ready), start)
+	leaving, changed := r.MarkLeaving("a", 1, sent)
+	if !changed || leaving.State != world.Leaving {
+		t.Fatalf("got %v, %v", leaving, changed)
+	}
+	if _, changed := r.MarkLeaving("a", 1, sent); changed {
+		t.Error("the second mark is a change")
+	}
+	if _, changed := r.MarkLeaving("b", 1, sent); changed {
+		t.Error("an unknown server was marked")
+	}
+	replica.Put(server("a", 1, 6, world.Ready), start)
+	if !replica.Put(leaving, start) {
+		t.Error("a replica with a later announcement does not learn of it")
+	}
+	for _, roster := range []*Roster{r, replica} {
+		for seq := range uint64(10) {
+			roster.Put(server("a", 1, seq, world.Ready), start.Add(time.Duration(seq)*time.Second))
+		}
+		if got := ids(roster.Usable()); got != nil {
+			t.Errorf("usable %v after announcements of the same incarnation", got)
+		}
+		if expired := roster.Expire(start.Add(8*time.Second), start.Add(9*time.Second)); len(expired) != 0 || len(roster.Present()) != 1 {
+			t.Errorf("%v expired although it announces itself", expired)
+		}
+		if expired := roster.Expire(start.Add(20*time.Second), start.Add(20*time.Second)); len(expired) != 1 {
+			t.Error("the silent server did not expire")
+		}
+		roster.Put(server("a", 1, 30, world.Ready), start.Add(21*time.Second))
+		if got := ids(roster.Usable()); got != nil {
+			t.Errorf("usable %v after it was silent", got)
+		}
+		if _, changed := roster.MarkLeaving("a", 1, sent); changed {
+			t.Error("a server that is gone was marked")
+		}
+		roster.Put(server("a", sentMillis+1, 1, world.Ready), start)
+		if _, changed := roster.MarkLeaving("a", 1, sent); changed || len(roster.Usable()) != 1 {
+			t.Error("the next incarnation is affected")
+		}
+	}
+}
+
+// Guards against requests to a server that says that it leaves before its announcement shows
+// that it has restarted.
+func TestMarkLeavingAfterARestart(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		started  int64 // of the next incarnation, before the request was sent if negative, in ms
+		wantLeft bool
+	}{
+		{"restarted before the request", -1500, true},
+		{"restarted about the time of the request", -500, false},
+		{"restarted after the request", 10, false},
+	} {
+		const sentMillis = 10_000
+		sent := time.UnixMilli(sentMillis)
+		early, late := New(), New()
+		for _, r := range []*Roster{early, late} {
+			r.Put(server("a", 1, 5, world.Ready), start)
+		}
+		next := server("a", sentMillis+c.started, 1, world.Ready)
+		early.Put(next, start)
+		early.MarkLeaving("a", 1, sent)
+		late.MarkLeaving("a", 1, sent)
+		late.Put(next, start)
+		for _, r := range []*Roster{early, late} {
+			if left := len(r.Usable()) == 0; left != c.wantLeft {
+				t.Errorf("%s: leaving %v, want %v", c.name, left, c.wantLeft)
+			}
+		}
+	}
+}
