proxy: Send nothing to a server for the time that it asks for with 503

A server that turns a request away may say in Retry-After for how long it wants nothing from this instance. This was ignored: the next request went there at once.

The proxy keeps the time for the incarnation, and the route table sends the server nothing until then, not even as the last resort. A later answer can only extend the time. Whether the request may be sent elsewhere depends on Not-Executed alone, as before. The next incarnation starts without it, unless it had started before the request was sent and so gave the answer itself.

If all servers hold off, a request waits if one of them accepts it within half of the latency target and a third of its time: it is served sooner than if the caller came back. Otherwise it is refused at once with the new reason heldOff, and Retry-After is the time until the first server accepts requests. If no server of a rollout's target version accepts a request, it goes to another version; the reverse would exceed the rollout's share. explain knows serversHeldOff.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -25,6 +25,7 @@
 	InstanceCutOff   Code = "instanceCutOff"   // attempts of this instance failed at several servers, those of other instances did not
 	LeaderAway       Code = "leaderAway"       // the instance could not reach the leader
 	OverRate         Code = "overRate"         // the organisation exceeded its rate limit
+	ServersHeldOff   Code = "serversHeldOff"   // each server wanted no requests from the instance
 	NoServers        Code = "noServers"        // the instance knew no ready server of the service
 	Blamed           Code = "blamed"           // servers crash under what the request holds
 	ServerGone       Code = "serverGone"       // the server deregistered, stopped announcing itself or was ejected
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -111,6 +111,14 @@
 			logLine("n1", 300, `"event":"server.leaving","server":"i-1","service":"s"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
 		}},
+		{"the only server wanted no requests", ServersHeldOff, []string{
+			logLine("n1", 300, `"event":"server.heldOff","server":"i-1","service":"s","forMs":2000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"a server wanted no requests before", Unexplained, []string{
+			logLine("n1", 300, `"event":"server.heldOff","server":"i-1","service":"s","forMs":200`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
 		{"a server is known", Unexplained, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
@@ -198,7 +206,7 @@
 		t.Fatal(err)
 	}
 	for _, c := range []Code{
-		ConfigBehind, NotInConfig, InstanceStarting, InstanceCutOff, LeaderAway, OverRate, NoServers, Blamed, ServerGone,
+		ConfigBehind, NotInConfig, InstanceStarting, InstanceCutOff, LeaderAway, OverRate, NoServers, Blamed, ServersHeldOff, ServerGone,
 		ServerFailing, ServerRefused, ServerError, ConnectionLost, NoAnswer, Overloaded, TooLittleTime, Unexplained,
 	} {
 		if !strings.Contains(string(page), "`"+string(c)+"`") {
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -22,6 +22,8 @@
 		return append(l.instanceStarting(end), l.noServers(end)...)
 	case "crashesServers":
 		return l.blamed(end)
+	case "heldOff":
+		return l.serversHeldOff(end)
 	}
 	f := l.instanceCutOff(end)
 	for i := len(end.attempts) - 1; i >= 0; i-- {
@@ -148,6 +150,23 @@
 	return []Finding{{NoServers, fmt.Sprintf("the instance knew no ready server of service %s", service), changes[max(len(changes)-maxEvidence, 0):]}}
 }
 
+// serversHeldOff lists the servers that wanted no requests from the instance when it refused
+// the request.
+func (l *Logs) serversHeldOff(end requestEnd) []Finding {
+	var lines []event.Event
+	for _, e := range l.events {
+		d, _ := numberField(e, "forMs")
+		if e.Kind == "server.heldOff" && e.Node == end.Node && e.Detail["service"] == end.Detail["service"] &&
+			!e.Time.After(end.Time) && end.Time.Sub(e.Time).Milliseconds() <= d {
+			lines = append(lines, e)
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return []Finding{{ServersHeldOff, fmt.Sprintf("%d servers of service %s wanted no requests from the instance, and it knew no other", len(lines), end.Detail["service"]), lines[max(len(lines)-maxEvidence, 0):]}}
+}
+
 // instanceCutOff checks whether attempts of the instance failed at several servers while
 // those of other instances succeeded, as in a network partition.
 func (l *Logs) instanceCutOff(end requestEnd) []Finding {
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -124,7 +125,12 @@
 	if f.p.cfg.Clock().Sub(f.r.Arrived) >= startupWait(f.r.CallerTimeout) {
 		return false
 	}
-	t := time.NewTimer(serverPollInterval)
+	return sleep(ctx, serverPollInterval)
+}
+
+// sleep returns after d, or false as soon as ctx is done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -212,14 +218,23 @@
 		if f.sends > 0 && f.isBlamed(now) {
 			return f.finalError(CrashesServers)
 		}
-		choice, err := f.p.table.Pick(f.routeQuery(now), now)
+		choice, query, err := f.pick(now)
 		if errors.Is(err, route.ErrNoServer) && f.p.starting(now) && f.awaitServer(ctx) {
 			continue
 		}
 		if err != nil {
 			f.lastErr = err
-			if refused {
+			available, found := f.p.table.AcceptsFrom(query, now)
+			heldOff := found && available.After(now)
+			if heldOff && worthWaiting(now, available, f.r.Arrived, f.deadline, f.route.LatencyTarget) {
+				sleep(ctx, available.Sub(now))
+				continue
+			}
+			switch {
+			case refused:
 				return f.finalError(Full)
+			case heldOff:
+				return f.finalError(HeldOff)
 			}
 			return f.finalError(NoServer)
 		}
@@ -254,14 +269,40 @@
 	if f.org != nil {
 		f.p.cfg.Quota.Refund(f.org.Name, f.cost())
 	}
-	retryAfter := minRetryAfter
+	return &Refusal{Cause: cause, RetryAfter: f.retryAfter(cause, f.p.cfg.Clock()) + f.retryJitter()}
+}
+
+// retryAfter returns when a refused caller should come back, without jitter.
+func (f *inflight) retryAfter(cause Cause, now time.Time) time.Duration {
 	switch cause {
 	case NoServer:
-		retryAfter = maxRetryAfter // a server takes seconds to start
+		return maxRetryAfter // a server takes seconds to start
 	case CrashesServers:
-		retryAfter = blamedRetryAfter
+		return blamedRetryAfter
+	case Full, HeldOff:
+		q := f.routeQuery(now)
+		q.Exclude = nil // the servers tried are open to the next request
+		if available, ok := f.p.table.AcceptsFrom(q, now); ok {
+			return heldOffRetryAfter(now, available)
+		}
+	}
+	return minRetryAfter
+}
+
+// pick selects a server. It returns the query with the version that was used.
+func (f *inflight) pick(now time.Time) (route.Choice, route.Query, error) {
+	q := f.routeQuery(now)
+	choice, err := f.p.table.Pick(q, now)
+	// The share of a rollout's target version is a maximum: if none of its servers accepts
+	// the request, one of another version may.
+	if target, ok := strings.CutPrefix(q.Version, versionPrefix); ok && err != nil {
+		other := q
+		other.Version = otherVersionsPrefix + target
+		if choice, err := f.p.table.Pick(other, now); err == nil {
+			return choice, other, nil
+		}
 	}
-	return &Refusal{Cause: cause, RetryAfter: retryAfter + f.retryJitter()}
+	return choice, q, err
 }
 
 // retryJitter spreads callers that are refused at the same time.
@@ -375,6 +416,9 @@
 	if resp.Leaving && p.cfg.ServerLeaves != nil {
 		p.cfg.ServerLeaves(s, sent)
 	}
+	if resp.RetryAfter > 0 {
+		p.holdOff(s, sent, resp.RetryAfter, p.cfg.Clock())
+	}
 }
 
 func (f *inflight) newAttempt(s roster.Server, now time.Time) Attempt {
@@ -470,7 +514,7 @@
 		return false
 	}
 	now := f.p.cfg.Clock()
-	if _, err := f.p.table.Pick(f.routeQuery(now), now); err != nil {
+	if _, _, err := f.pick(now); err != nil {
 		return false
 	}
 	return f.deadline.Sub(now) > f.route.LatencyTarget/2
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -11,8 +11,8 @@
 
 // requestMetrics holds the metrics of the request path.
 type requestMetrics struct {
-	requests, attempts, fetched   metric.Int64Counter
-	firstByte, duration, eventGap metric.Float64Histogram
+	requests, attempts, fetched, holdOffs metric.Int64Counter
+	firstByte, duration, eventGap         metric.Float64Histogram
 }
 
 // latencyBuckets are the histogram bucket boundaries in seconds.
@@ -30,6 +30,7 @@
 		{&out.requests, "requests", "requests by route, outcome and reason"},
 		{&out.attempts, "attempts", "sends to backend servers by service and outcome"},
 		{&out.fetched, "fetched.tokens", "prompt tokens that servers were told to fetch from others"},
+		{&out.holdOffs, "hold.offs", "times that a backend server wanted no requests for some time, by service"},
 	} {
 		var err error
 		if *c.dst, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -61,6 +62,10 @@
 	m.duration.Record(context.Background(), duration.Seconds(), metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", outcome))))
 }
 
+func (m *requestMetrics) recordHoldOff(service string) {
+	m.holdOffs.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("service", service))))
+}
+
 func (m *requestMetrics) recordAttempt(t *attemptState, outcome string) {
 	service := attribute.String("service", t.server.Service)
 	m.attempts.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(service, attribute.String("outcome", outcome))))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,6 +48,7 @@
 	OverQuota                   // the organisation exceeds its rate limit
 	NoServer                    // no server can run the request
 	Full                        // all servers tried rejected the request
+	HeldOff                     // each server wants no requests from this instance for some time
 	CrashesServers              // it has something in common with requests that crash servers
 	NoTime                      // the deadline expired before a server started the request
 	TimedOut                    // the deadline expired while a server may have run the request
@@ -56,7 +57,7 @@
 
 // String returns the reason code used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "crashesServers", "noTime", "timedOut", "lost"}[c]
+	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "heldOff", "crashesServers", "noTime", "timedOut", "lost"}[c]
 }
 
 // Refusal is the final error of a request that got no response from a backend server.
@@ -133,6 +134,9 @@
 	configuredAt     time.Time               // when the first configuration arrived
 	prefixReportedAt map[prefixKey]time.Time // when each prefix was last reported
 	prefixReports    []coord.CachedPrefix    // queued for the next report
+
+	serversMu sync.Mutex         // held while holdOffs or the servers in table change
+	holdOffs  map[string]holdOff // by server
 }
 
 // New returns a proxy without configuration and servers. It fails only if the
@@ -153,7 +157,7 @@
 		configured: make(chan struct{}),
 		rng:        rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, instances: 1,
 		servers: map[string]roster.Server{}, lastByteNanos: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
-		usageWindows: map[int64]map[string]float64{}, prefixReportedAt: map[prefixKey]time.Time{},
+		holdOffs: map[string]holdOff{}, usageWindows: map[int64]map[string]float64{}, prefixReportedAt: map[prefixKey]time.Time{},
 	}, nil
 }
 
@@ -181,6 +185,9 @@
 // SetServers replaces the set of servers. Ready servers get new requests; other
 // servers may fetch cached prompts from leaving servers.
 func (p *Proxy) SetServers(servers []roster.Server, now time.Time) {
+	p.serversMu.Lock()
+	defer p.serversMu.Unlock()
+	p.pruneHoldOffs(now)
 	p.mu.Lock()
 	targets := map[string]string{}
 	for _, r := range p.rollouts {
@@ -202,7 +209,7 @@
 		b := world.Backend{
 			ID: s.ID, Incarnation: uint64(s.Incarnation), Address: s.Address, Service: s.Service,
 			Versions: []string{anyVersion, versionPrefix + s.Version}, DataCentre: s.DataCentre,
-			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy,
+			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy, AcceptsFrom: p.acceptsFrom(s),
 		}
 		if t := targets[s.Service]; t != "" && t != s.Version {
 			b.Versions = append(b.Versions, otherVersionsPrefix+t)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -35,6 +35,7 @@
 	hang          bool // no response until the attempt is cancelled
 	onlyComments  bool // the body is comments until the attempt is cancelled
 	leaving       bool
+	retryAfter    time.Duration
 }
 
 var (
@@ -74,7 +75,7 @@
 	}
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
-		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving,
+		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving, RetryAfter: resp.retryAfter,
 	}, nil
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -60,6 +60,8 @@
 	NotRun bool
 	// WrongServer means that a different server now uses the address.
 	WrongServer bool
+	// RetryAfter is how long the server wants no requests from this instance; 0 if it did not say.
+	RetryAfter time.Duration
 	// Leaving means that the server accepts no new requests from now on.
 	Leaving       bool
 	IsEventStream bool // the body is an event stream
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -189,6 +189,29 @@
 	return t.best(&list, q, now), true
 }
 
+// AcceptsFrom returns the earliest time from which a server that may run the request accepts
+// it, and false if there is no such server.
+func (t *Table) AcceptsFrom(q Query, now time.Time) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groups[groupKey{q.Service, q.Version}]
+	if g == nil {
+		return time.Time{}, false
+	}
+	var earliest time.Time
+	found := false
+	for _, s := range g.servers {
+		from := now
+		if s.acceptsFrom.After(now) {
+			from = s.acceptsFrom
+		}
+		if s.mayRun(&q, from) && (!found || from.Before(earliest)) {
+			earliest, found = from, true
+		}
+	}
+	return earliest, found
+}
+
 // sample scores fullScanServers/2 servers, at random steps of size/samples on average
 // from a random start. This avoids most repeats without a record of the servers visited.
 func (t *Table) sample(g *group, q *Query, list *shortlist, now time.Time) {
@@ -302,8 +325,13 @@
 	return int(share * float64(q.PromptTokens))
 }
 
-// eligible reports whether the server may run the request at all.
+// eligible reports whether the request may be sent to the server now.
 func (s *server) eligible(q *Query, useEjected bool, now time.Time) bool {
+	return !now.Before(s.acceptsFrom) && s.mayRun(q, now) && (useEjected || !s.health.blocked(now))
+}
+
+// mayRun reports whether the server may run the request at all.
+func (s *server) mayRun(q *Query, now time.Time) bool {
 	if q.Adapter != "" && !slices.Contains(s.backend.Adapters, q.Adapter) {
 		return false
 	}
@@ -313,7 +341,7 @@
 	if !s.backend.LeaveBy.IsZero() && float64(s.backend.LeaveBy.Sub(now)) < noticeSafetyFactor*float64(s.expectedDuration(q)) {
 		return false
 	}
-	return useEjected || !s.health.blocked(now)
+	return true
 }
 
 // expectedDuration estimates how long the request would run on the server.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -23,7 +23,7 @@
 // The errors that Pick returns.
 var (
 	ErrNoServer = Error.New("no backend server runs the service and version")
-	ErrExcluded = Error.New("each backend server is excluded, leaving or without the adapter")
+	ErrExcluded = Error.New("each backend server is excluded, leaving, without the adapter or accepts no requests now")
 )
 
 // Query describes one request to route.
@@ -147,6 +147,7 @@
 	cache              cache
 	health             health
 	leavingSince       time.Time // when the Leaving state was first seen
+	acceptsFrom        time.Time // no request is sent before, also as a last resort
 }
 
 // outstandingChange is one start (+1) or end (-1) of a request.
@@ -195,6 +196,7 @@
 		}
 		if s.backend.Incarnation == b.Incarnation {
 			s.backend = b
+			s.holdOff(b.AcceptsFrom)
 		}
 		if s.backend.State == world.Leaving && s.leavingSince.IsZero() {
 			s.leavingSince = now
@@ -209,6 +211,21 @@
 	t.regroup()
 }
 
+// HoldOff sends an incarnation of a server no requests before the given time.
+func (t *Table) HoldOff(id string, incarnation uint64, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[id]; s != nil && s.backend.Incarnation == incarnation {
+		s.holdOff(until)
+	}
+}
+
+func (s *server) holdOff(until time.Time) {
+	if until.After(s.acceptsFrom) {
+		s.acceptsFrom = until
+	}
+}
+
 func (t *Table) newServer(b world.Backend) *server {
 	t.nextNum++
 	limit := t.cfg.CacheBlocks
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -82,6 +82,8 @@
 	State        State
 	// LeaveBy is the reclaim deadline; zero if there is no reclaim notice.
 	LeaveBy time.Time
+	// AcceptsFrom is when the server accepts new requests again; zero if it does now.
+	AcceptsFrom time.Time
 }
 
 // WithState returns a copy with the given state.
