coord: Accept no reply of an earlier term

For about a second after a change of leader an instance could return to the rollouts and rate levels of the leader before: it lost the new leader and reached the old one, which had not stepped down yet. Versions of a bad rollout could get its share again, and rates the units of the old levels.

Cause: a reply was applied whatever its term. An instance that has had an answer in a term now takes a reply of an earlier one as that of no leader, and goes on searching. Configurations were safe, since their versions only rise.

Evidence: found by a reviewer.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -131,6 +131,11 @@
 }
 
 func (d *deployment) start(inst *instance, first bool) {
+	d.t.Helper()
+	d.startWith(inst, func(cfg *Config) { cfg.Bootstrap = first })
+}
+
+func (d *deployment) startWith(inst *instance, change func(*Config)) {
 	d.t.Helper()
 	var err error
 	inst.net, err = link.Listen(link.Config{Node: inst.addr, Listen: inst.addr, Dial: d.links.Dialer(inst.addr)})
@@ -140,7 +145,7 @@
 	inst.local = &fakeLocal{servers: roster.New()}
 	cfg := Config{
 		Self: Instance{ID: inst.addr, Name: inst.addr, CallerAddress: inst.addr, Durable: inst.fs != nil, Started: time.Now()},
-		Net:  inst.net, Seeds: func() []string { return d.seeds }, Bootstrap: first, MinVoters: 3, Local: inst.local,
+		Net:  inst.net, Seeds: func() []string { return d.seeds }, MinVoters: 3, Local: inst.local,
 		QuotaRules: func() (uint64, map[string]quota.Rule, map[string]quota.Level) {
 			return 1, map[string]quota.Rule{"o": {Rate: 1, Burst: 100}}, nil
 		},
@@ -149,6 +154,7 @@
 	if inst.fs != nil {
 		cfg.FS, cfg.Dir = inst.fs, "data"
 	}
+	change(&cfg)
 	inst.coord = Start(cfg)
 }
 
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -265,6 +265,9 @@
 		relay = remoteErr.Message
 		reply, err = c.callSync(relay, true, relayTimeout, req)
 	}
+	if err == nil && reply.Epoch < req.Epoch {
+		err = &link.RemoteError{Code: codeNotLeader} // a leader that has been replaced without noticing it yet
+	}
 	switch {
 	case err == nil:
 		return reply, nil
