--- a/Makefile
+++ b/Makefile
@@ -51,5 +51,6 @@
 # Runs the program as separate processes and disturbs them from outside.
 SEED ?= 1
 SECONDS ?= 60
+INSTANCES ?= 5
 soak:
-	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) $(GO) test -count=1 -timeout 60m -v -run TestSoak ./platform/soak
+	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) SOAK_INSTANCES=$(INSTANCES) $(GO) test -count=1 -timeout 60m -v -run TestSoak ./platform/soak
