pacing, edge, proxy: Keep all instances within the limit that a server names

Cause: nothing read the limit. No instance knew it, and an instance by itself could not have kept it, since eleven of them share the server.

The limit is decoded beside the other things that servers say in their responses, kept in the roster by incarnation with a version that grows with each change, and reported like an announcement. Package pacing divides it by a hash of the server and the listed instances: a few instances get a part with a token bucket that starts empty, the others send nothing. So the sum holds for limits below one a second, without a message for each request and without a leader; an instance that no leader has answered for 1 s halves its parts. Requests go to other servers at once, which still fetch cached prompts from the limited one, or are refused at once as not run.

The class of fault: what a server says of itself is dropped by the adapter. The own interface has no such statement in its contract.

--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -115,6 +115,15 @@
 			logLine("n1", 300, `"event":"server.heldOff","server":"i-1","service":"s","forMs":2000`),
 			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
 		}},
+		{"the only server had a limit", ServersHeldOff, []string{
+			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"the limit of the only server had ended", Unexplained, []string{
+			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
+			logLine("n3", 400, `"event":"server.limit","server":"i-1","service":"s","limited":false`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
 		{"a server wanted no requests before", Unexplained, []string{
 			logLine("n1", 300, `"event":"server.heldOff","server":"i-1","service":"s","forMs":200`),
 			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -150,21 +151,30 @@
 	return []Finding{{NoServers, fmt.Sprintf("the instance knew no ready server of service %s", service), changes[max(len(changes)-maxEvidence, 0):]}}
 }
 
-// serversHeldOff lists the servers that wanted no requests from the instance when it refused
-// the request.
+// serversHeldOff lists the servers that wanted no requests, or no more, from the instance when
+// it refused the request.
 func (l *Logs) serversHeldOff(end requestEnd) []Finding {
 	var lines []event.Event
+	limits := map[string]event.Event{} // the last change of each server's limit, logged by any instance
 	for _, e := range l.events {
+		if e.Kind == "server.limit" && e.Detail["service"] == end.Detail["service"] && !e.Time.After(end.Time) {
+			limits[e.Detail["server"]] = e
+		}
 		d, _ := numberField(e, "forMs")
 		if e.Kind == "server.heldOff" && e.Node == end.Node && e.Detail["service"] == end.Detail["service"] &&
 			!e.Time.After(end.Time) && end.Time.Sub(e.Time).Milliseconds() <= d {
 			lines = append(lines, e)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(limits)) {
+		if limits[id].Detail["limited"] == "true" {
+			lines = append(lines, limits[id])
+		}
+	}
 	if len(lines) == 0 {
 		return nil
 	}
-	return []Finding{{ServersHeldOff, fmt.Sprintf("%d servers of service %s wanted no requests from the instance, and it knew no other", len(lines), end.Detail["service"]), lines[max(len(lines)-maxEvidence, 0):]}}
+	return []Finding{{ServersHeldOff, fmt.Sprintf("%d servers of service %s wanted no requests, or no more, from the instance, and it knew no other", len(lines), end.Detail["service"]), lines[max(len(lines)-maxEvidence, 0):]}}
 }
 
 // instanceCutOff checks whether attempts of the instance failed at several servers while
--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -173,10 +173,8 @@
 // addServer keeps the newest announcement of a server. mu must be held.
 func (r *relay) addServer(s *coordpb.Server) {
 	if old := r.servers[s.Id]; old != nil {
-		now := time.Time{} // Newer ignores times
-		if !serverFromProto(s, now).Newer(serverFromProto(old, now)) {
-			return
-		}
+		now := time.Time{} // the result has the times of one of the two
+		s = serverToProto(serverFromProto(s, now).MergedWith(serverFromProto(old, now)), now)
 	}
 	r.servers[s.Id] = s
 }
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -127,11 +127,15 @@
 	if !s.LeaveBy.IsZero() {
 		leave = max(s.LeaveBy.Sub(now).Milliseconds(), 0)
 	}
-	return &coordpb.Server{
+	out := &coordpb.Server{
 		Id: s.ID, Born: s.Incarnation, Seq: s.Seq, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
 		Version: s.Version, Slots: uint32(s.Slots), State: uint32(s.State), Silent: s.Expired, Reclaimable: s.Reclaimable,
 		LeaveInMs: leave, ColdMs: s.ColdFor.Milliseconds(),
 	}
+	if s.Limit != (roster.Limit{}) {
+		out.Limit = &coordpb.Limit{Named: s.Limit.Named, Rate: s.Limit.Rate, Version: s.Limit.Version}
+	}
+	return out
 }
 
 func serverFromProto(p *coordpb.Server, now time.Time) roster.Server {
@@ -139,6 +143,7 @@
 		ID: p.Id, Incarnation: p.Born, Seq: p.Seq, Service: p.Service, Address: p.Address, DataCentre: p.DataCentre,
 		Version: p.Version, Slots: int(p.Slots), State: world.State(p.State), Expired: p.Silent, Reclaimable: p.Reclaimable,
 		ColdFor: time.Duration(p.ColdMs) * time.Millisecond,
+		Limit:   roster.Limit{Named: p.Limit.GetNamed(), Rate: p.Limit.GetRate(), Version: p.Limit.GetVersion()},
 	}
 	if p.LeaveInMs != noLeaveTime {
 		s.LeaveBy = now.Add(time.Duration(p.LeaveInMs) * time.Millisecond)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,6 +115,7 @@
 	confirmedAt time.Time // see coord.View.ConfirmedAt
 	outbox      outbox
 	instances   []coord.Instance
+	limits      limitState
 	rollouts    []coord.Rollout
 	quotaRules  map[string]quota.Rule
 }
@@ -154,7 +155,7 @@
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
-		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving,
+		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -271,7 +272,11 @@
 func (e *Edge) updateServers(now time.Time) {
 	e.serversMu.Lock()
 	defer e.serversMu.Unlock()
-	e.proxy.SetServers(e.roster.Present(), now)
+	servers := e.roster.Present()
+	e.mu.Lock()
+	e.limits.any = slices.ContainsFunc(servers, func(s roster.Server) bool { return s.Limit.Named })
+	e.mu.Unlock()
+	e.proxy.SetServers(servers, now)
 }
 
 // Configure proposes a configuration. It returns nil once the configuration is durable
@@ -422,7 +427,10 @@
 }
 
 // ReportFailed implements coord.Local.
-func (e *Edge) ReportFailed(time.Time) {
+func (e *Edge) ReportFailed(now time.Time) {
+	if e.checkTouch(now) {
+		e.updateServers(now)
+	}
 	e.quota.Restore()
 	if e.relayQuota != nil {
 		e.relayQuota.Restore()
@@ -438,7 +446,7 @@
 	e.blame.SetInstances(v.ReadyInstances)
 	e.proxy.LogVerdicts(now)
 	e.roster.ForgetGone(now)
-	changed := v.Config != nil
+	changed := e.setInstances(v, now) || v.Config != nil
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
 	}
@@ -470,9 +478,6 @@
 	}
 	e.outbox.answered()
 	e.outbox.learned(v.Servers)
-	if v.Instances != nil {
-		e.instances = v.Instances
-	}
 	if v.Rollouts != nil {
 		e.rollouts = v.Rollouts
 	}
--- /dev/null
+++ b/internal/edge/limits_test.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/world"
+)
+
+// Guards against an instance that sends by a list of instances which others have replaced, or
+// that sends to a limited server before it is listed or while it stops.
+func TestPartOfLimit(t *testing.T) {
+	now := time.Now()
+	var passed atomic.Int64 // ns since now
+	e, err := Start(Config{
+		Name: "n", PeerAddress: "127.0.0.1:0", Seeds: func() []string { return nil }, HeartbeatInterval: time.Second,
+		Clock:        func() time.Time { return now.Add(time.Duration(passed.Load())) },
+		DecodeConfig: func([]byte) (*routes.Config, error) { return &routes.Config{}, nil }, Log: &log.Logger{Handler: discard.New()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	server := roster.Server{
+		ID: "i", Incarnation: 1, Seq: 1, Service: "s", Address: "10.0.0.9:80", State: world.Ready,
+		Limit: roster.Limit{Named: true, Rate: 6, Version: 1},
+	}
+	self, other := coord.Instance{ID: e.self.ID, Ready: true}, coord.Instance{ID: "10.0.0.1:7600", Ready: true}
+	stopping := self
+	stopping.Ready = false
+	for _, c := range []struct {
+		name   string
+		view   *coord.View // nil for a report that is not answered
+		passed time.Duration
+		want   float64
+	}{
+		{"not listed yet", &coord.View{Servers: []roster.Server{server}, ConfirmedAt: now}, 0, 0},
+		{"listed", &coord.View{Instances: []coord.Instance{self}, ConfirmedAt: now}, 0, 6},
+		{"two instances", &coord.View{Instances: []coord.Instance{self, other}, ConfirmedAt: now}, 0, 3},
+		{"a report is lost", nil, leaderSilence - 1, 3},
+		{"no leader answers", nil, leaderSilence, 1.5},
+		{"a leader that may have been replaced", &coord.View{}, 2 * leaderSilence, 1.5},
+		{"a leader answers again", &coord.View{ConfirmedAt: now.Add(3 * leaderSilence)}, 3 * leaderSilence, 3},
+		{"this instance stops", &coord.View{Instances: []coord.Instance{stopping, other}, ConfirmedAt: now.Add(3 * leaderSilence)}, 3 * leaderSilence, 0},
+	} {
+		passed.Store(int64(c.passed))
+		if c.view != nil {
+			e.Apply(*c.view, now.Add(c.passed))
+		} else {
+			e.ReportFailed(now.Add(c.passed))
+		}
+		if got := e.partOfLimit(server); got != c.want {
+			t.Errorf("%s: a part of %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/edge/outbox.go
+++ b/internal/edge/outbox.go
@@ -25,9 +25,10 @@
 
 // add adds an announcement.
 func (o *outbox) add(s roster.Server) {
-	if known, ok := o.fresh[s.ID]; !ok || s.Newer(known) {
-		o.fresh[s.ID] = s
+	if known, ok := o.fresh[s.ID]; ok {
+		s = s.MergedWith(known)
 	}
+	o.fresh[s.ID] = s
 }
 
 // addAll adds all known servers, to be reported after the announcements.
@@ -40,7 +41,7 @@
 // learned drops servers that the leader has reported itself.
 func (o *outbox) learned(servers []roster.Server) {
 	for _, s := range servers {
-		if mine, ok := o.backlog[s.ID]; ok && !mine.Newer(s) {
+		if mine, ok := o.backlog[s.ID]; ok && s.MergedWith(mine) == s {
 			delete(o.backlog, s.ID)
 		}
 	}
--- a/internal/proxy/holdoff.go
+++ b/internal/proxy/holdoff.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/route"
 )
 
 // holdOff is a time in which a server wants no requests from this instance.
@@ -73,11 +74,12 @@
 	}
 }
 
-// worthWaiting reports whether a request should wait for a server that accepts it at
-// available. A refused caller comes back later than that and on a new connection, so it is
-// served sooner if the request waits, as long as the answer can still meet the target.
-func worthWaiting(now, available, arrived, deadline time.Time, target time.Duration) bool {
-	return available.Sub(arrived) <= target/2 && available.Sub(now) <= deadline.Sub(now)/3
+// worthWaiting reports whether a request should wait for a server. A refused caller comes back
+// later than that and on a new connection, so it is served sooner if the request waits, as long
+// as the answer can still meet the target. For a server with a rate limit it does not wait,
+// because another request may be sent in its place.
+func worthWaiting(now time.Time, o route.Opening, arrived, deadline time.Time, target time.Duration) bool {
+	return !o.Limited && o.At.Sub(arrived) <= target/2 && o.At.Sub(now) <= deadline.Sub(now)/3
 }
 
 // heldOffRetryAfter returns the Retry-After time if no server accepts a request before
--- a/internal/proxy/holdoff_test.go
+++ b/internal/proxy/holdoff_test.go
@@ -10,6 +10,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/route"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -34,9 +35,12 @@
 		{"no target", 0, 1, 5000, 0, false},
 	} {
 		at := func(ms int) time.Time { return arrived.Add(time.Duration(ms) * time.Millisecond) }
-		if got := worthWaiting(at(c.now), at(c.available), arrived, at(c.deadline), c.target); got != c.want {
+		if got := worthWaiting(at(c.now), route.Opening{At: at(c.available)}, arrived, at(c.deadline), c.target); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
+		if worthWaiting(at(c.now), route.Opening{At: at(c.available), Limited: true}, arrived, at(c.deadline), c.target) {
+			t.Errorf("%s: waits for a server with a rate limit", c.name)
+		}
 	}
 }
 
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -224,10 +224,10 @@
 		}
 		if err != nil {
 			f.lastErr = err
-			available, found := f.p.table.AcceptsFrom(query, now)
-			heldOff := found && available.After(now)
-			if heldOff && worthWaiting(now, available, f.r.Arrived, f.deadline, f.route.LatencyTarget) {
-				sleep(ctx, available.Sub(now))
+			opening, found := f.p.table.NextOpening(query, now)
+			heldOff := found && opening.At.After(now)
+			if heldOff && worthWaiting(now, opening, f.r.Arrived, f.deadline, f.route.LatencyTarget) {
+				sleep(ctx, opening.At.Sub(now))
 				continue
 			}
 			switch {
@@ -238,6 +238,9 @@
 			}
 			return f.finalError(NoServer)
 		}
+		if !f.p.table.TakeTurn(choice, now) {
+			continue // another request has taken the server's turn since
+		}
 		// A send that reached no server repeats no work, so the next send is not charged as a
 		// retry.
 		if f.delivered > 0 && !f.retryCharged.Swap(false) && !f.p.budget(f.service).Retry(now) {
@@ -282,8 +285,8 @@
 	case Full, HeldOff:
 		q := f.routeQuery(now)
 		q.Exclude = nil // the servers tried are open to the next request
-		if available, ok := f.p.table.AcceptsFrom(q, now); ok {
-			return heldOffRetryAfter(now, available)
+		if opening, ok := f.p.table.NextOpening(q, now); ok {
+			return heldOffRetryAfter(now, opening.At)
 		}
 	}
 	return minRetryAfter
@@ -416,6 +419,9 @@
 	if resp.Leaving && p.cfg.ServerLeaves != nil {
 		p.cfg.ServerLeaves(s, sent)
 	}
+	if p.cfg.ServerLimit != nil && (resp.Limit.Named || s.Limit.Named) {
+		p.cfg.ServerLimit(s, resp.Limit, sent)
+	}
 	if resp.RetryAfter > 0 {
 		p.holdOff(s, sent, resp.RetryAfter, p.cfg.Clock())
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,7 +48,7 @@
 	OverQuota                   // the organisation exceeds its rate limit
 	NoServer                    // no server can run the request
 	Full                        // all servers tried rejected the request
-	HeldOff                     // each server wants no requests from this instance for some time
+	HeldOff                     // each server wants no requests, or no more, from this instance for some time
 	CrashesServers              // it has something in common with requests that crash servers
 	NoTime                      // the deadline expired before a server started the request
 	TimedOut                    // the deadline expired while a server may have run the request
@@ -104,6 +104,12 @@
 	// ServerLeaves is called with a server that says that it leaves, in its response to a
 	// request sent at the given time. SetServers has been called when it returns.
 	ServerLeaves func(s roster.Server, sent time.Time)
+	// ServerLimit is called with the rate limit that a server names in its response to a
+	// request sent at the given time, or the lack of one. Nil ignores limits.
+	ServerLimit func(s roster.Server, l roster.Limit, sent time.Time)
+	// Part returns this instance's part of the rate that a server with a limit accepts, in
+	// requests a second.
+	Part func(s roster.Server) float64
 }
 
 // RetryLimit bounds the retries sent to one service by all instances together.
@@ -211,6 +217,9 @@
 			Versions: []string{anyVersion, versionPrefix + s.Version}, DataCentre: s.DataCentre,
 			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy, AcceptsFrom: p.acceptsFrom(s),
 		}
+		if s.Limit.Named && p.cfg.Part != nil {
+			b.RateLimited, b.Rate = true, p.cfg.Part(s)
+		}
 		if t := targets[s.Service]; t != "" && t != s.Version {
 			b.Versions = append(b.Versions, otherVersionsPrefix+t)
 		}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -36,6 +36,7 @@
 	onlyComments  bool // the body is comments until the attempt is cancelled
 	leaving       bool
 	retryAfter    time.Duration
+	limit         roster.Limit
 }
 
 var (
@@ -76,6 +77,7 @@
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
 		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving, RetryAfter: resp.retryAfter,
+		Limit: resp.limit,
 	}, nil
 }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -62,6 +62,8 @@
 	WrongServer bool
 	// RetryAfter is how long the server wants no requests from this instance; 0 if it did not say.
 	RetryAfter time.Duration
+	// Limit is the rate that the server says it accepts. Its Version is not set.
+	Limit roster.Limit
 	// Leaving means that the server accepts no new requests from now on.
 	Leaving       bool
 	IsEventStream bool // the body is an event stream
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,6 +34,26 @@
 	Reclaimable bool
 	LeaveBy     time.Time     // when the server will be gone; zero if unknown
 	ColdFor     time.Duration // remaining time of slow responses after a cold start
+	Limit       Limit
+}
+
+// Limit is the rate that a server says in its responses that it accepts.
+type Limit struct {
+	Named   bool    // false if it accepts any rate
+	Rate    float64 // requests a second from all instances together
+	Version uint64  // increases with each change within the server's incarnation
+}
+
+// newer reports whether l supersedes other, a limit of the same incarnation. Of two changes
+// seen at the same time the stricter one holds.
+func (l Limit) newer(other Limit) bool {
+	switch {
+	case l.Version != other.Version:
+		return l.Version > other.Version
+	case l.Named != other.Named:
+		return l.Named
+	}
+	return l.Rate < other.Rate
 }
 
 // announcedEnd reports whether the server itself announced its end.
@@ -66,6 +86,19 @@
 	return s.Expired && !other.Expired
 }
 
+// MergedWith returns what two announcements of the same server tell together. Instances learn
+// the limit from responses, so the newer announcement may lack it.
+func (s Server) MergedWith(other Server) Server {
+	out, older := s, other
+	if other.Newer(s) {
+		out, older = other, s
+	}
+	if out.Incarnation == older.Incarnation && older.Limit.newer(out.Limit) {
+		out.Limit = older.Limit
+	}
+	return out
+}
+
 // goneRetention is how long a gone server is remembered. A heartbeat delayed by a
 // partition arrives within the time for which connections hang.
 const goneRetention = 60 * time.Second
@@ -78,6 +111,7 @@
 	// saidLeavingTo is when the last request was sent that the server answered by saying that
 	// it leaves.
 	saidLeavingTo time.Time
+	limitSince    time.Time // when this instance learned the server's limit, or its end
 }
 
 // Roster holds the known servers. It is safe for concurrent use.
@@ -99,16 +133,21 @@
 	if e == nil {
 		e = &entry{}
 		r.servers[s.ID] = e
-	} else if !s.Newer(e.server) {
+	} else if merged := s.MergedWith(e.server); !s.Newer(e.server) {
 		// A server that leaves may still announce itself as ready. It is present nevertheless.
 		if s.Incarnation == e.server.Incarnation && s.Seq > e.lastSeq && e.server.State == world.Leaving {
 			e.lastSeq, e.lastAnnouncedAt = s.Seq, now
 		}
-		return false
+		return r.setLimit(e, merged.Limit, now)
+	} else {
+		s = merged
 	}
 	if s.stage() == 0 && s.State != world.Gone && s.StartedBefore(e.saidLeavingTo.Add(-maxClockSkew)) {
 		s.State = world.Leaving // it had restarted before it said so
 	}
+	if s.Limit != e.server.Limit {
+		e.limitSince = now
+	}
 	relevant := e.changeNumber == 0 || changed(e.server, s)
 	if s.Incarnation != e.server.Incarnation {
 		e.lastSeq = 0
@@ -159,6 +198,36 @@
 	return e.server, true
 }
 
+// setLimit replaces a server's limit and reports whether that is a change. mu must be held.
+func (r *Roster) setLimit(e *entry, l Limit, now time.Time) bool {
+	if l == e.server.Limit {
+		return false
+	}
+	r.lastChange++
+	e.server.Limit, e.limitSince, e.changeNumber = l, now, r.lastChange
+	return true
+}
+
+// MarkLimit records the limit that an incarnation of a server names in its response to a
+// request sent at the given time, or that it names none. It returns the server as it is known
+// now and whether that is a change. A response without a limit ends the one known only if its
+// request was sent since; the others may be as old as their requests.
+func (r *Roster) MarkLimit(id string, incarnation int64, l Limit, sent, now time.Time) (Server, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.servers[id]
+	if e == nil || e.server.Incarnation != incarnation || !l.Named && sent.Before(e.limitSince) {
+		return Server{}, false
+	}
+	l.Version = e.server.Limit.Version
+	if l == e.server.Limit {
+		return Server{}, false
+	}
+	l.Version++
+	r.setLimit(e, l, now)
+	return e.server, true
+}
+
 // Expire marks servers as gone that were last announced earlier than before, and
 // deletes gone servers after goneRetention. It returns the servers that it marked.
 func (r *Roster) Expire(before, now time.Time) []Server {
--- a/internal/route/holdoff_test.go
+++ b/internal/route/holdoff_test.go
@@ -32,8 +32,8 @@
 				t.Fatalf("%d servers: picked %s, %v", servers, c.Backend.ID, err)
 			}
 		}
-		if from, ok := table.AcceptsFrom(q, start); !ok || !from.Equal(start) {
-			t.Errorf("%d servers: accepted from %v, %v, want at once", servers, from, ok)
+		if o, ok := table.NextOpening(q, start); !ok || !o.At.Equal(start) {
+			t.Errorf("%d servers: accepted from %v, %v, want at once", servers, o.At, ok)
 		}
 		for _, id := range others {
 			table.eject(table.servers[id], start)
@@ -45,11 +45,11 @@
 		if _, err := table.Pick(q, start); !errors.Is(err, ErrExcluded) {
 			t.Errorf("%d servers: %v, want ErrExcluded", servers, err)
 		}
-		from, ok := table.AcceptsFrom(q, start)
-		if want := start.Add(time.Second); !ok || !from.Equal(want) {
-			t.Errorf("%d servers: accepted from %v, %v, want %v", servers, from, ok, want)
+		o, ok := table.NextOpening(q, start)
+		if want := start.Add(time.Second); !ok || !o.At.Equal(want) {
+			t.Errorf("%d servers: accepted from %v, %v, want %v", servers, o.At, ok, want)
 		}
-		if c, err := table.Pick(q, from); err != nil || c.Backend.ID != all[0].ID {
+		if c, err := table.Pick(q, o.At); err != nil || c.Backend.ID != all[0].ID {
 			t.Errorf("%d servers: picked %s, %v at that time, want %s", servers, c.Backend.ID, err, all[0].ID)
 		}
 		all[0].Incarnation++
@@ -59,7 +59,7 @@
 			t.Errorf("%d servers: picked %s, %v, want the next incarnation of %s", servers, c.Backend.ID, err, all[0].ID)
 		}
 		q.Service = "none"
-		if _, ok := table.AcceptsFrom(q, start); ok {
+		if _, ok := table.NextOpening(q, start); ok {
 			t.Errorf("%d servers: a service without servers accepts requests", servers)
 		}
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -189,29 +189,57 @@
 	return t.best(&list, q, now), true
 }
 
-// AcceptsFrom returns the earliest time from which a server that may run the request accepts
+// Opening is when a server accepts a request.
+type Opening struct {
+	At time.Time
+	// Limited means that the server has a rate limit: only one of the requests that wait for
+	// it is accepted.
+	Limited bool
+}
+
+// otherInstanceDelay is when a caller should come back whose request this instance may not
+// send to a server, but others may: the next connection leads to another instance.
+const otherInstanceDelay = 200 * time.Millisecond
+
+// NextOpening returns the earliest time from which a server that may run the request accepts
 // it, and false if there is no such server.
-func (t *Table) AcceptsFrom(q Query, now time.Time) (time.Time, bool) {
+func (t *Table) NextOpening(q Query, now time.Time) (Opening, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.groups[groupKey{q.Service, q.Version}]
 	if g == nil {
-		return time.Time{}, false
+		return Opening{}, false
 	}
-	var earliest time.Time
+	var earliest Opening
 	found := false
 	for _, s := range g.servers {
-		from := now
-		if s.acceptsFrom.After(now) {
-			from = s.acceptsFrom
-		}
-		if s.mayRun(&q, from) && (!found || from.Before(earliest)) {
-			earliest, found = from, true
+		o := s.opening(now)
+		if s.mayRun(&q, o.At) && (!found || o.At.Before(earliest.At)) {
+			earliest, found = o, true
 		}
 	}
 	return earliest, found
 }
 
+func (s *server) opening(now time.Time) Opening {
+	o := Opening{At: now}
+	if s.acceptsFrom.After(now) {
+		o.At = s.acceptsFrom
+	}
+	if !s.pace.Limited() {
+		return o
+	}
+	o.Limited = true
+	next, ok := s.pace.Next(now)
+	if !ok {
+		next = now.Add(otherInstanceDelay)
+	}
+	if next.After(o.At) {
+		o.At = next
+	}
+	return o
+}
+
 // sample scores fullScanServers/2 servers, at random steps of size/samples on average
 // from a random start. This avoids most repeats without a record of the servers visited.
 func (t *Table) sample(g *group, q *Query, list *shortlist, now time.Time) {
@@ -265,6 +293,7 @@
 	}
 	if q.FetchPerToken > 0 {
 		holder, holderTokens = t.leavingHolder(q, holder, holderTokens, now)
+		holder, holderTokens = t.limitedHolder(q, holder, holderTokens)
 	}
 	var out Choice
 	var s *server
@@ -314,6 +343,20 @@
 	return holder, holderTokens
 }
 
+// limitedHolder returns the server with a rate limit that caches most of the prompt if it has
+// more than holder, and holder otherwise. Other servers can fetch from it without a request.
+func (t *Table) limitedHolder(q *Query, holder *server, holderTokens int) (*server, int) {
+	for _, s := range t.limited[q.Service] {
+		if !s.backend.Runs(q.Version) || slices.Contains(q.Exclude, s.backend.ID) {
+			continue
+		}
+		if hit := s.cachedTokens(q); hit > holderTokens {
+			holder, holderTokens = s, hit
+		}
+	}
+	return holder, holderTokens
+}
+
 func (s *server) cachedTokens(q *Query) int {
 	if len(q.Prefix) == 0 {
 		return 0
@@ -327,7 +370,7 @@
 
 // eligible reports whether the request may be sent to the server now.
 func (s *server) eligible(q *Query, useEjected bool, now time.Time) bool {
-	return !now.Before(s.acceptsFrom) && s.mayRun(q, now) && (useEjected || !s.health.blocked(now))
+	return !now.Before(s.acceptsFrom) && s.pace.Admits(now) && s.mayRun(q, now) && (useEjected || !s.health.blocked(now))
 }
 
 // mayRun reports whether the server may run the request at all.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
+	"cranberrypath.example/cranberrypath/internal/pacing"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -105,6 +106,7 @@
 	servers      map[string]*server
 	groups       map[groupKey]*group
 	leaving      map[string][]*server // by service; they accept no requests, but other servers fetch from their caches
+	limited      map[string][]*server // by service, those with a rate limit; other servers fetch from their caches
 	index        *blockIndex
 	nextNum      uint32
 	serversByNum map[uint32]*server // keyed by server.num, for the block index
@@ -148,6 +150,7 @@
 	health             health
 	leavingSince       time.Time // when the Leaving state was first seen
 	acceptsFrom        time.Time // no request is sent before, also as a last resort
+	pace               pacing.Bucket
 }
 
 // outstandingChange is one start (+1) or end (-1) of a request.
@@ -197,6 +200,7 @@
 		if s.backend.Incarnation == b.Incarnation {
 			s.backend = b
 			s.holdOff(b.AcceptsFrom)
+			s.setPace(b, now)
 		}
 		if s.backend.State == world.Leaving && s.leavingSince.IsZero() {
 			s.leavingSince = now
@@ -226,6 +230,30 @@
 	}
 }
 
+func (s *server) setPace(b world.Backend, now time.Time) {
+	if !b.RateLimited {
+		s.pace = pacing.Bucket{}
+		return
+	}
+	s.pace = s.pace.WithRate(b.Rate, now)
+}
+
+// TakeTurn reports whether a request may be sent to the chosen server, which may have a rate
+// limit, and counts it. The caller must send the request or pick again.
+func (t *Table) TakeTurn(c Choice, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[c.Backend.ID]
+	if s == nil || s.num != c.Cost.server || !s.pace.Limited() {
+		return true
+	}
+	if !s.pace.Admits(now) {
+		return false
+	}
+	s.pace = s.pace.WithSent(now)
+	return true
+}
+
 func (t *Table) newServer(b world.Backend) *server {
 	t.nextNum++
 	limit := t.cfg.CacheBlocks
@@ -240,7 +268,7 @@
 
 func (t *Table) regroup() {
 	old := t.groups
-	t.groups, t.leaving = map[groupKey]*group{}, map[string][]*server{}
+	t.groups, t.leaving, t.limited = map[groupKey]*group{}, map[string][]*server{}, map[string][]*server{}
 	for _, s := range t.servers {
 		s.group = nil
 		if s.backend.State == world.Leaving {
@@ -249,6 +277,9 @@
 		if s.backend.State != world.Ready {
 			continue
 		}
+		if s.backend.RateLimited {
+			t.limited[s.backend.Service] = append(t.limited[s.backend.Service], s)
+		}
 		for _, v := range s.backend.Versions {
 			key := groupKey{s.backend.Service, v}
 			g := t.groups[key]
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -84,6 +84,10 @@
 	LeaveBy time.Time
 	// AcceptsFrom is when the server accepts new requests again; zero if it does now.
 	AcceptsFrom time.Time
+	// RateLimited means that the server accepts requests at a limited rate. Rate is this
+	// instance's part of it, in requests a second.
+	RateLimited bool
+	Rate        float64
 }
 
 // WithState returns a copy with the given state.
