entry: Refuse calls that may not complete before a planned stop

An instance that stops refuses such calls as not run unless their service's time limit is over before responses end; another instance takes them. Calls that may be repeated and model requests, which are handed over to another instance, go on as before.

TestLateCallsOfAPlannedStop failed before ("connection reset by peer") and passes now. The tests of internal/site and internal/entry pass (one run each).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -293,6 +293,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-handover))
 		defer cancel()
+		e.server.stopAt.Store(deadline.Add(-handover).UnixNano())
 	}
 	sleep(ctx, keep)
 	err := e.server.stop(ctx)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -64,6 +64,11 @@
 		version: chooseVersion(c.view.Shares[service.Name], answerID(c.org.Name, c.id), c.view.Serving[service.Name]),
 		header:  forwardedHeaders(c),
 	}
+	if !service.Idempotent(method, path) {
+		if f := e.checkStop(service.Timeout(), c.now); f != nil {
+			return f
+		}
+	}
 	p.fingerprint = poison.NewFingerprint(service.Name, p.version, []byte(method+" "+p.path+"\x00"+string(p.body)))
 	spec := forwardSpec{service: service.Name, version: p.version, fingerprint: p.fingerprint, timeout: service.Timeout()}
 	// If no server is available here, another cell is asked before the call is
@@ -79,6 +84,16 @@
 	return e.forward(c, spec, f)
 }
 
+// checkStop returns a failure if a planned stop may end the response to a call that takes up
+// to a given time. Its outcome would remain unknown to the caller.
+func (e *Entry) checkStop(timeout time.Duration, now time.Time) *failure {
+	at := e.server.stopAt.Load()
+	if at == 0 || now.Add(timeout).UnixNano() <= at {
+		return nil
+	}
+	return e.suggestOtherInstance(unavailable("stopping", "this instance stops before the call may complete"))
+}
+
 // checkCapacity returns a failure if this cell has no server for a call.
 func (e *Entry) checkCapacity(p *plainCall) *failure {
 	e.refreshRouter(p.now)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 	http     *fasthttp.Server
 	ln       *connTracker
 	draining atomic.Bool
+	stopAt   atomic.Int64 // when a planned stop ends the responses, Unix time in ns; 0 without one
 	done     chan struct{}
 	err      error
 	once     sync.Once
