proxy: Continue a begun stream only with the event that follows

Operators of other systems saw the text of an error in the middle of a stream whose server had broken off. It happened here in one form: the next server answers with status 200 and an event stream whose first event tells the error, or has no number. Its text reached the caller, and the stream ended as if it were complete.

Cause: a continuation was recognised by its status and type alone. An event without a number was taken for a new one.

Now the first event of a continuation must have a number above that of the last event sent to the caller. Otherwise the attempt has failed; another server may go on, or the caller's connection is broken off. A stream without numbers is not continued, since its events could repeat.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -110,6 +110,21 @@
 	return b
 }
 
+// continues reports whether the first of the events in b follows the event with the given id.
+// Errors that a server sends as an event have no such id.
+func continues(b []byte, id string) bool {
+	delivered, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	for len(b) > 0 && !hasField(b[:firstEventEnd(b)]) {
+		b = b[firstEventEnd(b):]
+	}
+	got, _ := lastEventID(b[:firstEventEnd(b)])
+	n, err := strconv.ParseInt(got, 10, 64)
+	return err == nil && n > delivered
+}
+
 // firstEventEnd returns the end offset of the first of the complete events in b.
 func firstEventEnd(b []byte) int {
 	end := len(b)
@@ -137,6 +152,7 @@
 // first event are dropped, so that the request can still get another response.
 func (f *inflight) forwardStream(ctx context.Context, t *attemptState, resp *Response) (bool, error) {
 	e := &eventReader{r: resp.Body}
+	continued := !f.headerSent // or the events continue those that the caller has
 	for {
 		b, err := e.next()
 		progress := hasField(b)
@@ -145,6 +161,13 @@
 			t.recordEvents(f.p.cfg.Clock())
 			b = skipThrough(b, f.lastEventID)
 		}
+		if progress && !continued && hasField(b) {
+			if !continues(b, f.lastEventID) {
+				t.failed = true
+				return f.responseLost(Error.New("the server does not continue the stream after event %q", f.lastEventID))
+			}
+			continued = true
+		}
 		if len(b) > 0 && (progress || f.headerSent) {
 			if werr := f.writeEvents(resp, b); werr != nil {
 				return true, werr // the caller has disconnected
