--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// awaitLeader waits for an instance that leads and returns it.
+func (d *deployment) awaitLeader() (leader *instance) {
+	d.t.Helper()
+	eventually(d.t, "a leader", func() bool {
+		leader = d.leader()
+		return leader != nil
+	})
+	return leader
+}
+
 // voters returns the voting members according to the leader.
 func (d *deployment) voters() []string {
 	for _, inst := range d.instances {
@@ -285,15 +295,7 @@
 	d := deploy(t, 4, 1)
 	d.configure(d.instances[4], 1)
 	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 4 })
-	var leader *instance
-	eventually(t, "a leader", func() bool {
-		for _, inst := range d.instances {
-			if _, ok := inst.coord.Leads(time.Now()); ok {
-				leader = inst
-			}
-		}
-		return leader != nil
-	})
+	leader := d.awaitLeader()
 	d.stop(leader)
 	leader.fs.Wipe()
 	d.start(leader, false)
--- a/internal/coord/losses_test.go
+++ b/internal/coord/losses_test.go
@@ -177,18 +177,7 @@
 	d.configure(d.instances[4], version)
 	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 4 })
 	for loss := range 3 {
-		var lost *instance
-		eventually(t, "a leader", func() bool {
-			for _, inst := range d.instances {
-				if inst.coord == nil {
-					continue
-				}
-				if _, ok := inst.coord.Leads(time.Now()); ok {
-					lost = inst
-				}
-			}
-			return lost != nil
-		})
+		lost := d.awaitLeader()
 		if loss == 0 {
 			i := slices.IndexFunc(d.instances, func(inst *instance) bool { return inst != lost && inst.fs != nil })
 			lost = d.instances[i]
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -431,7 +431,7 @@
 
 // ReportFailed implements coord.Local.
 func (e *Edge) ReportFailed(now time.Time) {
-	if e.checkTouch(now) {
+	if e.updateTouch(now) {
 		e.updateServers(now)
 	}
 	e.quota.Restore()
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -79,12 +79,12 @@
 	}
 	limited := e.limits.any
 	e.mu.Unlock()
-	return e.checkTouch(now) || v.Instances != nil && limited
+	return e.updateTouch(now) || v.Instances != nil && limited
 }
 
-// checkTouch finds out whether the list of instances may be out of date. It reports whether
+// updateTouch records whether the list of instances may be out of date. It reports whether
 // that changes the parts of the rate limits.
-func (e *Edge) checkTouch(now time.Time) bool {
+func (e *Edge) updateTouch(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	before := e.limits.outOfTouch
