--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"drain":    runDrain,
 	"order":    runOrder,
+	"revoke":   runRevoke,
 	"exposure": runExposure,
 }
 
