--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -133,6 +134,19 @@
 	}
 }
 
+// drainAll ends engines as planned.
+func (o *orders) drainAll(engines []*engine) {
+	var wg sync.WaitGroup
+	for _, e := range engines {
+		wg.Go(func() {
+			if err := e.drain(o.other); err != nil {
+				o.c.rec.line("engine %s: %v", e.id, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // order sends the order of a rollout and reports whether it is acknowledged.
 func (o *orders) order(m *machine, version string) bool {
 	body := fmt.Appendf(nil, `{"service":%q,"target":%q,"duration-s":%d}`, orderedService, version, int(orderedDuration.Seconds()))
@@ -205,13 +219,9 @@
 		return goodVersion, true, nil
 	}
 	// The rollout ends, and the engines of versions that are not in use stop.
-	for _, e := range bad {
-		e.close()
-	}
+	o.drainAll(bad)
 	time.Sleep(time.Until(ordered.Add(orderedDuration)))
 	_, _, _ = c.rollout(o.other, orderedService)
-	for _, e := range good {
-		e.close()
-	}
+	o.drainAll(good)
 	return goodVersion, false, nil
 }
