coord: Ignore copies of orders that arrive after later orders

Cause: an order named only its target, and was taken for a repetition only if it equalled the last order. A call that is given up is not taken back, so a copy of it counts as a new order once another one stands in between. Steps of a rollout had the same fault: the share of a deposed leader could replace a later one.

An order now names the serial number of the last order that its instance read, and a step the revision it was decided from; both apply only to that. Clocks and the place where a copy waits do not matter. An instance does not propose an order whose operator has closed the connection, or which it received more than a second ago, since its reading would include later orders.

--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -10,11 +10,12 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
+
+	"cranberrypath.example/cranberrypath/internal/peek"
 )
 
 // bodyEndTimeout limits the wait for the end of a body whose content is complete.
@@ -147,26 +148,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	nc := c.Conn
-	if w, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = w.NetConn()
-	}
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
+	return peek.At(c.Conn) == peek.Empty
 }
 
 // acquire returns an idle connection that is still open and on which no request with the
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -261,17 +261,72 @@
 	return state.GetConfig().GetVersion(), nil
 }
 
-// OrderRollout commits an order to move a service to a version.
-func (c *Coord) OrderRollout(ctx context.Context, r Rollout) error {
+// orderTimeout bounds the time from receiving an order of a rollout to its last proposal.
+// Operators wait about a second for a response and then repeat the order elsewhere.
+const orderTimeout = time.Second
+
+// OrderRollout commits an order to move a service to a version. The order names the service's
+// last order, so that a copy of it that is held up on its way has no effect after a later order.
+// abandoned reports whether the operator has given up the call.
+func (c *Coord) OrderRollout(ctx context.Context, r Rollout, abandoned func() bool) error {
 	r.Serial, r.Phase = 0, Running
-	_, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto()})
-	return err
+	received := c.leaseTime(c.cfg.Clock())
+	for {
+		last, err := c.lastOrder(ctx, r.Service)
+		if err != nil {
+			return err
+		}
+		// The operator may have given up the call before the instance received it, or while
+		// the instance was frozen, and may have given orders since that last includes.
+		if ctx.Err() != nil || abandoned() || c.leaseTime(c.cfg.Clock()).Sub(received) > orderTimeout {
+			return errors.Join(ErrUnavailable, ctx.Err())
+		}
+		state, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto(), AfterSerial: &last})
+		if err != nil {
+			return err
+		}
+		held := state.GetRollouts()
+		if len(held) == 1 && held[0].GetTarget() == r.Target {
+			return nil
+		}
+		c.cfg.Log.WithFields(log.Fields{
+			"event": "rollout.overtaken", "service": r.Service, "target": r.Target, "after": last,
+		}).Info("another order was accepted first; the order is proposed again")
+	}
+}
+
+// lastOrder returns the serial number of the last order of a service, 0 if there is none.
+func (c *Coord) lastOrder(ctx context.Context, service string) (uint64, error) {
+	d, err := c.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range d.Rollouts {
+		if r.Service == service {
+			return r.Serial, nil
+		}
+	}
+	return 0, nil
 }
 
-// UpdateRollout commits a change of a rollout decided by the leader.
+// UpdateRollout commits a change of a rollout decided by the leader from the given revision.
 func (c *Coord) UpdateRollout(ctx context.Context, r Rollout) error {
-	_, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto()})
-	return err
+	state, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto()})
+	if err != nil {
+		return err
+	}
+	held := state.GetRollouts()
+	if len(held) != 1 {
+		return Error.New("the reply has %d rollouts, want 1", len(held))
+	}
+	want := r.proto()
+	if r.Revision > 0 {
+		want.Revision++
+	}
+	if !proto.Equal(held[0], want) {
+		return Error.New("the rollout has changed since: serial %d, revision %d", held[0].GetSerial(), held[0].GetRevision())
+	}
+	return nil
 }
 
 // CommitUsage commits the counts of a window and returns the committed counts, which
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -36,6 +36,7 @@
 	ShareAt         time.Time // when Share was set
 	Reason          string    // reason for the current phase or share
 	Serial          uint64    // number of the order; a later order has a higher one
+	Revision        uint64    // number of the last change of this order
 }
 
 // Deadline returns the deadline of the rollout.
@@ -58,7 +59,7 @@
 		Service: p.Service, Target: p.Target, Started: time.UnixMilli(p.StartedMs),
 		Duration: time.Duration(p.DurationMs) * time.Millisecond,
 		Phase:    Phase(p.State), Share: p.Share, ShareAt: time.UnixMilli(p.ShareAtMs), Reason: p.Reason,
-		Serial: p.Serial,
+		Serial: p.Serial, Revision: p.Revision,
 	}
 }
 
@@ -66,7 +67,7 @@
 	return &coordpb.Rollout{
 		Service: r.Service, Target: r.Target, StartedMs: r.Started.UnixMilli(), DurationMs: r.Duration.Milliseconds(),
 		State: uint32(r.Phase), Share: r.Share, ShareAtMs: r.ShareAt.UnixMilli(), Reason: r.Reason,
-		Serial: r.Serial,
+		Serial: r.Serial, Revision: r.Revision,
 	}
 }
 
@@ -98,7 +99,7 @@
 		}
 		out.Config = &coordpb.Configure{Version: m.state.Config.Version}
 	case c.Rollout != nil:
-		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout)}
+		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout, c.AfterSerial)}
 	case c.Usage != nil:
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
 	}
@@ -123,34 +124,54 @@
 	return Phase(previous.State) == Running || order.DurationMs == previous.DurationMs && gap.Abs() <= duplicateOrderWindow
 }
 
-// applyRollout records a new order (serial 0), unless it duplicates the last one, or a
-// change to an order. A change applies only to the order with its serial, and never to
-// an ended rollout.
-func (m *stateMachine) applyRollout(r *coordpb.Rollout) *coordpb.Rollout {
+// applyRollout records a new order (serial 0) or a change to an order, and returns the
+// service's rollout that is in force then.
+func (m *stateMachine) applyRollout(r *coordpb.Rollout, after *uint64) *coordpb.Rollout {
 	i := slices.IndexFunc(m.state.Rollouts, func(o *coordpb.Rollout) bool { return o.Service == r.Service })
 	if r.Serial == 0 {
-		if i >= 0 && isDuplicateOrder(r, m.state.Rollouts[i]) {
-			return m.state.Rollouts[i]
-		}
-		m.state.Serial++
-		r.Serial = m.state.Serial
-		if i < 0 {
-			m.state.Rollouts = append(m.state.Rollouts, r)
-		} else {
-			m.state.Rollouts[i] = r
-		}
-		return r
+		return m.applyOrder(r, after, i)
 	}
 	if i < 0 {
 		return nil
 	}
-	if o := m.state.Rollouts[i]; o.Serial != r.Serial || Phase(o.State) != Running {
-		return o
+	o := m.state.Rollouts[i]
+	if o.Serial != r.Serial || Phase(o.State) != Running || r.Revision != o.Revision {
+		return o // it was decided from an earlier state, or has been applied
+	}
+	if r.Revision > 0 {
+		r.Revision++
 	}
 	m.state.Rollouts[i] = r
 	return r
 }
 
+// applyOrder records a new order of the service whose rollout has index i, or -1. An order that
+// repeats the last one has no effect, nor has one that was given before the last one: a copy of
+// an order can be held up by a partition while the operator gives others through other instances.
+func (m *stateMachine) applyOrder(r *coordpb.Rollout, after *uint64, i int) *coordpb.Rollout {
+	last := &coordpb.Rollout{}
+	if i >= 0 {
+		last = m.state.Rollouts[i]
+		if isDuplicateOrder(r, last) {
+			return last
+		}
+	}
+	if after != nil && *after != last.Serial {
+		return last
+	}
+	m.state.Serial++
+	r.Serial, r.Revision = m.state.Serial, 0
+	if after != nil {
+		r.Revision = 1
+	}
+	if i < 0 {
+		m.state.Rollouts = append(m.state.Rollouts, r)
+	} else {
+		m.state.Rollouts[i] = r
+	}
+	return r
+}
+
 // applyUsage records the counts of a window. The first counts win, because a usage
 // report must not change after it was sent.
 func (m *stateMachine) applyUsage(w *coordpb.Window) *coordpb.Window {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -346,10 +346,11 @@
 }
 
 // OrderRollout records an order to move a service to the target version within duration.
-func (e *Edge) OrderRollout(ctx context.Context, service, target string, duration time.Duration) error {
+// abandoned reports whether the operator has given up the call.
+func (e *Edge) OrderRollout(ctx context.Context, service, target string, duration time.Duration, abandoned func() bool) error {
 	return e.coord.OrderRollout(ctx, coord.Rollout{
 		Service: service, Target: target, Started: e.cfg.Clock(), ShareAt: e.cfg.Clock(), Duration: duration, Reason: "ordered",
-	})
+	}, abandoned)
 }
 
 // maxAddresses is the maximum number of addresses that callers accept.
