coord: Make the end of a backend server durable before acknowledging it

Cause: the acknowledgement meant that the leader had the report. The list of servers is soft state, rebuilt by a new leader from what servers repeat; that it has left a server says once. If the leader took the call, one process knew of it, otherwise two, also where a deployment tolerates two losses.

A departure is now committed to the replicated log before it is acknowledged, and each member puts what it commits into the list from which it answers. The leader spreads it at once, whether or not it can be committed.

Evidence: all eight cases of TestDepartureOutlivesTheInstancesThatTookIt fail with the earlier acknowledgement, also those where a member or an instance without a disk took the call and is lost with the leader, and where all members are killed.

Ruled out: waiting until enough members have seen the change in a reply, which takes a second report of each and is lost when all members are killed at once.

Cost: DELETE takes 1.6 to 2.0 ms (median, disk that syncs at once), 0.7 to 1.1 ms before.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -401,6 +401,14 @@
 	if voters < c.cfg.MinVoters {
 		return Error.New("the group has %d members of %d that it needs", voters, c.cfg.MinVoters)
 	}
+	if cmd.Departure != nil {
+		return c.proposeDeparture(ctx, m, cmd.Departure, out)
+	}
+	return c.commit(ctx, m, cmd, out)
+}
+
+// commit proposes a command to the group and decodes its result.
+func (c *Coord) commit(ctx context.Context, m *member, cmd *coordpb.Command, out *coordpb.State) error {
 	b, err := proto.Marshal(cmd)
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -109,7 +109,15 @@
 
 func deploy(t *testing.T, disks, others int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, links: faults.New()}
+	d := &deployment{t: t}
+	d.deploy(disks, others, func(*Config) {})
+	return d
+}
+
+// deploy starts all instances for the first time.
+func (d *deployment) deploy(disks, others int, change func(*Config)) {
+	d.t.Helper()
+	d.links = faults.New()
 	for range disks + others {
 		d.instances = append(d.instances, &instance{addr: freeAddress()})
 	}
@@ -120,14 +128,16 @@
 		if i < disks {
 			inst.fs = disk.NewFake(uint64(i))
 		}
-		d.start(inst, true)
+		d.startWith(inst, func(cfg *Config) {
+			cfg.Bootstrap = true
+			change(cfg)
+		})
 	}
-	t.Cleanup(func() {
+	d.t.Cleanup(func() {
 		for _, inst := range d.instances {
 			d.stop(inst)
 		}
 	})
-	return d
 }
 
 func (d *deployment) start(inst *instance, first bool) {
@@ -424,7 +434,7 @@
 // Guards against usage counts that change after they were committed, and against
 // repeated orders that start a rollout again.
 func TestState(t *testing.T) {
-	s := newStateMachine()
+	s := newStateMachine(ignoreDepartures)
 	s.applyUsage(Window{Number: 1, Counts: map[string]float64{"o": 5}}.proto())
 	s.applyUsage(Window{Number: 1, Counts: map[string]float64{"o": 9}}.proto())
 	if got, _ := s.usage(1); got["o"] != 5 {
@@ -445,7 +455,7 @@
 // Guards against a data race, found by CI, between reads of the rollouts and the
 // application of a change, and against reads that change afterwards.
 func TestReadsKeepTheirRollouts(t *testing.T) {
-	s := newStateMachine()
+	s := newStateMachine(ignoreDepartures)
 	apply := func(r Rollout) {
 		b, err := proto.Marshal(&coordpb.Command{Rollout: r.proto()})
 		if err != nil {
@@ -476,7 +486,7 @@
 		{"ordered again later", Rollout{Started: start.Add(20 * time.Second), Duration: time.Minute, Target: "v2"}, Running},
 		{"another target", Rollout{Started: start.Add(4 * time.Second), Duration: time.Minute, Target: "v3"}, Running},
 	} {
-		s := newStateMachine()
+		s := newStateMachine(ignoreDepartures)
 		first := s.applyRollout(Rollout{Service: "s", Target: "v2", Phase: Running, Started: start, Duration: time.Minute}.proto(), nil)
 		s.applyRollout(rolloutFromProto(first).WithPhase(RolledBack, "bad").proto(), nil)
 		c.again.Service, c.again.Phase = "s", Running
--- a/internal/coord/group.go
+++ b/internal/coord/group.go
@@ -52,7 +52,7 @@
 // reports whether the log was opened.
 func (c *Coord) runMemberOnce(founder string) bool {
 	failure := make(chan error, 1)
-	m := &member{state: newStateMachine()}
+	m := &member{state: newStateMachine(c.learnDepartures)}
 	cfg := raft.Config{
 		ID: c.cfg.Self.ID, FS: c.cfg.FS, Dir: c.cfg.Dir, StateMachine: m.state, Transport: c.links, Clock: func() time.Time { return c.leaseTime(c.cfg.Clock()) },
 		Seed: uint64(c.cfg.Self.Started.UnixNano()), HeartbeatInterval: raftHeartbeat, ElectionTimeout: electionTimeout,
--- a/internal/coord/orders_test.go
+++ b/internal/coord/orders_test.go
@@ -115,7 +115,7 @@
 			change(1, 1, "v2", Running, 0.5, Running, 0.05), change(1, 1, "v2", Done, 1, Running, 0.05),
 		}},
 	} {
-		s := newStateMachine()
+		s := newStateMachine(ignoreDepartures)
 		for i, st := range c.steps {
 			cmd := &coordpb.Command{Rollout: st.change.proto()}
 			if st.target != "" {
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -76,10 +76,13 @@
 type stateMachine struct {
 	mu    sync.Mutex
 	state *coordpb.State
+
+	// departed is called with departures that were applied or restored.
+	departed func([]*coordpb.Departure)
 }
 
-func newStateMachine() *stateMachine {
-	return &stateMachine{state: &coordpb.State{Config: &coordpb.Configure{}}}
+func newStateMachine(departed func([]*coordpb.Departure)) *stateMachine {
+	return &stateMachine{state: &coordpb.State{Config: &coordpb.Configure{}}, departed: departed}
 }
 
 // Apply implements raft.StateMachine. It returns the state affected by the command, so that
@@ -89,6 +92,18 @@
 	if err := proto.Unmarshal(cmd, &c); err != nil {
 		return nil // an entry of a later program version; all members skip it
 	}
+	out := m.apply(&c)
+	if c.Departure != nil {
+		m.departed([]*coordpb.Departure{c.Departure})
+	}
+	b, err := proto.Marshal(out)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (m *stateMachine) apply(c *coordpb.Command) *coordpb.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := &coordpb.State{}
@@ -102,12 +117,10 @@
 		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout, c.AfterSerial)}
 	case c.Usage != nil:
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
+	case c.Departure != nil:
+		m.applyDeparture(c.Departure)
 	}
-	b, err := proto.Marshal(out)
-	if err != nil {
-		return nil
-	}
-	return b
+	return out
 }
 
 // duplicateOrderWindow is the time after an order within which an identical order counts
@@ -207,8 +220,10 @@
 		s.Config = &coordpb.Configure{}
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.state = s
+	all := slices.Clone(s.Departures)
+	m.mu.Unlock()
+	m.departed(all)
 	return nil
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,7 +220,7 @@
 func (e *Edge) Log() log.Interface { return e.cfg.Log }
 
 // Announce processes the heartbeat of a backend server. If the server accepts no new
-// requests, Announce returns only after the leader has received the report.
+// requests, Announce returns only once that is durable.
 func (e *Edge) Announce(ctx context.Context, s roster.Server) error {
 	now := e.cfg.Clock()
 	changed := e.roster.Put(s, now)
@@ -239,11 +239,10 @@
 		}
 		return nil
 	}
-	return e.coord.SyncNow(ctx)
+	return e.coord.RecordDeparture(ctx, s)
 }
 
-// Leave deregisters a backend server that stops. It returns after the leader has received
-// the report.
+// Leave deregisters a backend server that stops. It returns once that is durable.
 func (e *Edge) Leave(ctx context.Context, id string) error {
 	now := e.cfg.Clock()
 	s := e.roster.Leave(id, now)
@@ -252,7 +251,7 @@
 	e.mu.Unlock()
 	e.updateServers(now)
 	e.cfg.Log.WithFields(log.Fields{"event": "server.left", "server": id, "service": s.Service}).Info("backend server deregistered")
-	return e.coord.SyncNow(ctx)
+	return e.coord.RecordDeparture(ctx, s)
 }
 
 // markLeaving records that a backend server has said in its response to a request sent at the
--- a/internal/edge/outbox.go
+++ b/internal/edge/outbox.go
@@ -48,7 +48,7 @@
 }
 
 // take returns the servers for the next report: all announcements of servers that accept no
-// new requests, since these wait for the leader's answer, and up to maxReportServers others.
+// new requests, since requests to them fail, and up to maxReportServers others.
 func (o *outbox) take() []roster.Server {
 	o.inFlight = map[string]roster.Server{}
 	for id, s := range o.fresh {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -73,6 +73,15 @@
 	return 0
 }
 
+// CoversEndOf reports whether s tells at least as much of a server's end as other, an
+// announcement of the same server.
+func (s Server) CoversEndOf(other Server) bool {
+	if s.Incarnation != other.Incarnation {
+		return s.Incarnation > other.Incarnation
+	}
+	return s.stage() >= other.stage()
+}
+
 // Newer reports whether s supersedes other, an announcement of the same server.
 func (s Server) Newer(other Server) bool {
 	switch {
@@ -99,9 +108,9 @@
 	return out
 }
 
-// goneRetention is how long a gone server is remembered. A heartbeat delayed by a
+// GoneRetention is how long a gone server is remembered. A heartbeat delayed by a
 // partition arrives within the time for which connections hang.
-const goneRetention = 60 * time.Second
+const GoneRetention = 60 * time.Second
 
 type entry struct {
 	server          Server
@@ -229,7 +238,7 @@
 }
 
 // Expire marks servers as gone that were last announced earlier than before, and
-// deletes gone servers after goneRetention. It returns the servers that it marked.
+// deletes gone servers after GoneRetention. It returns the servers that it marked.
 func (r *Roster) Expire(before, now time.Time) []Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -247,17 +256,17 @@
 	return out
 }
 
-// ForgetGone deletes gone servers after goneRetention.
+// ForgetGone deletes gone servers after GoneRetention.
 func (r *Roster) ForgetGone(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetGone(now)
 }
 
-// forgetGone deletes gone servers after goneRetention. mu must be held.
+// forgetGone deletes gone servers after GoneRetention. mu must be held.
 func (r *Roster) forgetGone(now time.Time) {
 	for id, e := range r.servers {
-		if e.server.State == world.Gone && now.Sub(e.lastAnnouncedAt) > goneRetention {
+		if e.server.State == world.Gone && now.Sub(e.lastAnnouncedAt) > GoneRetention {
 			delete(r.servers, id)
 		}
 	}
