coord, proxy: Keep versions that were rolled back out of service

Cause: the durable state holds one rollout for a service, and requests that are not for its target go to the servers of any other version. The next order replaced the only record that the earlier version was bad. The same held for a version whose rollout was replaced while it was running.

The record of a rollout now carries these versions until they are ordered again. Servers of a version that was rolled back are in no group of the route table; those of a superseded one serve only if the service has no other servers. Neither counts as the baseline of a verdict. The list is in the replicated log, so a new leader, a restart and instances without a disk have it. The fingerprint that decides whether rollouts are sent covers all that can change.

Ruled out: instances that miss the roll-back; there was no request between it and the next order.

--- a/internal/coord/orders_test.go
+++ b/internal/coord/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -159,3 +160,88 @@
 		t.Errorf("the order of %s took effect after the suspension", got.Target)
 	}
 }
+
+// Guards against a version that was rolled back, or whose rollout another order replaced, and
+// that counts as any other once another order follows, a snapshot is restored or an earlier
+// program version changes the rollout.
+func TestVersionsTakenBack(t *testing.T) {
+	s := newStateMachine(ignoreDepartures)
+	apply := func(r Rollout, after *uint64) {
+		b, err := proto.Marshal(&coordpb.Command{Rollout: r.proto(), AfterSerial: after})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Apply(1, b)
+	}
+	at := start
+	order := func(target string) {
+		at = at.Add(time.Hour)
+		var last uint64
+		for _, r := range s.rollouts() {
+			last = r.Serial
+		}
+		apply(orderOf(target, at), &last)
+	}
+	end := func(p Phase) { apply(s.rollouts()[0].WithPhase(p, "test"), nil) }
+	expect := func(when string, rolledBack, superseded []string) {
+		t.Helper()
+		r := s.rollouts()[0]
+		for _, v := range []string{"v1", "v2", "v3", "v4"} {
+			if got, want := r.WasRolledBack(v), slices.Contains(rolledBack, v); got != want {
+				t.Errorf("%s: %s counts as rolled back %v, want %v", when, v, got, want)
+			}
+			if got, want := r.WasSuperseded(v), slices.Contains(superseded, v); got != want {
+				t.Errorf("%s: %s counts as superseded %v, want %v", when, v, got, want)
+			}
+		}
+	}
+	order("v2")
+	expect("running", nil, nil)
+	end(RolledBack)
+	expect("rolled back", []string{"v2"}, nil)
+	order("v3")
+	expect("next order", []string{"v2"}, nil)
+	order("v4")
+	expect("order replaced", []string{"v2"}, []string{"v3"})
+	legacy := s.rollouts()[0].WithShare(0.5, at, "test")
+	legacy.RolledBack, legacy.Superseded = nil, nil
+	apply(legacy, nil)
+	expect("changed by an earlier version", []string{"v2"}, []string{"v3"})
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	expect("restored", []string{"v2"}, []string{"v3"})
+	end(Done)
+	expect("done", []string{"v2"}, []string{"v3"})
+	order("v2")
+	expect("ordered again", nil, []string{"v3"})
+	end(Done)
+	order("v3")
+	end(RolledBack)
+	expect("superseded, then rolled back", []string{"v3"}, nil)
+	for i := range 2 * retainedVersions {
+		order(fmt.Sprint("w", i))
+	}
+	if n := len(s.rollouts()[0].Superseded); n != retainedVersions {
+		t.Errorf("%d superseded versions are kept, want %d", n, retainedVersions)
+	}
+}
+
+// Guards against a change of a rollout that is not sent to the instances, since its
+// fingerprint equals that of the state before.
+func TestRolloutsFingerprint(t *testing.T) {
+	a := Rollout{Service: "s", Target: "v2", Serial: 1, Revision: 1, Phase: Running}
+	for _, all := range [][]Rollout{
+		nil, {a.WithShare(0.05, start, "")}, {a.WithPhase(RolledBack, "")}, {{Service: "s", Serial: 1, Revision: 2, Phase: Running}},
+		{{Service: "s", Serial: 2, Revision: 1, Phase: Running}}, {a, {Service: "t", Serial: 2, Revision: 1, Phase: Running}},
+		{{Service: "s", Serial: 1, Revision: 1, Phase: Running, Share: 0.00001}},
+	} {
+		if rolloutsFingerprint(all) == rolloutsFingerprint([]Rollout{a}) {
+			t.Errorf("%v has the fingerprint of %v", all, a)
+		}
+	}
+}
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -37,8 +37,20 @@
 	Reason          string    // reason for the current phase or share
 	Serial          uint64    // number of the order; a later order has a higher one
 	Revision        uint64    // number of the last change of this order
+	// RolledBack and Superseded are the versions of earlier orders that no later one has named
+	// and that were rolled back, or whose rollout another order replaced while it was running.
+	RolledBack, Superseded []string
 }
 
+// WasRolledBack reports whether a version was rolled back and not ordered again since.
+func (r Rollout) WasRolledBack(version string) bool {
+	return r.Phase == RolledBack && version == r.Target || slices.Contains(r.RolledBack, version)
+}
+
+// WasSuperseded reports whether another order replaced the rollout of a version while it was
+// running, and the version was not ordered again since.
+func (r Rollout) WasSuperseded(version string) bool { return slices.Contains(r.Superseded, version) }
+
 // Deadline returns the deadline of the rollout.
 func (r Rollout) Deadline() time.Time { return r.Started.Add(r.Duration) }
 
@@ -59,7 +71,7 @@
 		Service: p.Service, Target: p.Target, Started: time.UnixMilli(p.StartedMs),
 		Duration: time.Duration(p.DurationMs) * time.Millisecond,
 		Phase:    Phase(p.State), Share: p.Share, ShareAt: time.UnixMilli(p.ShareAtMs), Reason: p.Reason,
-		Serial: p.Serial, Revision: p.Revision,
+		Serial: p.Serial, Revision: p.Revision, RolledBack: p.RolledBack, Superseded: p.Superseded,
 	}
 }
 
@@ -67,7 +79,7 @@
 	return &coordpb.Rollout{
 		Service: r.Service, Target: r.Target, StartedMs: r.Started.UnixMilli(), DurationMs: r.Duration.Milliseconds(),
 		State: uint32(r.Phase), Share: r.Share, ShareAtMs: r.ShareAt.UnixMilli(), Reason: r.Reason,
-		Serial: r.Serial, Revision: r.Revision,
+		Serial: r.Serial, Revision: r.Revision, RolledBack: r.RolledBack, Superseded: r.Superseded,
 	}
 }
 
@@ -154,6 +166,7 @@
 	if r.Revision > 0 {
 		r.Revision++
 	}
+	r.RolledBack, r.Superseded = o.RolledBack, o.Superseded // earlier program versions leave them out
 	m.state.Rollouts[i] = r
 	return r
 }
@@ -172,6 +185,14 @@
 	if after != nil && *after != last.Serial {
 		return last
 	}
+	r.RolledBack, r.Superseded = withoutVersion(last.RolledBack, r.Target), withoutVersion(last.Superseded, r.Target)
+	switch {
+	case last.Target == r.Target:
+	case Phase(last.State) == RolledBack:
+		r.RolledBack = addVersion(r.RolledBack, last.Target)
+	case Phase(last.State) == Running:
+		r.Superseded = addVersion(r.Superseded, last.Target)
+	}
 	m.state.Serial++
 	r.Serial, r.Revision = m.state.Serial, 0
 	if after != nil {
@@ -185,6 +206,19 @@
 	return r
 }
 
+// retainedVersions bounds the versions in Rollout.RolledBack and Rollout.Superseded. The
+// servers of earlier ones ended long ago.
+const retainedVersions = 64
+
+func withoutVersion(versions []string, v string) []string {
+	return slices.DeleteFunc(slices.Clone(versions), func(o string) bool { return o == v })
+}
+
+func addVersion(versions []string, v string) []string {
+	out := append(withoutVersion(versions, v), v)
+	return out[max(len(out)-retainedVersions, 0):]
+}
+
 // applyUsage records the counts of a window. The first counts win, because a usage
 // report must not change after it was sent.
 func (m *stateMachine) applyUsage(w *coordpb.Window) *coordpb.Window {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
@@ -522,11 +524,11 @@
 
 // rolloutsFingerprint hashes the rollouts to a number that differs after each change.
 func rolloutsFingerprint(rollouts []Rollout) uint64 {
-	var n uint64
+	h := xxhash.New()
 	for _, r := range rollouts {
-		n = n*1_000_003 + r.Serial*64 + uint64(r.Phase)*16 + uint64(r.Share*10_000)
+		fmt.Fprintf(h, "%q %d %d %d %g;", r.Service, r.Serial, r.Revision, r.Phase, r.Share)
 	}
-	return n
+	return h.Sum64()
 }
 
 // updateLeadership starts or stops the aggregator when this instance gains or loses the
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -120,7 +120,7 @@
 	var newCapacity, oldCapacity moves.Capacity
 	demand := 0.0
 	for _, s := range rc.e.roster.Usable() {
-		if s.Service != r.Service {
+		if s.Service != r.Service || r.WasRolledBack(s.Version) {
 			continue
 		}
 		c := &oldCapacity
@@ -150,7 +150,7 @@
 }
 
 func (rc *rolloutController) applyStep(ctx context.Context, r coord.Rollout, s moves.Step, now time.Time) {
-	next := r
+	next, changed := r, true
 	switch {
 	case s.Kind == moves.SetShare:
 		next = r.WithShare(s.Share, now, s.Reason)
@@ -162,13 +162,14 @@
 		if rc.lastReason[r.Serial] == s.Reason {
 			return
 		}
+		changed = false
 	}
 	rc.lastReason[r.Serial] = s.Reason
 	l := rc.e.cfg.Log.WithFields(log.Fields{
 		"event": "rollout.step", "service": r.Service, "target": r.Target, "serial": r.Serial, "step": string(s.Kind),
 		"outcome": string(s.Outcome), "share": s.Share, "reason": s.Reason, "term": rc.term,
 	})
-	if next == r {
+	if !changed {
 		l.Info("rollout step pending")
 		return
 	}
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -300,16 +300,21 @@
 func (f *inflight) pick(now time.Time) (route.Choice, route.Query, error) {
 	q := f.routeQuery(now)
 	choice, err := f.p.table.Pick(q, now)
-	// The share of a rollout's target version is a maximum: if none of its servers accepts
-	// the request, one of another version may.
-	if target, ok := strings.CutPrefix(q.Version, versionPrefix); ok && err != nil {
-		other := q
-		other.Version = otherVersionsPrefix + target
-		if choice, err := f.p.table.Pick(other, now); err == nil {
-			return choice, other, nil
-		}
+	other, otherErr := q, err
+	// The share of a rollout's target is a maximum: if none of its servers accepts the request,
+	// an accepted one may.
+	if otherErr != nil && strings.HasPrefix(q.Version, targetGroup) {
+		other.Version = acceptedGroup
+		choice, otherErr = f.p.table.Pick(other, now)
+	}
+	if errors.Is(otherErr, route.ErrNoServer) {
+		other.Version = supersededGroup
+		choice, otherErr = f.p.table.Pick(other, now)
+	}
+	if otherErr != nil {
+		return route.Choice{}, q, err
 	}
-	return choice, q, err
+	return choice, other, nil
 }
 
 // retryJitter spreads callers that are refused at the same time.
@@ -344,22 +349,6 @@
 	return q
 }
 
-// versionGroup picks the version group for a new request at random. A running rollout
-// sends its share of requests to the target version; after a rollback, no request is
-// sent to the target.
-func (p *Proxy) versionGroup(service string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, ok := p.rollouts[service]
-	switch {
-	case !ok || r.Phase == coord.Done:
-		return anyVersion
-	case r.Phase == coord.Running && p.rng.Float64() < r.Share:
-		return versionPrefix + r.Target
-	}
-	return otherVersionsPrefix + r.Target
-}
-
 // sendOnce sends the request to one server. It returns true with the final result,
 // or false if the request may be retried on another server.
 func (f *inflight) sendOnce(ctx context.Context, choice route.Choice) (bool, error) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -184,14 +184,6 @@
 // Config returns the active configuration, or nil before the first SetConfig.
 func (p *Proxy) Config() *routes.Config { return p.routing.Load() }
 
-// The version groups of servers in the route table: all servers of a service,
-// those of one version, and those of all other versions.
-const (
-	anyVersion          = "any"
-	versionPrefix       = "is:"
-	otherVersionsPrefix = "not:"
-)
-
 // SetServers replaces the set of servers. Ready servers get new requests; other
 // servers may fetch cached prompts from leaving servers.
 func (p *Proxy) SetServers(servers []roster.Server, now time.Time) {
@@ -199,10 +191,7 @@
 	defer p.serversMu.Unlock()
 	p.pruneHoldOffs(now)
 	p.mu.Lock()
-	targets := map[string]string{}
-	for _, r := range p.rollouts {
-		targets[r.Service] = r.Target
-	}
+	rollouts := p.rollouts
 	p.servers = make(map[string]roster.Server, len(servers))
 	for _, s := range servers {
 		p.servers[s.ID] = s
@@ -218,14 +207,18 @@
 	for _, s := range servers {
 		b := world.Backend{
 			ID: s.ID, Incarnation: uint64(s.Incarnation), Address: s.Address, Service: s.Service,
-			Versions: []string{anyVersion, versionPrefix + s.Version}, DataCentre: s.DataCentre,
+			DataCentre: s.DataCentre,
 			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy, AcceptsFrom: p.acceptsFrom(s),
 		}
 		if s.Limit.Named && p.cfg.Part != nil {
 			b.RateLimited, b.Rate = true, p.cfg.Part(s)
 		}
-		if t := targets[s.Service]; t != "" && t != s.Version {
-			b.Versions = append(b.Versions, otherVersionsPrefix+t)
+		var last *coord.Rollout
+		if r, ok := rollouts[s.Service]; ok {
+			last = &r
+		}
+		if g := groupOf(s, last); g != "" {
+			b.Versions = []string{g}
 		}
 		if cfg != nil {
 			if svc := cfg.Service(s.Service); svc != nil && svc.Engine != nil {
@@ -237,7 +230,7 @@
 	p.table.SetBackends(backends, now)
 }
 
-// OtherVersions is the version name in VersionResults that stands for all
+// OtherVersions is the version name in VersionResults that stands for all accepted
 // versions of a service other than the rollout's target.
 const OtherVersions = "earlier"
 
@@ -254,8 +247,12 @@
 		return
 	}
 	version := OtherVersions
-	if t.server.Version == r.Target {
+	switch groupOf(t.server, &r) {
+	case targetGroup + r.Target:
 		version = r.Target
+	case acceptedGroup:
+	default:
+		return // no measure for the target
 	}
 	res := judge.Result{
 		Service: t.server.Service, Version: version, Route: t.req.route.Name, Server: t.server.ID, Failed: t.failed,
