proxy: Refuse unknown API keys on routes that serve requests without one

The requests belonged to no organisation, so no quota held them.

Cause: a request without a key and one with an unknown key looked alike: both had no organisation, which is all that an anonymous route asked for. Two more cases of the same: an empty list of organisations counted as none, so that removing the last one opened all routes, and a configuration with an empty key gave its organisation all requests without a key.

A request now says whether it has a key; an unknown one is refused on every route. Where the deployment has organisations, an empty list requires keys.

Ruled out: an instance with an older configuration; the same instances refused the key on other routes at the same time.

--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -151,7 +151,8 @@
 		return f.refuseByConfig(ctx, NoRoute, now)
 	}
 	f.org = f.cfg.Organisation(f.r.Key)
-	if f.org == nil && f.cfg.HasOrganisations() && !f.route.Anonymous {
+	// An anonymous route serves requests without a key, not those with an unknown one.
+	if f.org == nil && f.cfg.HasOrganisations() && (f.r.HasKey || !f.route.Anonymous) {
 		return f.refuseByConfig(ctx, NoKey, now)
 	}
 	timeout := f.route.Timeout
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -207,7 +207,7 @@
 	for _, s := range servers {
 		b := world.Backend{
 			ID: s.ID, Incarnation: uint64(s.Incarnation), Address: s.Address, Service: s.Service,
-			DataCentre: s.DataCentre,
+			DataCentre:  s.DataCentre,
 			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy, AcceptsFrom: p.acceptsFrom(s),
 		}
 		if s.Limit.Named && p.cfg.Part != nil {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -142,7 +142,7 @@
 }
 
 func newRequest(path string) *Request {
-	return &Request{ID: "r1", Key: "k", Method: "POST", Host: "h", Path: path, URI: path, Arrived: time.Now(), CallerTimeout: 5 * time.Second}
+	return &Request{ID: "r1", HasKey: true, Key: "k", Method: "POST", Host: "h", Path: path, URI: path, Arrived: time.Now(), CallerTimeout: 5 * time.Second}
 }
 
 const (
@@ -386,7 +386,7 @@
 	p.SetConfig(c, time.Now())
 	now := time.Now()
 	for i := range 41 {
-		r := &Request{ID: fmt.Sprint(i), Method: "GET", Host: "h", Path: "/safe/", URI: "/safe/", Arrived: now, CallerTimeout: 5 * time.Second, Key: "k"}
+		r := &Request{ID: fmt.Sprint(i), Method: "GET", Host: "h", Path: "/safe/", URI: "/safe/", Arrived: now, CallerTimeout: 5 * time.Second, HasKey: true, Key: "k"}
 		if i == 0 {
 			r.HasTokens, r.PromptTokens = true, 1<<30
 		}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -21,7 +21,8 @@
 // Request is one request as received from a caller.
 type Request struct {
 	ID              string
-	Key             string // API key that identifies the organisation, or empty
+	HasKey          bool   // the caller sent an API key
+	Key             string // the API key; empty also if the caller sent one that cannot be valid
 	Method          string
 	Host            string
 	Path            string // without the query
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -125,6 +125,7 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
+	KeysRequired  bool // also if there is no organisation, since the last one was removed
 	Limits        Limits
 
 	hosts    map[string][]*Route // longest prefix first
@@ -217,10 +218,16 @@
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
 // HasOrganisations reports whether requests must name an organisation.
-func (c *Config) HasOrganisations() bool { return len(c.Organisations) > 0 }
+func (c *Config) HasOrganisations() bool { return c.KeysRequired || len(c.Organisations) > 0 }
 
-// Organisation returns the organisation with the given API key, or nil.
-func (c *Config) Organisation(key string) *Organisation { return c.keys[key] }
+// Organisation returns the organisation with the given API key, or nil. No organisation has
+// the empty key, whatever the configuration says: requests without a key have it.
+func (c *Config) Organisation(key string) *Organisation {
+	if key == "" {
+		return nil
+	}
+	return c.keys[key]
+}
 
 // canonicalHost returns host without a port and in lower case.
 func canonicalHost(host string) string {
