entry: Refuse an unknown key instead of the organisation that it names

On the own interface a request with an unknown key, or one that was taken away, was served as the organisation in X-Organisation if that one needs no key.

--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -141,6 +141,7 @@
 		if org, ok := d.OrganisationForKey(key); ok {
 			return org, nil
 		}
+		return decl.Organisation{}, unauthorized // not a request without a key
 	}
 	if name := string(h.Peek(headerOrganisation)); name != "" {
 		if org, ok := d.Organisation(name); ok && len(org.Keys) == 0 {
