proxy, backnd: Bound the memory of all responses in flight together

An instance whose backend servers send bytes without end ran out of memory, and the requests of other callers ended with it (report of other operators).

Cause: each response was bounded, but not all of them together: 600 streams with an event that does not end held 1.2 GB. The part of a body that had been passed on was kept until its end.

Without memory a body is passed on as it arrives; an event or a head ends its attempt.

--- a/internal/backnd/backnd.go
+++ b/internal/backnd/backnd.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"cranberrypath.example/cranberrypath/internal/buffer"
 )
 
 // Error is the class of this package's errors.
@@ -105,6 +107,9 @@
 	// ReadBufferBytes is the size of each connection's read buffer. It also limits the
 	// response header, except for Forward; 16 KiB if zero.
 	ReadBufferBytes int
+	// Buffers bounds the memory of the response headers that Forward reads; nil means no
+	// limit for all of them together.
+	Buffers *buffer.Pool
 	// MaxResponseBytes limits the response body of Call; 64 MiB if zero.
 	MaxResponseBytes int64
 }
--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"cranberrypath.example/cranberrypath/internal/buffer"
 	"cranberrypath.example/cranberrypath/internal/peek"
 )
 
@@ -44,6 +45,7 @@
 	errWrongRequest = errors.New("response belongs to another request")
 	errMergedHeads  = errors.New("the response header contains parts of two responses")
 	errUpgrade      = errors.New("server switched protocols")
+	errNoMemory     = errors.New("the response headers in flight take all memory that is meant for them")
 )
 
 // conn is a connection with its own read buffer, so that excess bytes after a
@@ -70,6 +72,9 @@
 type boundedReader struct {
 	r    io.Reader
 	left int64
+	// lease is the memory for what is read; nil if that is not kept.
+	lease *buffer.Lease
+	kept  int
 }
 
 // Read implements io.Reader.
@@ -79,6 +84,11 @@
 	}
 	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	if b.lease != nil {
+		if b.kept += n; !b.lease.Hold(b.kept) {
+			return 0, errNoMemory
+		}
+	}
 	return n, err
 }
 
--- a/internal/backnd/forward.go
+++ b/internal/backnd/forward.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cranberrypath.example/cranberrypath/internal/buffer"
 )
 
 const (
@@ -61,7 +63,7 @@
 		return nil, &CallError{Outcome: NotRun, Err: Error.Wrap(err)}
 	}
 	cn.bytesWritten = 0
-	f := &forwarding{c: c, cn: cn, writeResult: make(chan error, 1)}
+	f := &forwarding{c: c, cn: cn, writeResult: make(chan error, 1), head: c.cfg.Buffers.NewLease()}
 	f.stop = context.AfterFunc(ctx, cn.abort)
 	if f.resp, err = f.roundTrip(req); err != nil {
 		f.discard()
@@ -87,6 +89,7 @@
 	requestWritten bool       // the whole request was written
 	bodyEnded      bool       // the body was read to EOF
 	identified     bool       // the response carries the id of the request
+	head           *buffer.Lease
 	closed         bool
 }
 
@@ -113,7 +116,9 @@
 	}
 	for range maxStaleResponses {
 		f.cn.allow(maxHeadBytes)
+		f.cn.input.lease, f.cn.input.kept = f.head, 0
 		resp, err := readResponse(f.cn.br, req.Method)
+		f.cn.input.lease = nil
 		if err != nil {
 			return nil, err
 		}
@@ -220,6 +225,7 @@
 		return nil
 	}
 	f.closed = true
+	f.head.Release()
 	f.cn.idleTimeout = keepAliveTimeout(f.resp.Header)
 	f.c.putIdle(f.cn)
 	return nil
@@ -230,6 +236,7 @@
 		return
 	}
 	f.closed = true
+	f.head.Release()
 	f.stop()
 	f.cn.abort()
 }
--- a/internal/backnd/hostile_test.go
+++ b/internal/backnd/hostile_test.go
@@ -8,11 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/buffer"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -378,3 +381,55 @@
 		}
 	}
 }
+
+// Guards against an instance that runs out of memory because many servers send heads without
+// end: each head is bounded, but not all of them together.
+func TestHeadsWithoutEndTakeBoundedMemory(t *testing.T) {
+	const (
+		calls     = 400
+		poolBytes = 2 << 20
+	)
+	started := make(chan struct{}, calls)
+	release := make(chan struct{})
+	s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+		if _, err := readRequest(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-A: "+strings.Repeat("b", maxHeadBytes-100)) // fails if the call gives up
+		started <- struct{}{}
+		<-release
+	})
+	buffers := buffer.NewPool(poolBytes)
+	cl := New(Config{Buffers: buffers, ReadBufferBytes: 4 << 10})
+	defer cl.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			if resp, err := cl.Forward(ctx, s.ln.Addr().String(), opaque(fmt.Sprint("r", i))); err == nil {
+				resp.Body.Close()
+				t.Error("a response without the end of its head was accepted")
+			}
+		})
+	}
+	for range calls {
+		<-started
+	}
+	time.Sleep(200 * time.Millisecond) // the calls read what has arrived
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	// The calls that hold more than their allowance hold the pool, twice while they grow.
+	if got, most := int64(during.HeapAlloc)-int64(before.HeapAlloc), int64(2*poolBytes+calls*buffer.Allowance); got > most {
+		t.Errorf("%d heads take %d KiB, want at most %d", calls, got>>10, most>>10)
+	}
+	cancel()
+	close(release)
+	wg.Wait()
+	if !buffers.NewLease().Hold(buffer.Allowance + poolBytes) {
+		t.Error("memory was not returned to the pool")
+	}
+}
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -22,7 +22,10 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("cloud")
 
-const maxJSONBytes = 8 << 20 // limit of the platform API
+const (
+	maxJSONBytes   = 8 << 20  // limit of the platform API
+	maxHeaderBytes = 64 << 10 // of a response
+)
 
 // Error codes of the platform.
 const (
@@ -140,7 +143,7 @@
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, http: cfg.HTTP}
 	if c.http == nil {
-		c.ownTransport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+		c.ownTransport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
 		c.http = &http.Client{Transport: c.ownTransport}
 	}
 	return c
--- a/internal/coord/orders_test.go
+++ b/internal/coord/orders_test.go
@@ -236,8 +236,12 @@
 func TestRolloutsFingerprint(t *testing.T) {
 	a := Rollout{Service: "s", Target: "v2", Serial: 1, Revision: 1, Phase: Running}
 	for _, all := range [][]Rollout{
-		nil, {a.WithShare(0.05, start, "")}, {a.WithPhase(RolledBack, "")}, {{Service: "s", Serial: 1, Revision: 2, Phase: Running}},
-		{{Service: "s", Serial: 2, Revision: 1, Phase: Running}}, {a, {Service: "t", Serial: 2, Revision: 1, Phase: Running}},
+		nil,
+		{a.WithShare(0.05, start, "")},
+		{a.WithPhase(RolledBack, "")},
+		{{Service: "s", Serial: 1, Revision: 2, Phase: Running}},
+		{{Service: "s", Serial: 2, Revision: 1, Phase: Running}},
+		{a, {Service: "t", Serial: 2, Revision: 1, Phase: Running}},
 		{{Service: "s", Serial: 1, Revision: 1, Phase: Running, Share: 0.00001}},
 	} {
 		if rolloutsFingerprint(all) == rolloutsFingerprint([]Rollout{a}) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"cranberrypath.example/cranberrypath/internal/blame"
+	"cranberrypath.example/cranberrypath/internal/buffer"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/duty"
@@ -79,6 +80,8 @@
 	// DecodeConfig decodes and validates the content of a configuration.
 	DecodeConfig func(content []byte) (*routes.Config, error)
 	Sender       proxy.Sender
+	// Buffers bounds the memory of the responses in flight together; nil means no limit.
+	Buffers *buffer.Pool
 	// Accepts reports whether a backend server accepts a new connection.
 	Accepts func(ctx context.Context, s roster.Server) bool
 	// AddressTTL is how long callers may cache the result of Addresses.
@@ -153,7 +156,7 @@
 		metricMeter = cfg.Meters
 	}
 	e.proxy, err = proxy.New(proxy.Config{
-		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
+		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Buffers: cfg.Buffers, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
 		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit,
 	})
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -12,6 +12,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/blame"
+	"cranberrypath.example/cranberrypath/internal/buffer"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/route"
@@ -459,13 +460,15 @@
 		t.failed = true
 		return false, Error.New("status %d instead of the continuation of a stream", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	lease := f.p.cfg.Buffers.NewLease()
+	defer lease.Release()
+	body, complete, err := readAhead(resp.Body, lease)
 	if err != nil {
 		t.failed, t.err = true, err
 		return f.responseLost(err)
 	}
 	t.recordFirstByte(resp.Status)
-	t.completed = len(body) <= maxBufferedBytes && resp.Status < http.StatusBadRequest
+	t.completed = complete && resp.Status < http.StatusBadRequest
 	if promisesNotRun(resp.Status) {
 		// Callers take this status as proof that the request did not run.
 		t.failed = true
@@ -478,7 +481,6 @@
 		}
 	}
 	f.copyHeader(resp)
-	complete := len(body) <= maxBufferedBytes
 	if complete {
 		f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	} else if resp.Length >= 0 {
@@ -492,6 +494,7 @@
 	if complete {
 		return true, nil
 	}
+	lease.Release()
 	if _, err := io.Copy(f.w, resp.Body); err != nil {
 		t.failed = true
 		f.lastErr = err
@@ -500,6 +503,29 @@
 	return true, nil
 }
 
+// readAhead reads a body until it ends, exceeds maxBufferedBytes or there is no memory for a
+// larger buffer. complete reports whether it has ended.
+func readAhead(r io.Reader, lease *buffer.Lease) (body []byte, complete bool, err error) {
+	body = make([]byte, 0, minReadBytes)
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		case len(body) < cap(body):
+			continue
+		}
+		size := min(2*cap(body), maxBufferedBytes+1)
+		if len(body) > maxBufferedBytes || !lease.Hold(size) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
 // promisesNotRun reports whether callers take a status as proof that the request did
 // not run and never will.
 func promisesNotRun(status int) bool {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/blame"
+	"cranberrypath.example/cranberrypath/internal/buffer"
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/judge"
 	"cranberrypath.example/cranberrypath/internal/limit"
@@ -100,6 +101,8 @@
 	Blame *blame.Ledger
 	// CrashRecorded is called after a server crashed under a request; nil does nothing.
 	CrashRecorded func()
+	// Buffers bounds the memory of the responses in flight together; nil means no limit.
+	Buffers *buffer.Pool
 	// VersionResults receives the results of requests to services with a rollout in progress.
 	VersionResults *judge.Recorder
 	// ServerLeaves is called with a server that says that it leaves, in its response to a
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
+	"cranberrypath.example/cranberrypath/internal/buffer"
 )
 
 const (
@@ -19,7 +20,10 @@
 	minReadBytes = 2 << 10
 )
 
-var errEventTooLarge = errors.New("stream event exceeds the size limit")
+var (
+	errEventTooLarge = errors.New("stream event exceeds the size limit")
+	errNoMemory      = errors.New("the responses in flight take all memory that is meant for them")
+)
 
 // eventReader splits a stream into complete events. Incomplete events stay buffered,
 // so that the caller never gets part of an event when the server stops within it.
@@ -27,6 +31,7 @@
 	r      io.Reader
 	buf    []byte
 	unread int // offset of the first byte not yet returned
+	lease  *buffer.Lease
 }
 
 // next returns the complete events that have arrived, at least one. At the end of
@@ -41,7 +46,11 @@
 			return nil, errEventTooLarge
 		}
 		if cap(e.buf)-len(e.buf) < minReadBytes {
-			e.buf = append(make([]byte, 0, 2*cap(e.buf)+minReadBytes), e.buf...)
+			size := 2*cap(e.buf) + minReadBytes
+			if !e.lease.Hold(size) {
+				return nil, errNoMemory
+			}
+			e.buf = append(make([]byte, 0, size), e.buf...)
 		}
 		n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
 		e.buf = e.buf[:len(e.buf)+n]
@@ -151,7 +160,9 @@
 // the server is lost, the stream may be resumed on another server. Comments before the
 // first event are dropped, so that the request can still get another response.
 func (f *inflight) forwardStream(ctx context.Context, t *attemptState, resp *Response) (bool, error) {
-	e := &eventReader{r: resp.Body}
+	lease := f.p.cfg.Buffers.NewLease()
+	defer lease.Release()
+	e := &eventReader{r: resp.Body, lease: lease}
 	continued := !f.headerSent // or the events continue those that the caller has
 	for {
 		b, err := e.next()
