--- a/internal/coord/depart.go
+++ b/internal/coord/depart.go
@@ -41,7 +41,9 @@
 func (c *Coord) learnDepartures(all []*coordpb.Departure) {
 	now := c.cfg.Clock()
 	for _, d := range all {
-		c.feed.roster.Put(serverFromProto(d.Server, now), now)
+		if now.Sub(time.UnixMilli(d.AtMs)) <= roster.GoneRetention {
+			c.feed.roster.Put(serverFromProto(d.Server, now), now)
+		}
 	}
 }
 
@@ -53,8 +55,8 @@
 	return i >= 0 && departed(m.state.Departures[i]).CoversEndOf(serverFromProto(s, time.Time{}))
 }
 
-// departed returns the server of a departure without the time at which it will be gone, which
-// is relative to the receipt.
+// departed returns the server of a departure. The time at which it will be gone is relative to
+// the receipt and not used.
 func departed(d *coordpb.Departure) roster.Server { return serverFromProto(d.Server, time.Time{}) }
 
 // departureIndex returns the index of a server's departure, or -1. mu must be held.
@@ -65,9 +67,6 @@
 // applyDeparture records a departure and forgets those that no late heartbeat can undo any
 // more. mu must be held.
 func (m *stateMachine) applyDeparture(d *coordpb.Departure) {
-	if d.Server == nil {
-		return
-	}
 	if i := m.departureIndex(d.Server.Id); i >= 0 {
 		if !departed(d).Newer(departed(m.state.Departures[i])) {
 			return
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -105,7 +105,7 @@
 		return nil // an entry of a later program version; all members skip it
 	}
 	out := m.apply(&c)
-	if c.Departure != nil {
+	if c.Departure.GetServer() != nil {
 		m.departed([]*coordpb.Departure{c.Departure})
 	}
 	b, err := proto.Marshal(out)
@@ -129,7 +129,7 @@
 		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout, c.AfterSerial)}
 	case c.Usage != nil:
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
-	case c.Departure != nil:
+	case c.Departure.GetServer() != nil:
 		m.applyDeparture(c.Departure)
 	}
 	return out
@@ -194,9 +194,9 @@
 		r.Superseded = addVersion(r.Superseded, last.Target)
 	}
 	m.state.Serial++
-	r.Serial, r.Revision = m.state.Serial, 0
+	r.Serial = m.state.Serial
 	if after != nil {
-		r.Revision = 1
+		r.Revision = 1 // earlier program versions do not count changes
 	}
 	if i < 0 {
 		m.state.Rollouts = append(m.state.Rollouts, r)
