--- a/internal/coord/disks_test.go
+++ b/internal/coord/disks_test.go
@@ -77,6 +77,11 @@
 			sleep(ctx, 50*time.Millisecond)
 		}
 	})
+	stopChanges := func() {
+		cancel()
+		wg.Wait()
+	}
+	defer stopChanges()
 	for turn := range turns {
 		inst := d.instances[turn%durable]
 		inst.fs.SetFreeBytes(rng.IntN(3 * configBytes))
@@ -109,8 +114,7 @@
 			t.Fatalf("turn %d (%d): no change was acknowledged for %v while one disk at most was full", turn, how, since)
 		}
 	}
-	cancel()
-	wg.Wait()
+	stopChanges()
 	for _, inst := range d.instances {
 		within(t, ackTime, "a configuration at "+inst.addr, func(context.Context) error {
 			if !change(inst) {
