--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -50,12 +50,18 @@
 	stream  bool
 	stopped *sync.WaitGroup
 	release chan struct{}
-	begun   sync.Map // *Request to the function that ends its part of stopped
+	ended   sync.Map // *Request whose part of stopped has ended
+}
+
+// end ends the part of a request in stopped.
+func (s *heldSender) end(r *Request) {
+	if _, ended := s.ended.LoadOrStore(r, true); !ended {
+		s.stopped.Done()
+	}
 }
 
 func (s *heldSender) Send(_ context.Context, r *Request, _ Attempt) (*Response, error) {
-	stopped, _ := s.begun.LoadOrStore(r, sync.OnceFunc(s.stopped.Done))
-	body := &heldBody{pattern: s.pattern, left: s.bytes, stopped: stopped.(func()), release: s.release}
+	body := &heldBody{pattern: s.pattern, left: s.bytes, stopped: func() { s.end(r) }, release: s.release}
 	return &Response{Status: 200, Header: http.Header{}, Length: -1, Body: body, IsEventStream: s.stream}, nil
 }
 
@@ -98,7 +104,9 @@
 			for range requests {
 				s.stopped.Add(1)
 				wg.Go(func() {
-					_ = p.Serve(context.Background(), &discardWriter{http.Header{}}, newRequest(c.path))
+					r := newRequest(c.path)
+					_ = p.Serve(context.Background(), &discardWriter{http.Header{}}, r)
+					s.end(r) // if it was not sent in its time
 				})
 			}
 			s.stopped.Wait()
