proxy: Take a server that a proxy answers for, or that restarts at once, as crashed

Callers saw requests fail that should have been refused: a prompt part that had crashed three servers was sent to a fourth and later ones.

Cause: after a broken connection, a server counted as crashed only if it refused a new connection. A proxy in front of a crashed server accepts connections and ends them, and a server that restarts at once accepts them itself, so such crashes were not in the ledger.

A new connection must now stay open for 20 ms to count as accepted. A break that still seems to be none is remembered for 5 s; a later incarnation of the server shows that it was a crash, unless the server left as planned. The late finding is logged as server.crashed, and explain uses it.

Ruled out: the exchange of records between instances, since the records were missing at the instance that saw the break.

TestAccepts and TestRestartedServersHaveCrashed fail without the change.

--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -186,15 +187,22 @@
 	return newConn(nc, addr, c.cfg.ReadBufferBytes), nil
 }
 
-// Accepts reports whether a server accepts a new connection. It is true if that cannot be
-// told in time.
+// settleTime is how long a new connection must stay open to count as accepted.
+const settleTime = 20 * time.Millisecond
+
+// Accepts reports whether a server accepts a new connection and keeps it open: a proxy accepts
+// connections for a server that is down, and ends them. It is true if that cannot be told in
+// time.
 func (c *Client) Accepts(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
 	nc, err := c.cfg.Dial(ctx, addr)
 	if err == nil {
-		_ = nc.Close()
-		return true
+		defer func() { _ = nc.Close() }() // nothing was sent
+		if err = nc.SetReadDeadline(time.Now().Add(settleTime)); err == nil {
+			_, err = nc.Read(make([]byte, 1))
+		}
+		return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	var netErr net.Error
 	return ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout()
--- a/internal/backnd/forward_test.go
+++ b/internal/backnd/forward_test.go
@@ -240,9 +240,15 @@
 }
 
 // Guards against a server that counts as crashed although it accepts connections, or because
-// the attempt took too long.
+// the attempt took too long, and against a crashed server that counts as up because a proxy
+// accepts connections for it.
 func TestAccepts(t *testing.T) {
-	s := newConnServer(t, func(int, net.Conn, *bufio.Reader) {})
+	hold := make(chan struct{})
+	defer close(hold)
+	s := newConnServer(t, func(int, net.Conn, *bufio.Reader) { <-hold })
+	greets := newConnServer(t, func(_ int, nc net.Conn, _ *bufio.Reader) { _, _ = nc.Write([]byte("x")); <-hold })
+	ends := newConnServer(t, func(int, net.Conn, *bufio.Reader) {})
+	resets := newConnServer(t, func(_ int, nc net.Conn, _ *bufio.Reader) { _ = nc.(*net.TCPConn).SetLinger(0) })
 	closed := newConnServer(t, func(int, net.Conn, *bufio.Reader) {})
 	_ = closed.ln.Close()
 	c := New(Config{})
@@ -259,6 +265,9 @@
 		want bool
 	}{
 		{"listening", c, s.ln.Addr().String(), true},
+		{"sends first", c, greets.ln.Addr().String(), true},
+		{"behind a proxy that ends connections", c, ends.ln.Addr().String(), false},
+		{"behind a proxy that resets connections", c, resets.ln.Addr().String(), false},
 		{"closed", c, closed.ln.Addr().String(), false},
 		{"unknown in time", slow, closed.ln.Addr().String(), true},
 	} {
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -102,6 +102,10 @@
 			logLine("n1", 300, `"event":"key.blamed","key":"2e"`),
 			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
 		}},
+		{"servers crash and are back at once under a part of the prompt", Blamed, []string{
+			logLine("n2", 100, `"event":"server.crashed","server":"i-1","request":"q","keys":["1f","2e"]`),
+			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
+		}},
 		{"servers crash under another part", Unexplained, []string{
 			logLine("n2", 100, `"event":"server.broke","server":"i-1","crashed":true,"parts":["p"],"keys":["1f"]`),
 			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -121,8 +121,8 @@
 	key := end.Detail["key"]
 	e := l.findEvents(time.Time{}, end.Time, func(e event.Event) bool {
 		return e.Kind == "key.blamed" && e.Node == end.Node && e.Detail["key"] == key ||
-			e.Kind == "server.broke" && e.Detail["crashed"] == "true" && strings.Contains(e.Detail["keys"], `"`+key+`"`)
-	}, "key.blamed", "server.broke")
+			(e.Kind == "server.crashed" || e.Kind == "server.broke" && e.Detail["crashed"] == "true") && strings.Contains(e.Detail["keys"], `"`+key+`"`)
+	}, "key.blamed", "server.broke", "server.crashed")
 	if key == "" || len(e) == 0 {
 		return nil
 	}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/blame"
+	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -59,29 +61,50 @@
 		!errors.Is(a.err, os.ErrDeadlineExceeded) && !errors.Is(a.err, errSilent)
 }
 
+const (
+	// restartTime is within what time after a broken connection a new incarnation of the server
+	// shows that the one before has crashed.
+	restartTime = 5 * time.Second
+	// maxBreaks bounds the broken connections that are remembered.
+	maxBreaks = 1024
+)
+
+// brokenAttempt is an attempt whose connection broke although its server seemed to be up.
+type brokenAttempt struct {
+	server   roster.Server
+	request  string // ID
+	keys     []blame.Key
+	sent, at time.Time
+}
+
 // crashed reports whether the server of an attempt whose connection broke has crashed: it
-// accepts no connection, although it has not said that it would leave.
-func (a *attemptState) crashed() bool {
+// accepts no connection, although it has not said that it would leave. known is false if a
+// later incarnation may still show that it has.
+func (a *attemptState) crashed() (crashed, known bool) {
 	p := a.req.p
 	p.mu.Lock()
 	s, ok := p.servers[a.server.ID]
 	p.mu.Unlock()
-	if !ok || s.State != world.Ready || p.cfg.Accepts == nil {
-		return false
+	switch {
+	case p.cfg.Accepts == nil || ok && s.State != world.Ready:
+		return false, true
+	case !ok:
+		return false, false
+	case s.Incarnation > a.server.Incarnation || !p.cfg.Accepts(context.Background(), a.server):
+		return true, true
 	}
-	return s.Incarnation > a.server.Incarnation || !p.cfg.Accepts(context.Background(), a.server)
+	return false, false
 }
 
 // recordBreak records a broken connection with what the request has in common with others.
 func (p *Proxy) recordBreak(a *attemptState, now time.Time) {
-	crashed := a.crashed()
+	b := brokenAttempt{server: a.server, request: a.req.r.ID, keys: a.req.blameKeys, sent: a.sentAt, at: now}
+	crashed, known := a.crashed()
+	if !known {
+		crashed = p.remember(b)
+	}
 	if crashed {
-		s := blame.ServerOf(a.server.ID, a.server.Incarnation)
-		p.cfg.Blame.Crashed(s, a.req.blameKeys, a.sentAt, now)
-		p.LogVerdicts(now)
-		if p.cfg.CrashRecorded != nil {
-			p.cfg.CrashRecorded()
-		}
+		p.recordCrash(b, now)
 	}
 	p.cfg.Log.WithError(a.err).WithFields(log.Fields{
 		"event": "server.broke", "server": a.server.ID, "incarnation": a.server.Incarnation, "service": a.server.Service,
@@ -89,6 +112,61 @@
 	}).Warn("the connection to a backend server broke")
 }
 
+// remember keeps a broken attempt until its server is known to have restarted. It returns true
+// if that is known already.
+func (p *Proxy) remember(b brokenAttempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.servers[b.server.ID]; ok && s.Incarnation > b.server.Incarnation {
+		return true
+	}
+	if len(p.broken) >= maxBreaks {
+		p.broken = slices.Delete(p.broken, 0, 1)
+	}
+	p.broken = append(p.broken, b)
+	return false
+}
+
+// restarted returns the broken attempts whose servers have crashed, as a later incarnation
+// shows. mu must be held.
+func (p *Proxy) restarted(now time.Time) []brokenAttempt {
+	var out []brokenAttempt
+	p.broken = slices.DeleteFunc(p.broken, func(b brokenAttempt) bool {
+		s, ok := p.servers[b.server.ID]
+		switch {
+		case now.Sub(b.at) >= restartTime:
+			return true
+		case !ok:
+			return false
+		case s.Incarnation > b.server.Incarnation:
+			out = append(out, b)
+			return true
+		}
+		return s.State != world.Ready // it ends as planned
+	})
+	return out
+}
+
+// recordCrash records that the server of a broken attempt has crashed.
+func (p *Proxy) recordCrash(b brokenAttempt, now time.Time) {
+	p.cfg.Blame.Crashed(blame.ServerOf(b.server.ID, b.server.Incarnation), b.keys, b.sent, b.at)
+	p.LogVerdicts(now)
+	if p.cfg.CrashRecorded != nil {
+		p.cfg.CrashRecorded()
+	}
+}
+
+// recordRestarts records the crashes that later incarnations show.
+func (p *Proxy) recordRestarts(broken []brokenAttempt, now time.Time) {
+	for _, b := range broken {
+		p.recordCrash(b, now)
+		p.cfg.Log.WithFields(log.Fields{
+			"event": "server.crashed", "server": b.server.ID, "incarnation": b.server.Incarnation, "request": b.request,
+			"agoMs": now.Sub(b.at).Milliseconds(), "keys": hexKeys(b.keys),
+		}).Warn("a backend server whose connection broke has restarted")
+	}
+}
+
 func hexKeys(keys []blame.Key) []string {
 	out := make([]string, len(keys))
 	for i, k := range keys {
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -18,6 +18,7 @@
 
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/world"
 )
 
 // Guards against logs that do not tell which requests a server held when it crashed, or a
@@ -144,3 +145,55 @@
 		t.Errorf("after ten resets: %v", err)
 	}
 }
+
+// Guards against a part that crashes servers which are back before their crash can be seen: a
+// later incarnation shows it.
+func TestRestartedServersHaveCrashed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		next   func(s roster.Server) roster.Server // after the break
+		blamed bool
+	}{
+		{"restarted", func(s roster.Server) roster.Server { s.Incarnation++; return s }, true},
+		{"still there", func(s roster.Server) roster.Server { return s }, false},
+		{"left as planned, then restarted", func(s roster.Server) roster.Server { s.State = world.Leaving; return s }, false},
+	} {
+		now := time.Now()
+		sender := &scriptedSender{}
+		p := newProxy(t, sender, 0)
+		p.cfg.Accepts = func(context.Context, roster.Server) bool { return true }
+		p.cfg.Clock = func() time.Time { return now }
+		recorded := 0
+		p.cfg.CrashRecorded = func() { recorded++ }
+		request := func() *Request {
+			r := newRequest("/unsafe/")
+			r.Arrived, r.Parts = now, []Part{{ID: "deadly", Tokens: 1}, {ID: "own", Tokens: 1}}
+			return r
+		}
+		for i := range 3 {
+			server := roster.Server{ID: fmt.Sprint("e", i), Service: "s", Address: "10.0.0.1:1", Slots: 8, State: world.Ready, Incarnation: 1}
+			p.SetServers([]roster.Server{server}, now)
+			sender.responses = append(sender.responses, scriptedResponse{err: errReset})
+			_ = p.Serve(context.Background(), httptest.NewRecorder(), request())
+			now = now.Add(500 * time.Millisecond)
+			p.SetServers(nil, now) // unknown for a moment
+			p.SetServers([]roster.Server{c.next(server)}, now)
+			server.Incarnation = 2
+			if c.blamed || i > 0 {
+				continue
+			}
+			now = now.Add(restartTime) // a restart long after the break
+			p.SetServers([]roster.Server{server}, now)
+		}
+		sender.responses = append(sender.responses, scriptedResponse{status: 200, body: "x"})
+		p.SetServers([]roster.Server{{ID: "new", Service: "s", Address: "10.0.0.2:1", Slots: 8, State: world.Ready, Incarnation: 1}}, now)
+		err := p.Serve(context.Background(), httptest.NewRecorder(), request())
+		var refusal *Refusal
+		if blamed := errors.As(err, &refusal) && refusal.Cause == CrashesServers; blamed != c.blamed {
+			t.Errorf("%s: %v, want a refusal: %v", c.name, err, c.blamed)
+		}
+		if want := map[bool]int{true: 3}[c.blamed]; recorded != want {
+			t.Errorf("%s: %d crashes recorded, want %d", c.name, recorded, want)
+		}
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -146,6 +146,7 @@
 	configuredAt     time.Time               // when the first configuration arrived
 	prefixReportedAt map[prefixKey]time.Time // when each prefix was last reported
 	prefixReports    []coord.CachedPrefix    // queued for the next report
+	broken           []brokenAttempt         // at servers that may have crashed, in order of time
 
 	serversMu sync.Mutex         // held while holdOffs or the servers in table change
 	holdOffs  map[string]holdOff // by server
@@ -204,7 +205,9 @@
 			delete(p.lastByteNanos, id)
 		}
 	}
+	crashed := p.restarted(now)
 	p.mu.Unlock()
+	p.recordRestarts(crashed, now)
 	cfg := p.Config()
 	backends := make([]world.Backend, 0, len(servers))
 	for _, s := range servers {
