entry: Set the server before it serves callers

A caller whose request arrived in the first microseconds after an instance opened its listener could end the process: the handler reads e.server, which was set only after the listener's goroutine had started.

The listener now sets the field before it serves.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,8 +151,7 @@
 	e.serveCtx, e.stopServing = context.WithCancel(context.Background())
 	e.runCtx, e.stopRuns = context.WithCancel(context.Background())
 	e.registerPeerHandlers()
-	var err error
-	if e.server, err = e.listen(); err != nil {
+	if err := e.listen(); err != nil {
 		return nil, err
 	}
 	e.startLoops()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,12 +24,12 @@
 	once     sync.Once
 }
 
-// listen opens the callers' listener and serves connections until shutdown.
-func (e *Entry) listen() (*server, error) {
+// listen opens the callers' listener, sets e.server and serves connections until shutdown.
+func (e *Entry) listen() error {
 	l := e.cfg.Settings.Limits
 	ln, err := net.Listen("tcp", e.cfg.Settings.Listen.Callers)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
 	s := &server{ln: &connTracker{Listener: ln}, done: make(chan struct{})}
 	s.http = &fasthttp.Server{
@@ -48,11 +48,12 @@
 		CloseOnShutdown:       true,
 		Logger:                discardLogger{},
 	}
+	e.server = s // before the first request arrives
 	e.serveWG.Go(func() {
 		defer close(s.done)
 		s.err = s.http.Serve(&writeTimeoutListener{s.ln})
 	})
-	return s, nil
+	return nil
 }
 
 const (
