stream: Take an answer over once if several ask at the same time

An answer without an owner could be run twice by one instance, its two copies replacing each other twice a second until one run ended: of two readers that found it without an owner, both were told that the instance owns it now, and both started a run and a replication.

Takeover now says whether it changed the owner, decided under the lock, and only that call starts a run. The same was so for calls of other instances, which compared the state before and after. TestOneTakeoverOfMany needs the result that is new, so it doesn't compile without the change.

--- a/internal/entry/replicate.go
+++ b/internal/entry/replicate.go
@@ -108,14 +108,10 @@
 // takeOver makes this instance the owner of a replica whose owner is gone, and runs
 // the answer.
 func (e *Entry) takeOver(id string, now time.Time) {
-	a, err := e.answers.Takeover(id, false, now)
-	if err != nil {
-		return
-	}
-	if _, ended := a.Ended(); ended {
-		return
+	a, taken, err := e.answers.Takeover(id, false, now)
+	if err == nil && taken { // otherwise it has ended, or another request has taken it over
+		e.runAsOwner(a)
 	}
-	e.runAsOwner(a)
 }
 
 // runAsOwner runs an answer that this instance has taken over. The answer is
--- a/internal/stream/registry.go
+++ b/internal/stream/registry.go
@@ -177,28 +177,28 @@
 // Takeover makes this instance the owner of a replica. It increments the epoch, so
 // that messages of the old owner are rejected and new attempts have higher
 // numbers than the old owner's. It returns ErrOwned while the owner's replica
-// stream is open, unless the owner hands the answer over. An answer that this
-// instance owns already is returned unchanged.
-func (r *Registry) Takeover(id string, handover bool, now time.Time) (*Answer, error) {
+// stream is open, unless the owner hands the answer over. An answer that has ended or
+// that this instance owns already is returned unchanged, and taken is false.
+func (r *Registry) Takeover(id string, handover bool, now time.Time) (a *Answer, taken bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[id]
 	if e == nil {
-		return nil, ErrUnknown
+		return nil, false, ErrUnknown
 	}
-	a := e.answer
+	a = e.answer
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.replication.isReplica || a.end != nil {
-		return a, nil
+		return a, false, nil
 	}
 	if e.openStreams > 0 && !handover {
-		return nil, ErrOwned
+		return nil, false, ErrOwned
 	}
 	a.epoch++
 	a.attempt, a.replication.isReplica = 0, false
 	e.owner, e.lastContact = r.cfg.Instance, now
-	return a, nil
+	return a, true, nil
 }
 
 // Orphans returns the IDs of unfinished replicas whose owner is not connected and
--- a/internal/stream/replicate_test.go
+++ b/internal/stream/replicate_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,7 +166,7 @@
 					}
 				}
 			}
-			b, err := instances[holder].Takeover("r", true, testStart)
+			b, _, err := instances[holder].Takeover("r", true, testStart)
 			if err != nil || b.Position() < uint64(len(seen)) || !slices.Equal(b.Tokens(0)[:len(seen)], seen) {
 				t.Fatalf("seed %d: new owner has %q, readers have seen %q, %v", seed, b.Tokens(0), seen, err)
 			}
@@ -353,3 +355,41 @@
 		_, _, _ = a.Read(context.Background(), i%(1<<20))
 	}
 }
+
+// Guards against an answer that runs twice on one instance, because two readers found it
+// without an owner at the same time.
+func TestOneTakeoverOfMany(t *testing.T) {
+	r := NewRegistry(Config{Instance: "b", TotalBytes: 1 << 20, Retention: time.Minute})
+	a, err := r.OpenReplica(ReplicaHeader{Request: Request{ID: "r", Org: "o"}}, "a", testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.closeReplica(a)
+	body, err := proto.Marshal(&strmpb.Takeover{Id: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var taken atomic.Int64
+	for i := range 20 {
+		wg.Go(func() {
+			if i%2 == 0 {
+				if _, err := r.serveTakeover("c", body, testStart, func(*Answer) { taken.Add(1) }); err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			_, ok, err := r.Takeover("r", false, testStart)
+			if err != nil {
+				t.Error(err)
+			}
+			if ok {
+				taken.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if taken.Load() != 1 {
+		t.Errorf("taken over %d times", taken.Load())
+	}
+}
--- a/internal/stream/serve.go
+++ b/internal/stream/serve.go
@@ -102,13 +102,13 @@
 	}
 	info, _ := r.Info(m.Id)
 	// While the owner's replica stream is open, only the owner may hand over.
-	a, err := r.Takeover(m.Id, m.Handover && info.Owner == from, now)
+	a, taken, err := r.Takeover(m.Id, m.Handover && info.Owner == from, now)
 	if err != nil {
 		return nil, &link.RemoteError{Code: codeOf(err), Message: err.Error()}
 	}
 	_, ended := a.Ended()
 	updated, _ := r.Info(m.Id)
-	if info.IsReplica && !updated.IsReplica && !ended {
+	if taken {
 		onTakeover(a)
 	}
 	return &strmpb.TakeoverReply{Epoch: updated.Epoch, Pos: a.Position(), Ended: ended}, nil
