entry: Ask a slow owner again before its answer is taken over

A reader ahead of the copies could still lose its answer: an owner that took more than 300 ms to say what it has counted as gone, its copy was taken over at an earlier token, and the answer had two owners. The tokens of the first one, which a caller had seen, were then lost ("continued the answer from an earlier token").

The owner that a copy names now gets a second to reply before the copy is taken over, if it may run: an owner whose address refuses the connection, or that is no member any more, is not waited for. Cost: if the machine of an owner is gone without a trace, its answers go on up to a second later.

--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -23,8 +23,12 @@
 	// findTimeout is about 100 round trips within a region. A peer that does
 	// not reply within it is treated as not knowing the answer.
 	findTimeout = 300 * time.Millisecond
+	// ownerTimeout is how long the owner of a replica has to reply before the replica is taken
+	// over. An owner that is only slow may have shown its callers more tokens than the
+	// replica has.
+	ownerTimeout = time.Second
 	// locateTimeout limits the search for an answer.
-	locateTimeout = 2 * findTimeout
+	locateTimeout = 2*findTimeout + ownerTimeout
 )
 
 // answerID returns the internal id of an answer. Request ids are unique only
@@ -190,8 +194,14 @@
 // ensureOwner makes the holder of the best replica the owner if no owner is
 // left.
 func (e *Entry) ensureOwner(ctx context.Context, id string, l location, now time.Time) location {
+	orphaned := func(f *entrpb.Found) bool { return f.Held && !f.Linked && !f.Ended }
+	if orphaned(l.found) && l.silent > 0 {
+		if owner, ok := e.queryOwner(ctx, id, l.found.Owner); ok {
+			return owner
+		}
+	}
 	local := l.peer.Instance == e.cfg.Settings.Node
-	if f := l.found; f.Held && !f.Linked && !f.Ended {
+	if orphaned(l.found) {
 		if local {
 			e.takeOver(id, now)
 		} else {
@@ -207,6 +217,21 @@
 	return l
 }
 
+// queryOwner asks the owner of a replica for its record.
+func (e *Entry) queryOwner(ctx context.Context, id, instance string) (location, bool) {
+	owner, ok := e.peerByName(instance)
+	if !ok {
+		return location{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	f, err := e.queryInstance(ctx, owner, &entrpb.Find{Id: id})
+	if err != nil || !f.Known || f.Held || f.Broken {
+		return location{}, false
+	}
+	return location{peer: owner, found: f, takeovers: f.Epoch}, true
+}
+
 // queryAll queries the instances concurrently. A reply is nil if the instance did not
 // reply; silent is the number of those that did not refuse the connection. A reply from the owner ends the wait for the others if its record reaches pos.
 func (e *Entry) queryAll(ctx context.Context, instances []member.Peer, pos uint64, req func(i int) *entrpb.Find) (replies []*entrpb.Found, silent int) {
--- a/internal/site/behind_test.go
+++ b/internal/site/behind_test.go
@@ -57,6 +57,7 @@
 		lose  func(t *testing.T, s *Site)
 	}{
 		{"owner stops", holder, 120 * time.Millisecond, func(t *testing.T, s *Site) { stopNode(t, s, owner, 2*time.Second) }},
+		{"owner crashes", holder, 150 * time.Millisecond, func(t *testing.T, s *Site) { stopNode(t, s, owner, 0) }},
 		{"holder of the copy crashes", owner, 220 * time.Millisecond, func(t *testing.T, s *Site) { stopNode(t, s, holder, 0) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
