entry: Hand answers over until the time of a planned stop ends

A caller lost its answer in a planned stop if the instance could not copy it for a while before: it was handed over once, within 0.5 s, and the instance went although it had up to 2 s left. What it had shown without a copy went with it, and an older copy continued from an earlier token.

Answers are now handed over again until that succeeds, they end, no peer is left or the time is over. Meanwhile no token becomes visible without a copy: its reader would have to continue where nobody has it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,6 +109,7 @@
 	claimsInFlight  sync.Map      // owners of claims whose calls are being served
 	unsettledClaims sync.Map      // owners of claims whose result is not recorded yet
 	orphanRetries   sync.Map      // replicas without an owner, with the time of the next check
+	handingOver     atomic.Bool   // a planned stop hands the last answers over
 	knownCrashes    sync.Map      // server ids and incarnations known to have crashed
 
 	resyncMu      sync.Mutex
--- a/internal/entry/replicate.go
+++ b/internal/entry/replicate.go
@@ -20,6 +20,8 @@
 	// orphanRetryInterval is the time between checks of a replica for which
 	// another instance has a better record.
 	orphanRetryInterval = 10 * time.Second
+	// handoverRetryPause is the pause between two attempts to hand an answer over.
+	handoverRetryPause = 50 * time.Millisecond
 	// replicaRetryInterval is the time between searches for a replica holder.
 	replicaRetryInterval = 500 * time.Millisecond
 )
@@ -77,10 +79,11 @@
 
 // startReplica looks for a replica holder. If none is found in time, the answer
 // continues without a replica, because its caller cannot wait for a cell that
-// does not respond.
+// does not respond. At the end of a planned stop no more tokens become visible:
+// their reader would have to continue where nobody has them.
 func (e *Entry) startReplica(a *stream.Answer) (<-chan error, bool) {
 	replicaDone, ok := e.findReplicaHolder(a)
-	if !ok && e.runCtx.Err() == nil {
+	if !ok && e.runCtx.Err() == nil && !e.handingOver.Load() {
 		a.ContinueUnreplicated()
 	}
 	return replicaDone, ok
@@ -149,16 +152,25 @@
 }
 
 // handOverAll hands the running answers over to their replica holders. It is
-// the last step of a planned stop, for answers that did not finish in time.
+// the last step of a planned stop, for answers that did not finish in time. It tries
+// until ctx ends, since callers have seen tokens that only this instance may have.
 func (e *Entry) handOverAll(ctx context.Context) {
+	e.handingOver.Store(true)
 	var wg sync.WaitGroup
 	for _, a := range e.ownedUnfinished() {
-		wg.Go(func() { _ = e.handOverAnswer(ctx, a) })
+		wg.Go(func() {
+			for e.handOverAnswer(ctx, a) != nil && sleep(ctx, handoverRetryPause) {
+				if _, ended := a.Ended(); ended || len(e.replicaCandidates(a.Request().ID, e.cfg.Now())) == 0 {
+					return
+				}
+			}
+		})
 	}
 	wg.Wait()
 }
 
-// handOverAnswer makes the replica holder of an answer its owner.
+// handOverAnswer makes the replica holder of an answer its owner. An answer
+// without one gets a replica first.
 func (e *Entry) handOverAnswer(ctx context.Context, a *stream.Answer) error {
 	id := a.Request().ID
 	addr, ok := e.replicaHolders.get(id)
--- a/internal/site/behind_test.go
+++ b/internal/site/behind_test.go
@@ -185,3 +185,46 @@
 	checkComputedOnce(t, s, "acme", "ended")
 	checkComputedOnce(t, s, "acme", "running")
 }
+
+// Guards against a planned stop that gives up handing an answer over although it has time
+// left: if the instance could not copy the last tokens for a while, nobody else has them.
+func TestHandoverIsRepeated(t *testing.T) {
+	t.Parallel()
+	const owner, holder = 5, 4
+	seed := rand.Uint64() >> 32
+	s := startSixInstances(t, seed, 3, stand.EngineConfig{Speed: 1, Sampling: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Second)
+	defer cancel()
+	c := &streamCaller{id: idReplicatedOn(s, "late-", holder), key: "acme-key", prompt: "long", seed: seed, tokens: 700}
+	for _, i := range []int{owner, 0, 1, 2, 3, holder} {
+		c.addrs = append(c.addrs, s.Settings(i).Listen.Callers)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { c.run(ctx) })
+	for c.tokensReceived() < 5 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Go(func() { stopNode(t, s, owner, 8*time.Second) }) // the answers are handed over in the last 2 s
+	cut := func(on bool) {
+		for i := range s.InstanceCount() {
+			s.Links.Set(s.Settings(owner).Listen.Peers, s.Settings(i).Listen.Peers, faults.Rule{Cut: on})
+			s.Links.Set(s.Settings(i).Listen.Peers, s.Settings(owner).Listen.Peers, faults.Rule{Cut: on})
+		}
+	}
+	time.Sleep(4 * time.Second)
+	before := c.tokensReceived()
+	cut(true)
+	time.Sleep(3 * time.Second)
+	seen := c.tokensReceived()
+	cut(false)
+	wg.Wait()
+	c.check(t)
+	if seen == before {
+		t.Error("no tokens were seen that had no copy")
+	}
+	if t.Failed() {
+		for _, e := range s.Timeline(event.Filter{Request: "acme/" + c.id}) {
+			t.Log(e.Time.Format(time.StampMilli), e.Node, e.Kind, e.Instance, e.Detail)
+		}
+	}
+}
