--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -199,6 +200,7 @@
 	complete   bool
 	failure    string
 	reconnects int
+	pause      time.Duration // the longest between two tokens
 }
 
 // runStreams runs n streams of about the given number of tokens and compares each answer
@@ -227,8 +229,8 @@
 		return streamResult{failure: err.Error()}
 	}
 	defer s.Close()
-	text, _, err := s.ReadAll()
-	res := streamResult{id: s.ID(), reconnects: s.Reconnects}
+	text, pause, err := readAll(s)
+	res := streamResult{id: s.ID(), reconnects: s.Reconnects, pause: pause}
 	want := stand.Generator{Model: "drafts", Version: "v1", Prompt: req.Prompt, Seed: uint64(req.Seed)}
 	switch {
 	case err != nil:
@@ -241,6 +243,39 @@
 	return res
 }
 
+// readAll reads a stream to its end and returns the longest pause between two tokens.
+func readAll(s *caller.Stream) (string, time.Duration, error) {
+	var text strings.Builder
+	var pause time.Duration
+	for last := (time.Time{}); ; last = time.Now() {
+		ev, err := s.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return text.String(), pause, nil
+		case err != nil:
+			return text.String(), pause, Error.Wrap(err)
+		case !last.IsZero():
+			pause = max(pause, time.Since(last))
+		}
+		text.WriteString(ev.Text)
+	}
+}
+
+// medianPause returns the median of the longest pauses of the streams that were resumed.
+func medianPause(all []streamResult) time.Duration {
+	var pauses []time.Duration
+	for _, x := range all {
+		if x.reconnects > 0 {
+			pauses = append(pauses, x.pause)
+		}
+	}
+	if len(pauses) == 0 {
+		return 0
+	}
+	slices.Sort(pauses)
+	return pauses[len(pauses)/2]
+}
+
 func countResults(all []streamResult) (complete, reconnects int, firstFailure string) {
 	for _, x := range all {
 		reconnects += x.reconnects
@@ -455,9 +490,19 @@
 // drainEntryNode drains an entry node while streams run.
 func (r *demonstration) drainEntryNode(ctx context.Context) error {
 	r.printf("planned stop: an entry node drains while streams run")
+	all := r.stopBusiestNode(ctx, 150)
+	complete, reconnects, firstFailure := countResults(all)
+	r.record("a planned stop cuts nothing", complete == streamCount, "%d of %d streams complete; %d resumed at another entry node, median of their longest pauses %d ms%s",
+		complete, streamCount, reconnects, medianPause(all).Milliseconds(), firstFailure)
+	return nil
+}
+
+// stopBusiestNode stops the busiest entry node as planned while streams of about the given
+// number of tokens run.
+func (r *demonstration) stopBusiestNode(ctx context.Context, tokens int) []streamResult {
 	var all []streamResult
 	var wg sync.WaitGroup
-	wg.Go(func() { all = r.runStreams(ctx, streamCount, 150) })
+	wg.Go(func() { all = r.runStreams(ctx, streamCount, tokens) })
 	time.Sleep(400 * time.Millisecond)
 	i := r.busiestNode()
 	settings := r.site.Settings(i)
@@ -465,9 +510,7 @@
 	defer cancel()
 	_ = r.site.StopInstance(drainCtx, i, true)
 	wg.Wait()
-	complete, reconnects, firstFailure := countResults(all)
-	r.record("a planned stop cuts nothing", complete == streamCount, "%d of %d streams complete; %d resumed at another entry node%s", complete, streamCount, reconnects, firstFailure)
-	return nil
+	return all
 }
 
 func (r *demonstration) printSummary() error {
