edge: Refuse a configuration that is too large to be stored with 400

An operator whose configuration exceeds 1 MiB when compressed got 503 from every instance and was told to come back, for ever: no command of the replicated log holds it. It is a 400 now, and nothing is proposed.

What another instance sends as a configuration may no longer decompress to more than the 32 MiB that an operator may send.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -250,6 +250,9 @@
 	return Leadership{Term: lease.Term, ElectedAt: agg.electedAt, Until: lease.Until}, true
 }
 
+// MaxConfigBytes is the size of the largest configuration that Configure can commit.
+const MaxConfigBytes = raft.MaxCommandBytes - 1<<10
+
 // Configure commits a configuration. It returns the version that is active
 // afterwards, which is higher if a later configuration was committed before.
 func (c *Coord) Configure(ctx context.Context, version uint64, content []byte) (uint64, error) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,8 +39,14 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("edge")
 
-// ErrInvalid is the class of errors for invalid configurations.
-var ErrInvalid = errs.Class("invalid configuration")
+// Classes of the errors of configurations that can never be accepted.
+var (
+	ErrInvalid  = errs.Class("invalid configuration")
+	ErrTooLarge = errs.Class("configuration too large")
+)
+
+// MaxConfigBytes bounds the content of a configuration.
+const MaxConfigBytes = 32 << 20
 
 // Config configures an Edge.
 type Config struct {
@@ -295,6 +301,9 @@
 	if err != nil {
 		return err
 	}
+	if len(packed) > coord.MaxConfigBytes {
+		return ErrTooLarge.New("%d bytes when compressed, the limit is %d", len(packed), coord.MaxConfigBytes)
+	}
 	durableVersion, err := e.coord.Configure(ctx, c.Version, packed)
 	l := e.cfg.Log.WithFields(log.Fields{"event": "config.proposed", "config": c.Version, "held": durableVersion})
 	if err != nil {
@@ -607,6 +616,9 @@
 }
 
 func decompress(b []byte) ([]byte, error) {
-	out, err := io.ReadAll(flate.NewReader(bytes.NewReader(b)))
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), MaxConfigBytes+1))
+	if len(out) > MaxConfigBytes {
+		return nil, ErrTooLarge.New("more than %d bytes", MaxConfigBytes)
+	}
 	return out, Error.Wrap(err)
 }
--- a/internal/raft/propose.go
+++ b/internal/raft/propose.go
@@ -31,8 +31,8 @@
 // errors *NotLeaderError, ErrStopped and ErrBusy the command was not appended; after
 // ErrUnknown it may or may not be applied.
 func (g *Group) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
-	if len(cmd) > maxCommandBytes {
-		return nil, Error.New("command of %d bytes exceeds %d", len(cmd), maxCommandBytes)
+	if len(cmd) > MaxCommandBytes {
+		return nil, Error.New("command of %d bytes exceeds %d", len(cmd), MaxCommandBytes)
 	}
 	return g.propose(ctx, &proposal{kind: raftpb.EntryKind_ENTRY_KIND_COMMAND, data: cmd})
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -54,8 +54,8 @@
 	defaultElectionTimeout = 300 * time.Millisecond
 	// maxBatchBytes limits one append, on the wire and in the log.
 	maxBatchBytes = 1 << 20
-	// maxCommandBytes limits the size of one command.
-	maxCommandBytes = 1 << 20
+	// MaxCommandBytes limits the size of one command.
+	MaxCommandBytes = 1 << 20
 	// maxQueueBytes limits the total size of queued proposals.
 	maxQueueBytes = 16 << 20
 	// maxQueueLength limits the number of queued proposals.
