--- a/internal/entry/find.go
+++ b/internal/entry/find.go
@@ -233,7 +233,8 @@
 }
 
 // queryAll queries the instances concurrently. A reply is nil if the instance did not
-// reply; silent is the number of those that did not refuse the connection. A reply from the owner ends the wait for the others if its record reaches pos.
+// reply; silent is the number of those that did not refuse the connection. A reply
+// from the owner ends the wait for the others if its record reaches pos.
 func (e *Entry) queryAll(ctx context.Context, instances []member.Peer, pos uint64, req func(i int) *entrpb.Find) (replies []*entrpb.Found, silent int) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
