demo: Compute the percentiles of pauses in one place

The demonstration and TestPlannedStops each sorted the pauses for themselves, and the demonstration printed a median of 0 ms if no stream was resumed.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -261,8 +261,9 @@
 	}
 }
 
-// medianPause returns the median of the longest pauses of the streams that were resumed.
-func medianPause(all []streamResult) time.Duration {
+// pausePercentile returns a percentile of the longest pauses of the streams that were resumed,
+// or 0 if none was.
+func pausePercentile(all []streamResult, percent int) time.Duration {
 	var pauses []time.Duration
 	for _, x := range all {
 		if x.reconnects > 0 {
@@ -273,7 +274,7 @@
 		return 0
 	}
 	slices.Sort(pauses)
-	return pauses[len(pauses)/2]
+	return pauses[min(len(pauses)*percent/100, len(pauses)-1)].Round(time.Millisecond)
 }
 
 func countResults(all []streamResult) (complete, reconnects int, firstFailure string) {
@@ -492,8 +493,11 @@
 	r.printf("planned stop: an entry node drains while streams run")
 	all := r.stopBusiestNode(ctx, 150)
 	complete, reconnects, firstFailure := countResults(all)
-	r.record("a planned stop cuts nothing", complete == streamCount, "%d of %d streams complete; %d resumed at another entry node, median of their longest pauses %d ms%s",
-		complete, streamCount, reconnects, medianPause(all).Milliseconds(), firstFailure)
+	pause := ""
+	if reconnects > 0 {
+		pause = fmt.Sprintf(", median of their longest pauses %v", pausePercentile(all, 50))
+	}
+	r.record("a planned stop cuts nothing", complete == streamCount, "%d of %d streams complete; %d resumed at another entry node%s%s", complete, streamCount, reconnects, pause, firstFailure)
 	return nil
 }
 
--- a/internal/demo/stop_test.go
+++ b/internal/demo/stop_test.go
@@ -5,9 +5,7 @@
 	"flag"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"testing"
-	"time"
 )
 
 var stops = flag.Int("demo.stops", 1, "number of planned stops, each in a deployment of its own")
@@ -18,8 +16,8 @@
 	if testing.Short() {
 		t.Skip("runs for many seconds")
 	}
-	var pauses []time.Duration
-	broken, resumed := 0, 0
+	var results []streamResult
+	broken := 0
 	for range *stops {
 		seed := rand.Uint64() >> 32
 		r := &demonstration{opt: Options{Seed: seed, Out: io.Discard}, rng: rand.New(rand.NewPCG(seed, 1)), summary: Summary{Seed: seed, Held: true}}
@@ -32,19 +30,8 @@
 			broken++
 			t.Errorf("seed %d: %d of %d streams complete%s", seed, complete, len(all), failure)
 		}
-		for _, x := range all {
-			if x.reconnects > 0 {
-				resumed++
-				pauses = append(pauses, x.pause)
-			}
-		}
-	}
-	slices.Sort(pauses)
-	percentile := func(p int) time.Duration {
-		if len(pauses) == 0 {
-			return 0
-		}
-		return pauses[min(len(pauses)*p/100, len(pauses)-1)].Round(time.Millisecond)
+		results = append(results, all...)
 	}
-	t.Logf("%d stops, %d broken, %d streams resumed; longest pauses: 50th percentile %v, 99th %v", *stops, broken, resumed, percentile(50), percentile(99))
+	_, resumed, _ := countResults(results)
+	t.Logf("%d stops, %d broken, %d times resumed; longest pauses: 50th percentile %v, 99th %v", *stops, broken, resumed, pausePercentile(results, 50), pausePercentile(results, 99))
 }
