contrl: Close the listener before the server is shut down

Cause: fasthttp learns of a listener when Serve begins. Close that ran before the goroutine of Serve shut down a server without listeners, which returns at once, and Serve then waited for connections on a listener that nobody closed.

Close now closes the listener itself first, so Serve fails whenever it begins.

--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -95,6 +95,9 @@
 // Close closes the listener and waits for requests in progress. Requests that
 // have not arrived completely are dropped.
 func (s *Server) Close() error {
+	// fasthttp does not know the listener before Serve has started. Serve then fails at once
+	// instead of waiting for connections that nobody ends.
+	lnErr := s.ln.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	done := make(chan struct{})
@@ -112,6 +115,9 @@
 	close(done)
 	s.cancel()
 	s.wg.Wait()
+	if err == nil || errors.Is(err, net.ErrClosed) { // of the listener, which is closed
+		err = lnErr
+	}
 	return Error.Wrap(err)
 }
 
