meter: Bound how long closing the metrics server takes

A connection that sends half a request to the metrics address kept the process from ending in a planned stop, until it was killed; and a server closed before it had begun to serve went on accepting connections.

Cause: Shutdown of fasthttp without a context waits for open connections without a limit, and there was no time limit for reading a request.

Close closes the listener first, then waits for a second.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -3,8 +3,11 @@
 package meter
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -21,11 +24,21 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("meter")
 
+const (
+	// readTimeout and writeTimeout bound a request for the metrics.
+	readTimeout  = 10 * time.Second
+	writeTimeout = 10 * time.Second
+	// closeTimeout bounds how long Close waits for requests in progress. A connection that
+	// sends half a request would otherwise keep the process from ending.
+	closeTimeout = time.Second
+)
+
 // Meters holds the metrics of a process.
 type Meters struct {
 	metric.Meter
 	handler  http.Handler
-	shutdown func() error
+	shutdown func(context.Context) error
+	ln       net.Listener
 }
 
 // New returns metrics labelled with the node and data centre.
@@ -55,6 +68,7 @@
 	handler := fasthttpadaptor.NewFastHTTPHandler(m.handler)
 	s := &fasthttp.Server{
 		Name: "cranberrypath", MaxRequestBodySize: 1 << 10, Concurrency: 16,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			if string(ctx.Path()) != "/metrics" {
 				ctx.Error("the metrics are at /metrics", fasthttp.StatusNotFound)
@@ -63,15 +77,22 @@
 			handler(ctx)
 		},
 	}
-	m.shutdown = s.Shutdown
+	m.shutdown, m.ln = s.ShutdownWithContext, ln
 	go func() { _ = s.Serve(ln) }()
 	return ln.Addr(), nil
 }
 
-// Close stops the HTTP server.
+// Close stops the HTTP server. Requests in progress get closeTimeout to end.
 func (m *Meters) Close() error {
 	if m.shutdown == nil {
 		return nil
 	}
-	return Error.Wrap(m.shutdown())
+	_ = m.ln.Close() // fasthttp does not know the listener before Serve has started
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := m.shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return Error.Wrap(err)
 }
