--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -30,7 +30,7 @@
 	writeTimeout = 10 * time.Second
 	// closeTimeout bounds how long Close waits for requests in progress. A connection that
 	// sends half a request would otherwise keep the process from ending.
-	closeTimeout = time.Second
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Meters holds the metrics of a process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"cranberrypath.example/cranberrypath/internal/await"
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/certs"
 	"cranberrypath.example/cranberrypath/internal/claim"
@@ -336,30 +337,41 @@
 	n.Close()
 }
 
-// Close stops the process immediately. Call Drain first for a planned stop.
+// stopTimeout bounds how long Close waits for one part of the process. It covers the operators'
+// listener, which lets requests in progress end.
+const stopTimeout = 30 * time.Second
+
+// Close stops the process immediately. Call Drain first for a planned stop. A part that does
+// not stop in time is logged and left behind.
 func (n *Node) Close() {
-	if n.entry != nil {
-		_ = n.entry.Close()
-	}
-	if n.watcher != nil {
-		n.watcher.Close()
-	}
-	if n.member != nil {
-		n.member.Close()
-	}
-	if n.net != nil {
-		_ = n.net.Close()
-	}
-	if n.control != nil {
-		n.control.close()
-	}
-	if n.backendClient != nil {
-		_ = n.backendClient.Close()
-	}
-	if n.meters != nil {
-		_ = n.meters.Close()
+	for _, p := range n.parts() {
+		if err := await.Stop(p.name, stopTimeout, n.log, p.stop); err != nil {
+			n.log.WithError(err).WithField("part", p.name).Debug("stopping a part failed")
+		}
 	}
-	if n.eventFile != nil {
-		_ = n.eventFile.Close()
+}
+
+type part struct {
+	name string
+	stop func() error
+}
+
+// parts returns the parts that were started, in the order in which they stop.
+func (n *Node) parts() []part {
+	var out []part
+	add := func(started bool, name string, stop func() error) {
+		if started {
+			out = append(out, part{name, stop})
+		}
 	}
+	withoutError := func(stop func()) func() error { return func() error { stop(); return nil } }
+	add(n.entry != nil, "entry", func() error { return n.entry.Close() })
+	add(n.watcher != nil, "watcher", withoutError(func() { n.watcher.Close() }))
+	add(n.member != nil, "member", withoutError(func() { n.member.Close() }))
+	add(n.net != nil, "links", func() error { return n.net.Close() })
+	add(n.control != nil, "control", withoutError(func() { n.control.close() }))
+	add(n.backendClient != nil, "backendClient", func() error { return n.backendClient.Close() })
+	add(n.meters != nil, "metrics", func() error { return n.meters.Close() })
+	add(n.eventFile != nil, "eventFile", func() error { return n.eventFile.Close() })
+	return out
 }
