--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -65,6 +65,9 @@
 	Organisations               func() []string
 	// Services returns the services and their current backend servers.
 	Services func() ([]routes.Service, []roster.Server)
+	// StatesPace reports whether the servers of a service state their pace; nil means that none
+	// do. The engines of those that do are sized by the work in progress too.
+	StatesPace func(service string) bool
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -49,6 +49,7 @@
 	initial      map[string]initialState
 	lastSecond   int64 // Unix time of the last update
 	released     map[releaseKey]releaseState
+	work         map[string]workAverage // by service, of those whose servers state their pace
 }
 
 // releaseKey identifies one of the numbers of engines that fall only gradually.
@@ -73,7 +74,7 @@
 func newScaler() scaler {
 	return scaler{
 		pools: map[poolKey]*poolState{}, loadPeaks: map[string]*[peakWindowSeconds]serviceLoad{}, missingPeaks: map[string]missingPeak{}, initial: map[string]initialState{},
-		released: map[releaseKey]releaseState{},
+		released: map[releaseKey]releaseState{}, work: map[string]workAverage{},
 	}
 }
 
@@ -283,6 +284,7 @@
 			continue
 		}
 		var load serviceLoad
+		work := 0.0
 		onDemand, reclaimable := 0, 0
 		for _, server := range servers {
 			switch {
@@ -294,6 +296,11 @@
 				onDemand++
 			}
 			load = load.add(demand(loads[server.ID], server.Slots))
+			work += engineWork(loads[server.ID], server.Slots)
+		}
+		if r.cfg.StatesPace != nil && r.cfg.StatesPace(svc.Name) {
+			r.scaler.work[svc.Name] = r.scaler.work[svc.Name].WithSample(work, now)
+			load = load.withWork(r.scaler.work[svc.Name])
 		}
 		baseline := baselineEngines(onDemand, reclaimable, len(svc.Scaling.Prices))
 		need, recent := r.scaler.requiredEngines(svc.Name, load, baseline, now)
