coord: Keep the orders to evacuate data centres in the replicated log

An order to send nothing more to the servers of a data centre had no place in the durable state. The log now has a command for it and the state a list: the last order of each data centre, with a serial number that every accepted order counts up, so that a copy that is held up never undoes a later order. A repeated order counts as well, since otherwise an order that was given up without an answer could take effect after the next acknowledgement. An overtaken copy of an accepted order is acknowledged without an effect. Replies to reports carry a version and the names of the evacuated data centres; version 0, from a leader of the previous program version, says nothing.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -145,6 +145,7 @@
 	crashesSent       uint64             // change number of Config.Blame up to which seen.feed has the records
 	usageHandover     []*coordpb.Counted // from the last reply
 	borrowFailedAt    time.Time          // when a Borrow call to the leader last failed
+	evacuations       Evacuations        // from the replies
 	lastSync          time.Time
 	electionLoggedAt  time.Time   // when the last election seen by logElection ended
 	ledWith           raft.Status // of the replicated log while this instance led
@@ -350,6 +351,8 @@
 	Version  uint64 // configuration version; 0 without a configuration
 	Config   []byte
 	Rollouts []Rollout
+	// Evacuations has the last order of each data centre that was ever evacuated.
+	Evacuations []Evacuation
 }
 
 // Read is a linearizable read of the durable state. The error wraps ErrUnavailable if
@@ -368,6 +371,7 @@
 	for _, r := range resp.State.GetRollouts() {
 		d.Rollouts = append(d.Rollouts, rolloutFromProto(r))
 	}
+	d.Evacuations = evacuationsFromProto(resp.State.GetEvacuations())
 	return d, nil
 }
 
--- /dev/null
+++ b/internal/coord/evacuations_test.go
@@ -0,0 +1,404 @@
+package coord
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+	"cranberrypath.example/cranberrypath/internal/disk"
+	"cranberrypath.example/cranberrypath/internal/faults"
+)
+
+var (
+	evacuationSeeds = flag.Uint64("evacuations.seeds", 3000, "number of histories of orders")
+	evacuationFirst = flag.Uint64("evacuations.first", 1, "seed of the first history")
+)
+
+// orderCopy is one call of an operator, who repeats an order through other instances.
+type orderCopy struct {
+	dataCentre string
+	active     bool
+	closed     bool // the operator has given up the call
+	read       bool // the instance has read the last order
+	after      uint64
+}
+
+// operatorModel gives the orders for one data centre one after another.
+type operatorModel struct {
+	calls   []*orderCopy // of the order that is not acknowledged yet
+	known   bool         // the last order was acknowledged, and no other was given since
+	want    bool         // what it asked for
+	pending bool
+}
+
+// history plays orders at members that apply the same log.
+type history struct {
+	t         *testing.T
+	seed      uint64
+	rng       *rand.Rand
+	members   []*stateMachine
+	operators map[string]*operatorModel
+	inFlight  []*orderCopy // commands on their way to a leader; some arrive more than once
+	version   uint64
+}
+
+func (h *history) fail(format string, args ...any) {
+	h.t.Helper()
+	h.t.Fatalf("seed %d: %s", h.seed, fmt.Sprintf(format, args...))
+}
+
+func (h *history) last(dataCentre string) Evacuation {
+	for _, e := range evacuationsFromProto(h.members[0].copy().Evacuations) {
+		if e.DataCentre == dataCentre {
+			return e
+		}
+	}
+	return Evacuation{}
+}
+
+// commit applies a command at all members and returns the result of one.
+func (h *history) commit(cmd *coordpb.Command) *coordpb.State {
+	b, err := proto.Marshal(cmd)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	var out []byte
+	for _, m := range h.members {
+		out = m.Apply(1, b)
+	}
+	result := &coordpb.State{}
+	if err := proto.Unmarshal(out, result); err != nil {
+		h.t.Fatal(err)
+	}
+	return result
+}
+
+// advance takes the next step of a call as OrderEvacuation does.
+func (h *history) advance(c *orderCopy) {
+	if !c.read {
+		c.after, c.read = h.last(c.dataCentre).Serial, true
+		if !c.closed {
+			h.inFlight = append(h.inFlight, c)
+		}
+		return
+	}
+	held := evacuationsFromProto(h.commit(&coordpb.Command{
+		Evacuation: &coordpb.Evacuation{DataCentre: c.dataCentre, Active: c.active}, AfterSerial: &c.after,
+	}).Evacuations)
+	if len(held) != 1 || held[0].Serial <= c.after {
+		h.fail("an order after %d gave %v", c.after, held)
+	}
+	if c.closed {
+		return
+	}
+	if !held[0].acceptedAfter(c.active, c.after) {
+		c.read = false // proposed again
+		return
+	}
+	o := h.operators[c.dataCentre]
+	o.close()
+	o.known, o.want, o.pending = true, c.active, false
+}
+
+func (o *operatorModel) close() {
+	for _, c := range o.calls {
+		c.closed = true
+	}
+}
+
+// step plays one random event.
+func (h *history) step(dataCentre string) {
+	o := h.operators[dataCentre]
+	switch h.rng.IntN(8) {
+	case 0, 1:
+		if !o.pending { // the next order
+			o.pending, o.known, o.calls = true, false, []*orderCopy{{dataCentre: dataCentre, active: h.rng.IntN(2) == 0}}
+		}
+	case 2:
+		if o.pending { // no answer in time: the order is repeated elsewhere, or given up
+			o.close()
+			if h.rng.IntN(4) == 0 {
+				o.pending = false
+				return
+			}
+			o.calls = append(o.calls, &orderCopy{dataCentre: dataCentre, active: o.calls[0].active})
+		}
+	case 3, 4:
+		if len(o.calls) > 0 {
+			if c := o.calls[h.rng.IntN(len(o.calls))]; !c.read {
+				h.advance(c)
+			}
+		}
+	case 5, 6:
+		if len(h.inFlight) > 0 {
+			i := h.rng.IntN(len(h.inFlight))
+			c := *h.inFlight[i]
+			if h.rng.IntN(2) == 0 {
+				h.advance(h.inFlight[i])
+				h.inFlight = slices.Delete(h.inFlight, i, i+1)
+			} else if c.read { // another copy of the command stays on its way, to a later leader
+				c.closed = true
+				h.advance(&c)
+			}
+		}
+	default: // a member restarts from a snapshot
+		i := h.rng.IntN(len(h.members))
+		snapshot, err := h.members[i].Snapshot()
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.members[i] = newStateMachine(ignoreDepartures)
+		if err := h.members[i].Restore(snapshot); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+}
+
+// check compares the state with the orders that the operators had acknowledged.
+func (h *history) check() {
+	now := h.members[0].evacuations()
+	if now.Version < h.version {
+		h.fail("version %d after %d", now.Version, h.version)
+	}
+	h.version = now.Version
+	for name, o := range h.operators {
+		if o.known && now.Contains(name) != o.want {
+			h.fail("%s is evacuated %v, the order that was acknowledged last says %v", name, now.Contains(name), o.want)
+		}
+	}
+	snapshot, _ := h.members[0].Snapshot()
+	for _, m := range h.members[1:] {
+		if other, _ := m.Snapshot(); !bytes.Equal(snapshot, other) {
+			h.fail("members differ: %v and %v", h.members[0].state, m.state)
+		}
+	}
+}
+
+// Guards against a late or repeated copy of an order that undoes a later one, whichever
+// leader gets it, against an order that is acknowledged and not in force, and against a
+// snapshot or a member that differs.
+func TestEvacuationHistories(t *testing.T) {
+	acknowledged := 0
+	for seed := *evacuationFirst; seed < *evacuationFirst+*evacuationSeeds; seed++ {
+		h := &history{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), operators: map[string]*operatorModel{}}
+		for range 3 {
+			h.members = append(h.members, newStateMachine(ignoreDepartures))
+		}
+		names := []string{"a", "b", "c"}[:1+h.rng.IntN(3)]
+		for _, name := range names {
+			h.operators[name] = &operatorModel{known: true}
+		}
+		for range 60 {
+			name := names[h.rng.IntN(len(names))]
+			before := h.operators[name].known
+			h.step(name)
+			h.check()
+			if h.operators[name].known && !before {
+				acknowledged++
+			}
+		}
+	}
+	if acknowledged < int(*evacuationSeeds) {
+		t.Errorf("%d orders were acknowledged in %d histories; the model is stuck", acknowledged, *evacuationSeeds)
+	}
+}
+
+// Guards against an instance that goes back to fewer orders after a reply from a relay or a
+// leader that is behind, that never does after a loss of state, or that takes a leader of the
+// previous program version to revoke all orders.
+func TestEvacuationsInReplies(t *testing.T) {
+	reply := func(version uint64, names ...string) Evacuations {
+		return Evacuations{Version: version, DataCentres: names}
+	}
+	for _, c := range []struct {
+		name      string
+		next      Evacuations
+		term      uint64
+		confirmed bool
+		want      bool
+	}{
+		{"a later order", reply(4), 5, true, true},
+		{"a later order, unconfirmed", reply(4), 5, false, true},
+		{"a relay that is behind", reply(2), 5, true, false},
+		{"a new leader that is behind", reply(2), 6, false, false},
+		{"a deposed leader", reply(2), 4, true, false},
+		{"a leader of the previous program version", reply(0), 6, true, false},
+		{"a new leader that is sure of its state", reply(2, "b"), 6, true, true},
+	} {
+		known := Evacuations{}.WithReply(reply(3, "a"), 5, true)
+		if got := known.WithReply(c.next, c.term, c.confirmed); (got.Version == c.next.Version && slices.Equal(got.DataCentres, c.next.DataCentres)) != c.want {
+			t.Errorf("%s: %v after %v, taken over want %v", c.name, got, c.next, c.want)
+		}
+	}
+}
+
+// evacuate gives an order through an instance, as an operator does that waits for a second.
+func (d *deployment) evacuate(inst *instance, dataCentre string, active bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return inst.coord.OrderEvacuation(ctx, dataCentre, active, waits)
+}
+
+// evacuated reports whether an instance sends nothing to the servers of a data centre.
+func (inst *instance) evacuated(dataCentre string) bool {
+	inst.coord.mu.Lock()
+	defer inst.coord.mu.Unlock()
+	return inst.coord.evacuations.Contains(dataCentre)
+}
+
+func (d *deployment) expectEvacuated(dataCentre string, want bool) {
+	d.t.Helper()
+	for _, inst := range d.instances {
+		if inst.coord != nil {
+			eventually(d.t, fmt.Sprintf("%s evacuated %v at %s", dataCentre, want, inst.addr), func() bool { return inst.evacuated(dataCentre) == want })
+		}
+	}
+}
+
+// Guards against orders that are acknowledged late, reach some instances late or not at all,
+// or are lost with the leader, with all processes, or with a disk.
+func TestEvacuationIsDurable(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 4, 1)
+	plain := d.instances[4]
+	d.configure(plain, 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 4 })
+	order := func(name string, active bool) {
+		t.Helper()
+		eventually(t, "the order is acknowledged", func() bool { return d.evacuate(plain, name, active) == nil })
+	}
+	order("a", true)
+	order("b", true)
+	order("b", true) // lost acknowledgement
+	d.expectEvacuated("a", true)
+	d.expectEvacuated("b", true)
+	order("b", false)
+	d.expectEvacuated("b", false)
+	d.stop(d.awaitLeader())
+	order("c", true)
+	d.expectEvacuated("c", true)
+	for _, inst := range d.instances {
+		d.stop(inst)
+	}
+	d.instances[0].fs.Wipe()
+	for _, inst := range d.instances {
+		d.start(inst, false)
+	}
+	d.expectEvacuated("a", true)
+	d.expectEvacuated("b", false)
+	d.expectEvacuated("c", true)
+	late := &instance{addr: freeAddress(), fs: disk.NewFake(77)}
+	d.instances = append(d.instances, late)
+	d.start(late, false)
+	d.expectEvacuated("c", true)
+	order("a", false)
+	d.expectEvacuated("a", false)
+}
+
+// Guards against orders that take long to be acknowledged or to reach the instances while
+// nothing is wrong. The bounds are those of a deployment, many times what is measured.
+func TestEvacuationIsQuick(t *testing.T) {
+	d := deploy(t, 3, 0)
+	d.configure(d.instances[0], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+	var acks, effects []time.Duration
+	for i := range 12 {
+		active, sent := i%2 == 0, time.Now()
+		inst := d.instances[i%3]
+		eventually(t, "the order is acknowledged", func() bool { return d.evacuate(inst, "a", active) == nil })
+		acks = append(acks, time.Since(sent))
+		sent = time.Now()
+		d.expectEvacuated("a", active)
+		effects = append(effects, time.Since(sent))
+	}
+	slices.Sort(acks)
+	slices.Sort(effects)
+	t.Logf("acknowledged after %v (median), %v at most; in force everywhere %v (median), %v at most later", acks[6], acks[11], effects[6], effects[11])
+	if acks[6] > time.Second || effects[11] > 5*time.Second {
+		t.Errorf("acknowledged after %v, in force %v later", acks[6], effects[11])
+	}
+}
+
+// Guards against an order that waits behind a partition, is repeated elsewhere and undoes
+// later orders when the partition heals, and against an instance that forgets what it knew
+// while it has no contact.
+func TestEvacuationHeldUpByAPartition(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 2)
+	d.configure(d.instances[0], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+	cutOff, other := d.instances[3], d.instances[4]
+	eventually(t, "an order is acknowledged", func() bool { return d.evacuate(other, "b", true) == nil })
+	d.expectEvacuated("b", true)
+	for round := range 4 {
+		held := round%2 == 0
+		d.cutOff(cutOff, true)
+		if err := d.evacuate(cutOff, "a", held); err == nil {
+			t.Fatal("an instance that is cut off acknowledged an order")
+		}
+		for _, active := range []bool{held, !held} {
+			eventually(t, "the order is acknowledged", func() bool { return d.evacuate(other, "a", active) == nil })
+		}
+		if !cutOff.evacuated("b") {
+			t.Fatal("an instance without contact forgot what it knew")
+		}
+		d.cutOff(cutOff, false)
+		eventually(t, "the instance reports again", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return cutOff.coord.SyncNow(ctx) == nil
+		})
+		time.Sleep(500 * time.Millisecond) // what was held up has arrived
+		if got := cutOff.evacuated("a"); got == held {
+			t.Fatalf("round %d: a is evacuated %v, the order that was acknowledged last says %v", round, got, !held)
+		}
+	}
+}
+
+// Guards against an order whose effect or acknowledgement depends on one message: the call to
+// the leader, its answer, the reports of another instance or the replies to them.
+func TestEvacuationLosesOneMessage(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cut    func(took, reader, leader string) (from, to string)
+		toLose bool // the operator gets no answer
+	}{
+		{"the call to the leader", func(took, _, leader string) (string, string) { return took, leader }, true},
+		{"the leader's answer", func(took, _, leader string) (string, string) { return leader, took }, true},
+		{"the reports of another instance", func(_, reader, leader string) (string, string) { return reader, leader }, false},
+		{"the replies to another instance", func(_, reader, leader string) (string, string) { return leader, reader }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 3, 2)
+			took, reader := d.instances[3], d.instances[4]
+			d.configure(took, 1)
+			eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+			eventually(t, "the order is acknowledged", func() bool { return d.evacuate(took, "b", true) == nil })
+			d.expectEvacuated("b", true)
+			from, to := c.cut(took.addr, reader.addr, d.awaitLeader().addr)
+			d.links.Set(from, to, faults.Rule{Cut: true})
+			err := d.evacuate(took, "a", true)
+			if err == nil && c.toLose {
+				t.Error("acknowledged without the leader's answer")
+			}
+			if c.toLose {
+				eventually(t, "the repetition elsewhere is acknowledged", func() bool { return d.evacuate(reader, "a", true) == nil })
+			} else if err != nil {
+				t.Errorf("not acknowledged: %v", err)
+			}
+			d.links.Set(from, to, faults.Rule{})
+			eventually(t, "a later order is acknowledged", func() bool { return d.evacuate(reader, "b", false) == nil })
+			d.expectEvacuated("a", true)
+			d.expectEvacuated("b", false)
+		})
+	}
+}
--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -60,6 +60,7 @@
 	counted       []*coordpb.Counted
 	useRelays     bool
 	unconfirmed   bool // the leader could not be sure that the durable state is the newest
+	evacuations   Evacuations
 }
 
 // retainedPrefixes is how many prefix reports are kept for instances that missed some.
@@ -195,6 +196,7 @@
 		Epoch: p.term, Leader: p.leader, Feed: f.id, ServersSeen: change, NodesSeen: f.change, HeldSeen: f.nextPrefix,
 		Levels: p.levels, Members: p.members, RolloutsSeen: p.rolloutsSeen, Fronts: uint32(f.ready),
 		ConfigVersion: p.configVersion, UseRelays: p.useRelays, MoreServers: more, Unconfirmed: p.unconfirmed,
+		EvacuationsVersion: p.evacuations.Version, Evacuated: p.evacuations.DataCentres,
 	}
 	for _, s := range servers {
 		out.Servers = append(out.Servers, f.encode(s, now))
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -131,6 +131,8 @@
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
 	case c.Departure.GetServer() != nil:
 		m.applyDeparture(c.Departure)
+	case c.Evacuation != nil:
+		out.Evacuations = []*coordpb.Evacuation{m.applyEvacuation(c.Evacuation, c.AfterSerial)}
 	}
 	return out
 }
@@ -261,12 +263,14 @@
 	return nil
 }
 
-// copy returns the state that operators may read. The list of rollouts is cloned because
-// Apply replaces its elements.
+// copy returns the state that operators may read. The lists are cloned because Apply replaces
+// their elements.
 func (m *stateMachine) copy() *coordpb.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &coordpb.State{Config: m.state.Config, Rollouts: slices.Clone(m.state.Rollouts)}
+	return &coordpb.State{
+		Config: m.state.Config, Rollouts: slices.Clone(m.state.Rollouts), Evacuations: slices.Clone(m.state.Evacuations),
+	}
 }
 
 func (m *stateMachine) config() *coordpb.Configure {
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -350,6 +350,8 @@
 		feed: reply.Feed, term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		prefixes: reply.HeldSeen, crashes: reply.CrashesSeen,
 	}
+	c.evacuations = c.evacuations.WithReply(Evacuations{Version: reply.EvacuationsVersion, DataCentres: reply.Evacuated}, reply.Epoch, !reply.Unconfirmed)
+	v.Evacuations = c.evacuations
 	v.Loads = c.loadsFromReply(reply, req.Feed)
 	if reply.NodesChanged {
 		v.Instances = c.instancesFromReply(reply)
@@ -425,6 +427,7 @@
 	p := published{
 		term: reply.Epoch, leader: reply.Leader, levels: reply.Levels, totals: v.Loads, members: reply.Members,
 		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays, unconfirmed: reply.Unconfirmed,
+		evacuations: v.Evacuations,
 	}
 	c.feed.mu.Lock()
 	before := c.feed.published
@@ -507,7 +510,7 @@
 	p := published{
 		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
 		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(), rolloutsSeen: rolloutsFingerprint(rollouts),
-		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)),
+		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)), evacuations: m.state.evacuations(),
 	}
 	for _, r := range rollouts {
 		p.rollouts = append(p.rollouts, r.proto())
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -70,6 +70,7 @@
 	Levels         map[string]float64
 	Loads          []Load // of all instances together
 	Rollouts       []Rollout
+	Evacuations    Evacuations // as last known; the zero value before a leader has said any
 	Prefixes       []CachedPrefix
 	ReadyInstances int       // number of instances that accept requests
 	Relays         int       // number of instances that may serve as relays; 0 if the deployment uses none
