route, routes: Leave out evacuated servers and other regions

A server in an evacuated data centre must get no request, also as the holder of a prompt or as the last resort, while its cache stays useful. It is now in no group of the table, and listed with the leaving servers as a source of caches until it ends. Queries name the regions whose servers may run the request and have their caches read; routes and organisations have lists of regions, of which both must allow one. Without either, nothing changes.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -179,7 +179,7 @@
 	}
 	for _, num := range indexHits[:n] {
 		s := t.serversByNum[num]
-		if s != nil && s.backend.State == world.Ready && s.backend.Service == q.Service && s.backend.Runs(q.Version) && s.eligible(q, useEjected, now) {
+		if s != nil && s.backend.TakesRequests() && s.backend.Service == q.Service && s.backend.Runs(q.Version) && s.eligible(q, useEjected, now) {
 			list.append(t.candidate(g, s, q, now))
 		}
 	}
@@ -324,16 +324,16 @@
 	return out
 }
 
-// leavingHolder returns the leaving server that caches most of the prompt if it has
-// more than holder, and holder otherwise. When a data centre is reclaimed, the
+// leavingHolder returns the leaving or evacuated server that caches most of the prompt if it
+// has more than holder, and holder otherwise. When a data centre is reclaimed, the
 // replacement servers can fetch from its caches until its servers are gone.
 func (t *Table) leavingHolder(q *Query, holder *server, holderTokens int, now time.Time) (*server, int) {
 	for _, s := range t.leaving[q.Service] {
 		until := s.backend.LeaveBy
-		if until.IsZero() {
+		if until.IsZero() && s.backend.State == world.Leaving {
 			until = s.leavingSince.Add(leavingFetchWindow)
 		}
-		if !now.Before(until) || !s.backend.Runs(q.Version) || slices.Contains(q.Exclude, s.backend.ID) {
+		if !until.IsZero() && !now.Before(until) || !s.backend.Runs(q.Version) || slices.Contains(q.Exclude, s.backend.ID) || !q.allows(s.backend) {
 			continue
 		}
 		if hit := s.cachedTokens(q); hit > holderTokens {
@@ -347,7 +347,7 @@
 // more than holder, and holder otherwise. Other servers can fetch from it without a request.
 func (t *Table) limitedHolder(q *Query, holder *server, holderTokens int) (*server, int) {
 	for _, s := range t.limited[q.Service] {
-		if !s.backend.Runs(q.Version) || slices.Contains(q.Exclude, s.backend.ID) {
+		if !s.backend.Runs(q.Version) || slices.Contains(q.Exclude, s.backend.ID) || !q.allows(s.backend) {
 			continue
 		}
 		if hit := s.cachedTokens(q); hit > holderTokens {
@@ -378,7 +378,7 @@
 	if q.Adapter != "" && !slices.Contains(s.backend.Adapters, q.Adapter) {
 		return false
 	}
-	if len(q.Exclude) > 0 && slices.Contains(q.Exclude, s.backend.ID) {
+	if len(q.Exclude) > 0 && slices.Contains(q.Exclude, s.backend.ID) || !q.allows(s.backend) {
 		return false
 	}
 	if !s.backend.LeaveBy.IsZero() && float64(s.backend.LeaveBy.Sub(now)) < noticeSafetyFactor*float64(s.expectedDuration(q)) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -42,6 +42,9 @@
 	// FetchPerToken is the time to fetch the cache of one prompt token from another
 	// server; 0 if servers cannot fetch.
 	FetchPerToken time.Duration
+	// Regions are those whose servers may run the request and have their caches read for it;
+	// nil means any.
+	Regions []string
 }
 
 // Cost is the work that one request causes on a backend server. Started and Ended
@@ -105,7 +108,7 @@
 	rnd          *rand.Rand
 	servers      map[string]*server
 	groups       map[groupKey]*group
-	leaving      map[string][]*server // by service; they accept no requests, but other servers fetch from their caches
+	leaving      map[string][]*server // by service; they get no requests, but other servers fetch from their caches
 	limited      map[string][]*server // by service, those with a rate limit; other servers fetch from their caches
 	index        *blockIndex
 	nextNum      uint32
@@ -271,10 +274,10 @@
 	t.groups, t.leaving, t.limited = map[groupKey]*group{}, map[string][]*server{}, map[string][]*server{}
 	for _, s := range t.servers {
 		s.group = nil
-		if s.backend.State == world.Leaving {
+		if s.backend.State == world.Leaving || s.backend.State == world.Ready && s.backend.Evacuated {
 			t.leaving[s.backend.Service] = append(t.leaving[s.backend.Service], s)
 		}
-		if s.backend.State != world.Ready {
+		if !s.backend.TakesRequests() {
 			continue
 		}
 		if s.backend.RateLimited {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -49,6 +49,8 @@
 	Anonymous     bool // requests without an organisation are served
 	Sticky        bool // requests identify the parts of their prompt, for cache affinity
 	Resumable     bool // a stream may be resumed on another backend server
+	// Regions are those whose backend servers may run the requests; empty means any.
+	Regions []string
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -107,6 +109,7 @@
 	DefaultTokens float64 // cost of a request with an unknown number of tokens
 	Rate          float64 // per second; 0 means unlimited
 	Burst         float64
+	Regions       []string // as for a route; a request runs only in regions that both allow
 }
 
 // NoPriority means that an organisation has no priority of its own.
@@ -160,6 +163,9 @@
 		if o.Name == "" || names[o.Name] {
 			return nil, Error.New("organisation %q is unnamed or stands twice", o.Name)
 		}
+		if slices.Contains(o.Regions, "") {
+			return nil, Error.New("organisation %q allows a region without a name", o.Name)
+		}
 		names[o.Name] = true
 		for _, k := range o.Keys {
 			if c.keys[k] != nil {
@@ -179,6 +185,8 @@
 		return Error.New("route %q: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
 	case r.Timeout <= 0:
 		return Error.New("route %q has no timeout", r.Name)
+	case slices.Contains(r.Regions, ""):
+		return Error.New("route %q allows a region without a name", r.Name)
 	}
 	total := 0.0
 	for _, s := range r.Shares {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -88,8 +88,16 @@
 	// instance's part of it, in requests a second.
 	RateLimited bool
 	Rate        float64
+	// Evacuated means that the server gets no new requests, since operators take its data
+	// centre out of service. Other servers may still fetch from its cache.
+	Evacuated bool
+	// Region is the region of DataCentre; empty if unknown.
+	Region string
 }
 
+// TakesRequests reports whether the server may get new requests.
+func (b Backend) TakesRequests() bool { return b.State == Ready && !b.Evacuated }
+
 // WithState returns a copy with the given state.
 func (b Backend) WithState(s State) Backend { b.State = s; return b }
 
