duty: Order servers as if evacuated ones were gone

Servers of an evacuated data centre serve nothing but counted as ready, so no others would be ordered. Their data centre is left out when a fleet is sized: others are ordered, none there, and what was ordered there before stands for the revocation. A service without a data centre to order in is skipped; sizing it would panic.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -65,6 +65,8 @@
 	Organisations               func() []string
 	// Services returns the services and their current backend servers.
 	Services func() ([]routes.Service, []roster.Server)
+	// Evacuated returns the data centres whose backend servers get no requests; nil for none.
+	Evacuated func() []string
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
--- a/internal/duty/scale.go
+++ b/internal/duty/scale.go
@@ -275,12 +275,12 @@
 // scale sizes the fleet of each scalable service and sends the resulting orders.
 func (r *Runner) scale() {
 	now := r.cfg.Clock()
-	services, servers := r.cfg.Services()
+	services, servers := r.withoutEvacuated(r.cfg.Services())
 	loads := r.cfg.Coord.Loads()
 	for i := range services {
 		svc := &services[i]
-		if svc.Scaling == nil {
-			continue
+		if svc.Scaling == nil || len(svc.Scaling.Prices) == 0 {
+			continue // there is no data centre to order in
 		}
 		var load serviceLoad
 		onDemand, reclaimable := 0, 0
