edge, proxy, platform: Evacuate data centres by POST and DELETE /evacuations/ZONE

The platform's operators can now take the servers of a data centre out of service: the order is durable before the acknowledgement, each instance applies it with its next reply, retries and resumed streams go elsewhere, and running requests finish.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,6 +90,8 @@
 	Buffers *buffer.Pool
 	// Accepts reports whether a backend server accepts a new connection.
 	Accepts func(ctx context.Context, s roster.Server) bool
+	// Regions are the regions of the data centres, as far as the settings state them.
+	Regions map[string]string
 	// AddressTTL is how long callers may cache the result of Addresses.
 	AddressTTL time.Duration
 	Clock      func() time.Time
@@ -127,6 +129,9 @@
 	limits      limitState
 	rollouts    []coord.Rollout
 	quotaRules  map[string]quota.Rule
+	evacuations coord.Evacuations
+	regions     map[string]string // by data centre
+	homes       []string          // see routes.Config.Homes
 }
 
 // prefillPerToken is the prefill time per prompt token of model servers that do not
@@ -152,6 +157,7 @@
 			ControlAddress: cfg.ControlAddress, Durable: cfg.DataDir != "", Started: now,
 		},
 	}
+	e.regions = regionsAfter(cfg.Regions, []coord.Instance{e.self})
 	e.quota = quota.NewBuckets(leaderLender{e})
 	if e.self.Durable {
 		e.relayQuota = quota.NewBuckets(nil)
@@ -173,6 +179,7 @@
 		_ = network.Close()
 		return nil, err
 	}
+	e.proxy.SetPlaces(proxy.Places{Regions: e.regions})
 	e.coord = coord.Start(coord.Config{
 		Self: e.self, Net: network, Seeds: cfg.Seeds, FS: disk.Real{}, Dir: cfg.DataDir, Bootstrap: cfg.Bootstrap,
 		MinVoters: 2*cfg.ToleratedLosses + 1, Local: e, QuotaRules: e.currentQuotaRules, LendNearby: e.lendNearby, Blame: e.blame, Heartbeat: cfg.HeartbeatInterval, Clock: cfg.Clock, Suspended: cfg.Suspended, Log: cfg.Log,
@@ -183,7 +190,7 @@
 	if cfg.DutyPlatform != nil && e.self.Durable {
 		e.duties = duty.Start(duty.Config{
 			Name: cfg.Name, Coord: e.coord, Platform: cfg.DutyPlatform, Timing: cfg.UsageTiming, Organisations: e.organisationNames,
-			ReportsUsage: cfg.ReportsUsage, ScalesEngines: cfg.ScalesServices, Services: e.services, Heartbeat: cfg.HeartbeatInterval,
+			ReportsUsage: cfg.ReportsUsage, ScalesEngines: cfg.ScalesServices, Services: e.services, Evacuated: e.evacuatedDataCentres, Heartbeat: cfg.HeartbeatInterval,
 			Clock: cfg.Clock, Log: cfg.Log,
 		})
 	}
@@ -364,43 +371,6 @@
 	}, abandoned)
 }
 
-// maxAddresses is the maximum number of addresses that callers accept.
-const maxAddresses = 64
-
-// Addresses returns the addresses for callers in a data centre and how long they may be
-// cached. It prefers instances in the same data centre, then in the same region, and
-// returns at least two addresses if possible, to tolerate the loss of an instance.
-func (e *Edge) Addresses(dataCentre, region string) ([]string, time.Duration) {
-	const minAddresses = 2
-	e.mu.Lock()
-	instances := e.instances
-	e.mu.Unlock()
-	suspect := e.coord.Suspect()
-	var addresses, sameRegion, otherRegions []string
-	for _, n := range instances {
-		switch {
-		case n.ID == suspect: // unresponsive leader, which cannot report its own failure
-		case !n.Ready || n.ID == e.self.ID && e.draining.Load():
-		case n.DataCentre == dataCentre:
-			addresses = append(addresses, n.CallerAddress)
-		case n.Region == region:
-			sameRegion = append(sameRegion, n.CallerAddress)
-		default:
-			otherRegions = append(otherRegions, n.CallerAddress)
-		}
-	}
-	if len(addresses) < minAddresses {
-		addresses = append(addresses, sameRegion...)
-	}
-	if len(addresses) < minAddresses {
-		addresses = append(addresses, otherRegions...)
-	}
-	if len(addresses) == 0 && e.Ready() {
-		addresses = []string{e.cfg.CallerAddress}
-	}
-	return addresses[:min(len(addresses), maxAddresses)], e.cfg.AddressTTL
-}
-
 // IsInstanceAddress reports whether an instance accepts callers, operators or peers on an
 // address. A backend server there would make requests circulate.
 func (e *Edge) IsInstanceAddress(addr string) bool {
@@ -462,6 +432,7 @@
 	e.proxy.LogVerdicts(now)
 	e.roster.ForgetGone(now)
 	changed := e.setInstances(v, now) || v.Config != nil
+	changed = e.setPlaces(v) || changed
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
 	}
@@ -523,7 +494,7 @@
 		e.relayQuota.Configure(rules, now)
 	}
 	e.mu.Lock()
-	e.quotaRules = rules
+	e.quotaRules, e.homes = rules, c.Homes()
 	e.mu.Unlock()
 	e.proxy.SetConfig(c, now)
 	e.cfg.Log.WithFields(log.Fields{"event": "config.applied", "config": c.Version, "leader": v.Leader}).Info("configuration applied")
--- /dev/null
+++ b/internal/edge/evacuations.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/apex/log"
+
+	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/proxy"
+)
+
+// OrderEvacuation records an order that the backend servers of a data centre get no new
+// requests, or with active false that they do again. It returns nil once that is durable.
+// abandoned reports whether the operator has given up the call.
+func (e *Edge) OrderEvacuation(ctx context.Context, dataCentre string, active bool, abandoned func() bool) error {
+	received := e.cfg.Clock()
+	err := e.coord.OrderEvacuation(ctx, dataCentre, active, abandoned)
+	l := e.cfg.Log.WithFields(log.Fields{
+		"event": "evacuation.ordered", "dataCentre": dataCentre, "active": active, "tookMs": e.cfg.Clock().Sub(received).Milliseconds(),
+	})
+	if err != nil {
+		l.WithError(err).Warn("the order is not acknowledged")
+		return err
+	}
+	l.Info("the order is durable")
+	return nil
+}
+
+// KnowsDataCentre reports whether an instance or a backend server is in the data centre.
+func (e *Edge) KnowsDataCentre(name string) bool {
+	if name == "" {
+		return false
+	}
+	e.mu.Lock()
+	_, ok := e.regions[name]
+	ok = ok || e.evacuations.Contains(name)
+	e.mu.Unlock()
+	if ok {
+		return true
+	}
+	for _, s := range e.roster.Present() {
+		if s.DataCentre == name {
+			return true
+		}
+	}
+	return false
+}
+
+// setPlaces applies what a leader's answer says of the data centres, for the next copy of the
+// roster to the request path. It reports whether that changes anything.
+func (e *Edge) setPlaces(v coord.View) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	regions := regionsAfter(e.regions, v.Instances)
+	evacuated := v.Evacuations.Version > 0 && !slices.Equal(v.Evacuations.DataCentres, e.evacuations.DataCentres)
+	if !evacuated && maps.Equal(regions, e.regions) {
+		return false
+	}
+	e.regions = regions
+	if evacuated {
+		e.evacuations = v.Evacuations
+		e.cfg.Log.WithFields(log.Fields{
+			"event": "evacuation.applied", "dataCentres": v.Evacuations.DataCentres, "version": v.Evacuations.Version,
+		}).Info("the servers of these data centres get no new requests")
+	}
+	e.proxy.SetPlaces(proxy.Places{Evacuated: e.evacuations.DataCentres, Regions: e.regions})
+	return true
+}
+
+// regionsAfter returns the regions of the data centres after a new list of instances. Those of
+// data centres whose instances have ended are kept, as their servers may still run. Of
+// instances that contradict each other the first one counts.
+func regionsAfter(known map[string]string, instances []coord.Instance) map[string]string {
+	out := maps.Clone(known)
+	if out == nil {
+		out = map[string]string{}
+	}
+	for _, inst := range slices.Backward(instances) {
+		if inst.DataCentre != "" {
+			out[inst.DataCentre] = inst.Region
+		}
+	}
+	return out
+}
+
+// evacuatedDataCentres returns the data centres that are evacuated as far as this instance knows.
+func (e *Edge) evacuatedDataCentres() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.evacuations.DataCentres
+}
+
+// Evacuations returns the last order of each data centre that was ever evacuated, from the
+// durable state.
+func (e *Edge) Evacuations(ctx context.Context) ([]coord.Evacuation, error) {
+	state, err := e.coord.Read(ctx)
+	return state.Evacuations, err
+}
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -33,6 +33,10 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	evacuated, err := m.Int64ObservableGauge("evacuated", metric.WithDescription("1 for each data centre whose servers get no new requests from here"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		now := e.cfg.Clock()
 		if c := e.proxy.Config(); c != nil {
@@ -51,8 +55,11 @@
 		for _, name := range e.organisationNames() {
 			o.ObserveFloat64(quota, e.quota.Level(name, now), metric.WithAttributes(attribute.String("organisation", name)))
 		}
+		for _, name := range e.evacuatedDataCentres() {
+			o.ObserveInt64(evacuated, 1, metric.WithAttributes(attribute.String("dataCentre", name)))
+		}
 		return nil
-	}, version, term, contactAge, instances, servers, quota)
+	}, version, term, contactAge, instances, servers, quota, evacuated)
 	return Error.Wrap(err)
 }
 
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -116,11 +117,11 @@
 
 // addCapacity adds the capacity of both versions and the demand to the view.
 func (rc *rolloutController) addCapacity(v *moves.View, m world.Move, r coord.Rollout) {
-	loads := rc.e.coord.Loads()
+	loads, evacuated := rc.e.coord.Loads(), rc.e.evacuatedDataCentres()
 	var newCapacity, oldCapacity moves.Capacity
 	demand := 0.0
 	for _, s := range rc.e.roster.Usable() {
-		if s.Service != r.Service || r.WasRolledBack(s.Version) {
+		if s.Service != r.Service || r.WasRolledBack(s.Version) || slices.Contains(evacuated, s.DataCentre) {
 			continue
 		}
 		c := &oldCapacity
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -334,7 +334,7 @@
 	q := route.Query{
 		Service: f.service, Version: f.p.versionGroup(f.service), DataCentre: f.p.cfg.DataCentre, Class: world.Call,
 		Prefix: f.prefixBlocks, PromptTokens: min(f.r.PromptTokens, maxRoutedTokens), MaxTokens: min(f.r.MaxOutputTokens, maxRoutedTokens),
-		Exclude: f.triedServers,
+		Exclude: f.triedServers, Regions: f.route.RegionsFor(f.org),
 	}
 	if shared := len(f.parts) - 1; shared > 0 {
 		q.AffinityKey = f.parts[shared-1].Hash
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -141,6 +141,7 @@
 	lastByteNanos    map[string]*atomic.Int64 // when each server last sent a byte, Unix time in ns
 	loads            map[string]*coord.Load   // this instance's outstanding work, by server
 	rollouts         map[string]coord.Rollout
+	places           Places
 	usageWindows     map[int64]map[string]float64
 	runTimes         map[string]runTimes     // by route
 	configuredAt     time.Time               // when the first configuration arrived
@@ -195,7 +196,7 @@
 	defer p.serversMu.Unlock()
 	p.pruneHoldOffs(now)
 	p.mu.Lock()
-	rollouts := p.rollouts
+	rollouts, places := p.rollouts, p.places
 	p.servers = make(map[string]roster.Server, len(servers))
 	for _, s := range servers {
 		p.servers[s.ID] = s
@@ -215,6 +216,7 @@
 			ID: s.ID, Incarnation: uint64(s.Incarnation), Address: s.Address, Service: s.Service,
 			DataCentre:  s.DataCentre,
 			Reclaimable: s.Reclaimable, Price: 1, Slots: s.Slots, State: s.State, LeaveBy: s.LeaveBy, AcceptsFrom: p.acceptsFrom(s),
+			Evacuated: places.evacuated(s.DataCentre), Region: places.Regions[s.DataCentre],
 		}
 		if s.Limit.Named && p.cfg.Part != nil {
 			b.RateLimited, b.Rate = true, p.cfg.Part(s)
@@ -244,6 +246,7 @@
 func (p *Proxy) recordVersionResult(t *attemptState, now time.Time) {
 	p.mu.Lock()
 	r, ok := p.rollouts[t.server.Service]
+	ok = ok && !p.places.evacuated(t.server.DataCentre) // what operators do there is no fault of the version
 	running := 0
 	if l := p.loads[t.server.ID]; l != nil {
 		running = l.Running
