cause, edge: Explain requests refused while data centres are evacuated

explain told noServers or nothing for a request that was refused because an operator had evacuated the servers' data centre. It now tells evacuated, with the order that the instance went by, which the event evacuation.applied counts. Replies that change nothing copy no lists any more, and the log line is written without the lock.

--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -110,6 +110,17 @@
 			logLine("n2", 100, `"event":"server.broke","server":"i-1","crashed":true,"parts":["p"],"keys":["1f"]`),
 			requestEnded("n1", 900, "r", "crashesServers", `"runs":0,"key":"2e"`, ""),
 		}},
+		{"the only data centre is evacuated", Evacuated, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
+		{"the evacuation was revoked", Unexplained, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			logLine("n1", 400, `"event":"evacuation.applied","dataCentres":[],"count":0`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
 		{"the only server said that it leaves", NoServers, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			logLine("n1", 300, `"event":"server.leaving","server":"i-1","service":"s"`),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -20,7 +20,7 @@
 	case "overQuota":
 		return l.rateExceeded(end)
 	case "noServer":
-		return append(l.instanceStarting(end), l.noServers(end)...)
+		return slices.Concat(l.instanceStarting(end), l.evacuated(end), l.noServers(end))
 	case "crashesServers":
 		return l.blamed(end)
 	case "heldOff":
@@ -162,6 +162,20 @@
 	return []Finding{{NoServers, fmt.Sprintf("the instance knew no ready server of service %s", service), changes[max(len(changes)-maxEvidence, 0):]}}
 }
 
+// evacuated returns the last order by which the instance sent nothing to some data centres.
+func (l *Logs) evacuated(end requestEnd) []Finding {
+	var last event.Event
+	for _, e := range l.events {
+		if e.Kind == "evacuation.applied" && e.Node == end.Node && !e.Time.After(end.Time) {
+			last = e
+		}
+	}
+	if n, _ := numberField(last, "count"); n > 0 {
+		return []Finding{{Evacuated, fmt.Sprintf("operators had evacuated the data centres %s", last.Detail["dataCentres"]), []event.Event{last}}}
+	}
+	return nil
+}
+
 // serversHeldOff lists the servers that wanted no requests, or no more, from the instance when
 // it refused the request.
 func (l *Logs) serversHeldOff(end requestEnd) []Finding {
--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -52,20 +52,27 @@
 // roster to the request path. It reports whether that changes anything.
 func (e *Edge) setPlaces(v coord.View) bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	regions := regionsAfter(e.regions, v.Instances)
 	evacuated := v.Evacuations.Version > 0 && !slices.Equal(v.Evacuations.DataCentres, e.evacuations.DataCentres)
-	if !evacuated && maps.Equal(regions, e.regions) {
+	changed := evacuated
+	if v.Evacuations.Version > 0 {
+		e.evacuations = v.Evacuations
+	}
+	if v.Instances != nil {
+		regions := regionsAfter(e.regions, v.Instances)
+		changed = changed || !maps.Equal(regions, e.regions)
+		e.regions = regions
+	}
+	places := proxy.Places{Evacuated: e.evacuations.DataCentres, Regions: e.regions}
+	e.mu.Unlock()
+	if !changed {
 		return false
 	}
-	e.regions = regions
+	e.proxy.SetPlaces(places)
 	if evacuated {
-		e.evacuations = v.Evacuations
 		e.cfg.Log.WithFields(log.Fields{
-			"event": "evacuation.applied", "dataCentres": v.Evacuations.DataCentres, "version": v.Evacuations.Version,
+			"event": "evacuation.applied", "dataCentres": places.Evacuated, "count": len(places.Evacuated), "version": v.Evacuations.Version,
 		}).Info("the servers of these data centres get no new requests")
 	}
-	e.proxy.SetPlaces(proxy.Places{Evacuated: e.evacuations.DataCentres, Regions: e.regions})
 	return true
 }
 
