coord, proxy: Test evacuations behind relays, beside other orders and during requests

The tests of evacuations did not cover relays, orders for two data centres at once beside a rollout and a leader that resigns, suspended machines, or requests that run when the order arrives.

The proxy test fails if servers are not marked as evacuated, the test of suspended machines if either of the two conditions is left out.

--- a/internal/coord/evacuations_test.go
+++ b/internal/coord/evacuations_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -402,3 +404,91 @@
 		})
 	}
 }
+
+// Guards against orders that hinder others at the same time: for another data centre, of a
+// rollout, and a leader that resigns for a planned stop.
+func TestEvacuationsBesideOtherOrders(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 2)
+	d.configure(d.instances[0], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+	var wg sync.WaitGroup
+	slowest := make([]time.Duration, 2)
+	for i, name := range []string{"a", "b"} {
+		wg.Go(func() {
+			for n := range 21 { // the last one evacuates
+				sent := time.Now()
+				eventually(t, "the order is acknowledged", func() bool { return d.evacuate(d.instances[3+i], name, n%2 == 0) == nil })
+				slowest[i] = max(slowest[i], time.Since(sent))
+			}
+		})
+	}
+	for n := range 10 {
+		eventually(t, "the rollout is acknowledged", func() bool { return d.order(d.instances[3], fmt.Sprint("v", n)) == nil })
+		if n == 5 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = d.awaitLeader().coord.Resign(ctx) // a failure leaves the leader in office
+			cancel()
+		}
+	}
+	wg.Wait()
+	t.Logf("the slowest acknowledgements took %v", slowest)
+	d.expectEvacuated("a", true)
+	d.expectEvacuated("b", true)
+	if got := d.rollout(d.instances[4]); got.Target != "v9" || got.Serial != 10 {
+		t.Errorf("the rollout has target %s and serial number %d, want v9 and 10", got.Target, got.Serial)
+	}
+}
+
+// Guards against instances behind relays that learn of orders late or not at all, also after
+// the loss of their relay and of the leader.
+func TestEvacuationBehindRelays(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 4, maxDirectReports)
+	d.configure(d.instances[4], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 4 })
+	for _, inst := range d.instances[4:] {
+		eventually(t, "the instance reports to a relay", func() bool { return d.relayOf(inst) != "" })
+	}
+	eventually(t, "the order is acknowledged", func() bool { return d.evacuate(d.instances[5], "a", true) == nil })
+	acked := time.Now()
+	d.expectEvacuated("a", true)
+	t.Logf("in force everywhere %v after the acknowledgement", time.Since(acked))
+	d.stop(d.awaitLeader())
+	eventually(t, "the revocation is acknowledged", func() bool { return d.evacuate(d.instances[5], "a", false) == nil })
+	acked = time.Now()
+	d.expectEvacuated("a", false)
+	t.Logf("in force everywhere %v after the acknowledgement at the next leader", time.Since(acked))
+}
+
+// Guards against an order that an instance proposes after its machine was suspended, or after
+// its operator has left, when others may have been given since.
+func TestEvacuationAfterSuspension(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 1)
+	d.configure(d.instances[0], 1)
+	inst := d.instances[3]
+	eventually(t, "the instance knows the leader", func() bool { return inst.coord.Leader() != "" })
+	d.cutOff(inst, true)
+	result := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		result <- inst.coord.OrderEvacuation(ctx, "a", true, waits)
+	}()
+	time.Sleep(200 * time.Millisecond) // the instance asks for the last order
+	inst.suspended.Store(int64(2 * orderTimeout))
+	d.cutOff(inst, false)
+	if err := <-result; !errors.Is(err, ErrUnavailable) {
+		t.Errorf("the order returned %v, want %v", err, ErrUnavailable)
+	}
+	eventually(t, "another order is acknowledged", func() bool { return d.evacuate(d.instances[0], "b", true) == nil })
+	err := d.instances[0].coord.OrderEvacuation(context.Background(), "a", true, func() bool { return true })
+	if !errors.Is(err, ErrUnavailable) {
+		t.Errorf("the order of an operator who has left returned %v, want %v", err, ErrUnavailable)
+	}
+	eventually(t, "another order is acknowledged", func() bool { return d.evacuate(d.instances[0], "c", true) == nil })
+	d.expectEvacuated("c", true)
+	d.expectEvacuated("b", true)
+	d.expectEvacuated("a", false)
+}
--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -47,31 +48,35 @@
 		{"resumed", "/resume/", []scriptedResponse{begun, {status: 200, isEventStream: true, body: secondEvent}}, 2, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &evacuatingSender{scriptedSender: scriptedSender{responses: c.steps}}
-			s.p = newProxy(t, s, 0)
-			s.p.cfg.VersionResults = judge.NewRecorder("n", 1)
-			s.p.SetRollouts([]coord.Rollout{{Service: "s", Target: "v2", Phase: coord.Running}})
-			for i, dataCentre := range []string{"x", "x", "x", "y", "y", "y"} {
-				s.servers = append(s.servers, roster.Server{ID: fmt.Sprint("e", i), Service: "s", DataCentre: dataCentre, Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 8, State: world.Ready, Version: "v1"})
-			}
-			s.p.SetServers(s.servers, time.Now())
-			if err := s.p.Serve(context.Background(), httptest.NewRecorder(), newRequest(c.path)); !errors.Is(err, c.want) {
-				t.Fatalf("got %v, want %v", err, c.want)
-			}
-			if len(s.attempts) != c.attempts {
-				t.Fatalf("%d attempts, want %d", len(s.attempts), c.attempts)
-			}
-			for _, a := range s.attempts[1:] {
-				if a.Server.DataCentre == s.attempts[0].Server.DataCentre {
-					t.Errorf("%s got an attempt in the evacuated data centre", a.Server.ID)
+			for seed := range uint64(20) {
+				s := &evacuatingSender{scriptedSender: scriptedSender{responses: c.steps}}
+				s.p = newProxy(t, s, 0)
+				s.p.cfg.VersionResults = judge.NewRecorder("n", 1)
+				s.p.SetRollouts([]coord.Rollout{{Service: "s", Target: "v2", Phase: coord.Running}})
+				dataCentres := []string{"x", "x", "x", "y", "y", "y"}
+				rand.New(rand.NewPCG(seed, 0)).Shuffle(len(dataCentres), func(i, j int) { dataCentres[i], dataCentres[j] = dataCentres[j], dataCentres[i] })
+				for i, dataCentre := range dataCentres {
+					s.servers = append(s.servers, roster.Server{ID: fmt.Sprint("e", i), Service: "s", DataCentre: dataCentre, Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 8, State: world.Ready, Version: "v1"})
+				}
+				s.p.SetServers(s.servers, time.Now())
+				if err := s.p.Serve(context.Background(), httptest.NewRecorder(), newRequest(c.path)); !errors.Is(err, c.want) {
+					t.Fatalf("got %v, want %v", err, c.want)
+				}
+				if len(s.attempts) != c.attempts {
+					t.Fatalf("%d attempts, want %d", len(s.attempts), c.attempts)
+				}
+				for _, a := range s.attempts[1:] {
+					if a.Server.DataCentre == s.attempts[0].Server.DataCentre {
+						t.Errorf("%s got an attempt in the evacuated data centre", a.Server.ID)
+					}
+				}
+				recorded := 0
+				for _, cell := range s.p.cfg.VersionResults.Take(time.Now()).Cells {
+					recorded += int(cell.Requests)
+				}
+				if want := c.attempts - 1; recorded != want {
+					t.Errorf("%d results are recorded for the rollout, want those of the %d attempts elsewhere", recorded, want)
 				}
-			}
-			recorded := 0
-			for _, cell := range s.p.cfg.VersionResults.Take(time.Now()).Cells {
-				recorded += int(cell.Requests)
-			}
-			if want := c.attempts - 1; recorded != want {
-				t.Errorf("%d results are recorded for the rollout, want those of the %d attempts elsewhere", recorded, want)
 			}
 		})
 	}
