cause, proxy: Explain requests refused because of their homes

A request that may run in some regions only, and finds no server there, was unexplained. The line of a request states the regions, and explain tells noneInRegions.

go test -race ./internal/cause passes, and in package platform TestRequestsStayInTheirRegions with three instances: home requests are served, others refused with a time, none runs elsewhere.

--- a/internal/cause/cause.go
+++ b/internal/cause/cause.go
@@ -29,6 +29,7 @@
 	ServersHeldOff   Code = "serversHeldOff"   // each server wanted no requests from the instance
 	NoServers        Code = "noServers"        // the instance knew no ready server of the service
 	Evacuated        Code = "evacuated"        // data centres were evacuated
+	NoneInRegions    Code = "noneInRegions"    // no server in the regions that the request may run in
 	Blamed           Code = "blamed"           // servers crash under what the request holds
 	ServerGone       Code = "serverGone"       // the server deregistered, stopped announcing itself or was ejected
 	ServerFailing    Code = "serverFailing"    // other requests failed at the server too
--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -115,6 +115,10 @@
 			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
 		}},
+		{"servers outside of the home only", NoneInRegions, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0,"regions":["x"]`, ""),
+		}},
 		{"the evacuation was revoked", Unexplained, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -20,7 +20,11 @@
 	case "overQuota":
 		return l.rateExceeded(end)
 	case "noServer":
-		return slices.Concat(l.instanceStarting(end), l.evacuated(end), l.noServers(end))
+		f := slices.Concat(l.instanceStarting(end), l.evacuated(end), l.noServers(end))
+		if regions := end.Detail["regions"]; len(f) == 0 && regions != "" {
+			f = []Finding{{NoneInRegions, fmt.Sprintf("the request may run in the regions %s only, and none of the servers there could take it", regions), nil}}
+		}
+		return f
 	case "crashesServers":
 		return l.blamed(end)
 	case "heldOff":
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -407,6 +407,9 @@
 	if f.route != nil {
 		name = f.route.Name
 		fields["route"], fields["service"] = name, f.service
+		if regions := f.route.RegionsFor(f.org); regions != nil {
+			fields["regions"] = regions
+		}
 	}
 	if f.org != nil {
 		fields["organisation"], fields["cost"], fields["level"] = f.org.Name, f.cost(), int(f.p.cfg.Quota.Level(f.org.Name, now))
