--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -68,6 +68,8 @@
 	// StatesPace reports whether the servers of a service state their pace; nil means that none
 	// do. The engines of those that do are sized by the work in progress too.
 	StatesPace func(service string) bool
+	// Evacuated returns the data centres whose backend servers get no requests; nil for none.
+	Evacuated func() []string
 	// Heartbeat is the interval at which backend servers announce themselves.
 	Heartbeat time.Duration
 	Clock     func() time.Time
