--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -26,7 +26,16 @@
 func Part(server string, rate float64, instance string, all []string) float64 {
 	rate = max(rate, minRate)
 	senders := max(int(min(rate/minPart, float64(len(all)))), 1)
-	mine, listed, before := hash(server, instance), false, 0
+	if before, listed := rank(server, instance, all); !listed || before >= senders {
+		return 0
+	}
+	return rate / float64(senders)
+}
+
+// rank returns how many of all instances come before one in the order of those that send to a
+// server, and whether it is one of them.
+func rank(server, instance string, all []string) (before int, listed bool) {
+	mine := hash(server, instance)
 	for _, id := range all {
 		switch h := hash(server, id); {
 		case id == instance:
@@ -35,10 +44,7 @@
 			before++
 		}
 	}
-	if !listed || before >= senders {
-		return 0
-	}
-	return rate / float64(senders)
+	return before, listed
 }
 
 func hash(server, instance string) uint64 { return xxhash.Sum64String(server + "\x00" + instance) }
