route, edge: Send cold servers no more than they tolerate

A cold server got 18 requests in a second where 14.9 are allowed: nothing used cold-remaining-ms. Servers that announce it, say it in a response or start during traffic count as cold until the longest time stated is over, and get requests only from the instances that have a part of cold-per-s, while a leader answers them. If all servers of a service are cold, callers are refused with times spread over a second.

TestServerLimitOverAllInstances failed once in the whole package at a load average of 20 (one 503 although a server was free) and passed alone.

--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -127,10 +127,14 @@
 	if !s.LeaveBy.IsZero() {
 		leave = max(s.LeaveBy.Sub(now).Milliseconds(), 0)
 	}
+	cold := s.ColdFor
+	if !s.ColdUntil.IsZero() {
+		cold = max(s.ColdUntil.Sub(now), 0)
+	}
 	out := &coordpb.Server{
 		Id: s.ID, Born: s.Incarnation, Seq: s.Seq, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre,
 		Version: s.Version, Slots: uint32(s.Slots), State: uint32(s.State), Silent: s.Expired, Reclaimable: s.Reclaimable,
-		LeaveInMs: leave, ColdMs: s.ColdFor.Milliseconds(),
+		LeaveInMs: leave, ColdMs: cold.Milliseconds(),
 	}
 	if s.Limit != (roster.Limit{}) {
 		out.Limit = &coordpb.Limit{Named: s.Limit.Named, Rate: s.Limit.Rate, Version: s.Limit.Version}
@@ -145,6 +149,9 @@
 		ColdFor: time.Duration(p.ColdMs) * time.Millisecond,
 		Limit:   roster.Limit{Named: p.Limit.GetNamed(), Rate: p.Limit.GetRate(), Version: p.Limit.GetVersion()},
 	}
+	if p.ColdMs > 0 {
+		s.ColdUntil = now.Add(s.ColdFor)
+	}
 	if p.LeaveInMs != noLeaveTime {
 		s.LeaveBy = now.Add(time.Duration(p.LeaveInMs) * time.Millisecond)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,6 +76,8 @@
 	ConfigMaxAge time.Duration
 	// QuotaTolerance is how far organisations may exceed their quotas.
 	QuotaTolerance quota.Tolerance
+	// ColdTolerance is how far the rate may be exceeded that cold servers tolerate.
+	ColdTolerance ColdTolerance
 	// DutyPlatform makes the platform calls that one instance performs on behalf of
 	// the deployment; nil without duties.
 	DutyPlatform duty.Platform
@@ -118,6 +120,8 @@
 	draining atomic.Bool
 	relays   atomic.Int32 // number of relays; 0 if the deployment uses none
 
+	partsConfirmedAt atomic.Pointer[time.Time] // when the last report was sent with whose answer the parts of cold servers' rates agree
+
 	serversMu sync.Mutex // held while the roster is copied to the request path
 
 	mu          sync.Mutex
@@ -164,7 +168,7 @@
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Buffers: cfg.Buffers, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
-		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit,
+		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit, ServerCold: e.markCold, ColdPart: e.partOfCold, ColdPartsValid: e.partsValid,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -232,6 +236,7 @@
 // requests, Announce returns only once that is durable.
 func (e *Edge) Announce(ctx context.Context, s roster.Server) error {
 	now := e.cfg.Clock()
+	s = e.withColdStart(s, now)
 	changed := e.roster.Put(s, now)
 	e.mu.Lock()
 	e.outbox.add(s)
@@ -240,6 +245,7 @@
 		e.updateServers(now)
 		e.cfg.Log.WithFields(log.Fields{
 			"event": "server.announced", "server": s.ID, "service": s.Service, "state": s.State.String(), "version": s.Version,
+			"cold": s.Cold(now),
 		}).Info("backend server state changed")
 	}
 	if s.State == world.Ready {
@@ -286,6 +292,7 @@
 	servers := e.roster.Present()
 	e.mu.Lock()
 	e.limits.any = slices.ContainsFunc(servers, func(s roster.Server) bool { return s.Limit.Named })
+	e.limits.setCold(servers, now)
 	e.mu.Unlock()
 	e.proxy.SetServers(servers, now)
 }
@@ -443,7 +450,7 @@
 
 // ReportFailed implements coord.Local.
 func (e *Edge) ReportFailed(now time.Time) {
-	if e.updateTouch(now) {
+	if touch, cold := e.updateTouch(now), e.coldEnded(now); touch || cold {
 		e.updateServers(now)
 	}
 	e.quota.Restore()
@@ -461,7 +468,8 @@
 	e.blame.SetInstances(v.ReadyInstances)
 	e.proxy.LogVerdicts(now)
 	e.roster.ForgetGone(now)
-	changed := e.setInstances(v, now) || v.Config != nil
+	changed := e.giveUpParts(now) || e.coldEnded(now) || v.Config != nil
+	changed = e.setInstances(v, now) || changed
 	for _, s := range v.Servers {
 		changed = e.roster.Put(s, now) || changed
 	}
@@ -472,6 +480,7 @@
 	if changed {
 		e.updateServers(now)
 	}
+	e.confirmParts(v.ConfirmedAt)
 	if v.Config != nil {
 		// Requests waiting for the first configuration need the servers along with it.
 		e.applyConfig(v, now)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -25,6 +25,25 @@
 	any         bool      // a server has named a limit
 	confirmedAt time.Time // when the last report was sent that a leader in office has answered
 	outOfTouch  bool      // that is leaderSilence ago
+
+	anyCold   bool
+	coldEndAt time.Time // when the first of the cold servers stops being cold
+	gaveUp    bool      // the parts of cold servers' rates are not used
+}
+
+// ColdTolerance is how far the rate may be exceeded that a cold server tolerates: all
+// instances together may send it Overshoot times the rate plus Slack requests in any second.
+type ColdTolerance struct {
+	Overshoot, Slack float64
+}
+
+func (l *limitState) setCold(servers []roster.Server, now time.Time) {
+	l.anyCold = false
+	for _, s := range servers {
+		if end := s.ColdEnd(); s.Cold(now) && (!l.anyCold || end.Before(l.coldEndAt)) {
+			l.anyCold, l.coldEndAt = true, end
+		}
+	}
 }
 
 // markLimit records the rate limit that a backend server names in its response to a request
@@ -54,17 +73,106 @@
 	e.mu.Lock()
 	instances, outOfTouch := e.instances, e.limits.outOfTouch
 	e.mu.Unlock()
+	part := pacing.Part(s.ID, s.Limit.Rate, e.self.ID, readyIDs(instances))
+	if outOfTouch {
+		part *= outOfTouchShare
+	}
+	return part
+}
+
+func readyIDs(instances []coord.Instance) []string {
 	var ids []string
 	for _, inst := range instances {
 		if inst.Ready {
 			ids = append(ids, inst.ID)
 		}
 	}
-	part := pacing.Part(s.ID, s.Limit.Rate, e.self.ID, ids)
-	if outOfTouch {
-		part *= outOfTouchShare
+	return ids
+}
+
+// partOfCold returns how many requests a second this instance may send to a cold server that
+// tolerates rate requests a second.
+func (e *Edge) partOfCold(s roster.Server, rate float64) float64 {
+	e.mu.Lock()
+	instances, gaveUp := e.instances, e.limits.gaveUp
+	e.mu.Unlock()
+	if gaveUp {
+		return 0
 	}
-	return part
+	b := pacing.Bound{Rate: rate, Overshoot: e.cfg.ColdTolerance.Overshoot, Slack: e.cfg.ColdTolerance.Slack}
+	return b.Part(s.ID, e.self.ID, readyIDs(instances))
+}
+
+// partsValid reports whether this instance may use its parts of the rates of cold servers: a
+// leader has answered lately, so no other instance has got them.
+func (e *Edge) partsValid(now time.Time) bool {
+	at := e.partsConfirmedAt.Load()
+	return at != nil && e.leaseTime(now).Sub(*at) < pacing.PartLease
+}
+
+// confirmParts records that a leader in office has answered a report sent at the given time.
+// The parts must be those of the list of instances in the answer.
+func (e *Edge) confirmParts(at time.Time) {
+	if !at.IsZero() {
+		e.partsConfirmedAt.Store(&at)
+	}
+}
+
+// giveUpParts gives up the parts of cold servers' rates if they have not been valid at some
+// time, since other instances may have them. It must be called before the answer of a leader
+// makes them valid again. It reports whether the servers must be updated afterwards.
+func (e *Edge) giveUpParts(now time.Time) bool {
+	e.mu.Lock()
+	giveUp := e.limits.anyCold && !e.partsValid(now)
+	e.limits.gaveUp = giveUp
+	e.mu.Unlock()
+	if !giveUp {
+		return false
+	}
+	e.updateServers(now)
+	e.mu.Lock()
+	e.limits.gaveUp = false
+	e.mu.Unlock()
+	return true
+}
+
+// coldEnded reports whether a server has stopped being cold.
+func (e *Edge) coldEnded(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limits.anyCold && !now.Before(e.limits.coldEndAt)
+}
+
+// withColdStart returns an announcement with the time for which the server is cold if it has
+// just started and the announcement does not state it.
+func (e *Edge) withColdStart(s roster.Server, now time.Time) roster.Server {
+	c := e.proxy.Config()
+	if c == nil {
+		return s
+	}
+	svc := c.Service(s.Service)
+	if svc == nil || svc.ColdRate <= 0 || svc.ColdStart <= 0 {
+		return s
+	}
+	return e.roster.WithColdStart(s, svc.ColdStart, now)
+}
+
+// markCold records that a backend server says in its response for how long it is cold, and
+// reports it to the other instances.
+func (e *Edge) markCold(s roster.Server, coldFor time.Duration) {
+	now := e.cfg.Clock()
+	known, changed := e.roster.MarkCold(s.ID, s.Incarnation, coldFor, now)
+	if !changed {
+		return
+	}
+	e.updateServers(now)
+	e.mu.Lock()
+	e.outbox.add(known)
+	e.mu.Unlock()
+	e.cfg.Log.WithFields(log.Fields{
+		"event": "server.cold", "server": s.ID, "service": s.Service, "forMs": coldFor.Milliseconds(),
+	}).Info("backend server said in a response that it is cold")
+	e.coord.SyncSoon()
 }
 
 // setInstances applies what a leader's answer says of the instances. It reports whether the
@@ -77,7 +185,7 @@
 	if !v.ConfirmedAt.IsZero() {
 		e.limits.confirmedAt = v.ConfirmedAt
 	}
-	limited := e.limits.any
+	limited := e.limits.any || e.limits.anyCold
 	e.mu.Unlock()
 	return e.updateTouch(now) || v.Instances != nil && limited
 }
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -29,6 +30,10 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	cold, err := m.Int64ObservableGauge("servers.cold", metric.WithDescription("backend servers by service that count as cold"))
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	quota, err := m.Float64ObservableGauge("quota.level", metric.WithDescription("what organisations have left of their rate"))
 	if err != nil {
 		return Error.Wrap(err)
@@ -48,11 +53,14 @@
 			o.ObserveInt64(servers, int64(n), metric.WithAttributes(
 				attribute.String("service", key.service), attribute.String("state", key.state)))
 		}
+		for service, n := range e.coldServers(now) {
+			o.ObserveInt64(cold, int64(n), metric.WithAttributes(attribute.String("service", service)))
+		}
 		for _, name := range e.organisationNames() {
 			o.ObserveFloat64(quota, e.quota.Level(name, now), metric.WithAttributes(attribute.String("organisation", name)))
 		}
 		return nil
-	}, version, term, contactAge, instances, servers, quota)
+	}, version, term, contactAge, instances, servers, cold, quota)
 	return Error.Wrap(err)
 }
 
@@ -68,6 +76,20 @@
 	return n
 }
 
+// coldServers returns the number of cold servers of each service that has a rate for them.
+func (e *Edge) coldServers(now time.Time) map[string]int {
+	c, out := e.proxy.Config(), map[string]int{}
+	if c == nil {
+		return out
+	}
+	for _, s := range e.roster.Present() {
+		if svc := c.Service(s.Service); svc != nil && svc.ColdRate > 0 && s.Cold(now) {
+			out[s.Service]++
+		}
+	}
+	return out
+}
+
 type serverCountKey struct{ service, state string }
 
 func (e *Edge) serverCounts() map[serverCountKey]int {
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -417,6 +417,9 @@
 	if p.cfg.ServerLimit != nil && (resp.Limit.Named || s.Limit.Named) {
 		p.cfg.ServerLimit(s, resp.Limit, sent)
 	}
+	if resp.ColdFor > 0 && p.cfg.ServerCold != nil {
+		p.cfg.ServerCold(s, resp.ColdFor)
+	}
 	if resp.RetryAfter > 0 {
 		p.holdOff(s, sent, resp.RetryAfter, p.cfg.Clock())
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,6 +114,14 @@
 	// Part returns this instance's part of the rate that a server with a limit accepts, in
 	// requests a second.
 	Part func(s roster.Server) float64
+	// ServerCold is called with a server that says in its response to a request for how long it
+	// is cold; nil ignores it.
+	ServerCold func(s roster.Server, coldFor time.Duration)
+	// ColdPart returns this instance's part of the rate that a cold server tolerates, in
+	// requests a second. Nil treats cold servers like others.
+	ColdPart func(s roster.Server, rate float64) float64
+	// ColdPartsValid reports whether this instance may use these parts; nil means always.
+	ColdPartsValid func(now time.Time) bool
 }
 
 // RetryLimit bounds the retries sent to one service by all instances together.
@@ -166,7 +174,7 @@
 		return nil, err
 	}
 	return &Proxy{
-		cfg: cfg, metrics: m, table: route.New(route.Config{Seed: cfg.Seed, PrefillPerToken: cfg.PrefillPerToken}),
+		cfg: cfg, metrics: m, table: route.New(route.Config{Seed: cfg.Seed, PrefillPerToken: cfg.PrefillPerToken, PartsValid: cfg.ColdPartsValid}),
 		configured: make(chan struct{}), stopping: newStopping(), runTimes: map[string]runTimes{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, instances: 1,
 		servers: map[string]roster.Server{}, lastByteNanos: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
@@ -227,9 +235,13 @@
 			b.Versions = []string{g}
 		}
 		if cfg != nil {
-			if svc := cfg.Service(s.Service); svc != nil && svc.Engine != nil {
+			svc := cfg.Service(s.Service)
+			if svc != nil && svc.Engine != nil {
 				b.CacheBlocks = svc.Engine.MemoryTokens / blockTokens
 			}
+			if svc != nil && svc.ColdRate > 0 && s.Cold(now) && p.cfg.ColdPart != nil {
+				b.Cold, b.ColdRate = true, p.cfg.ColdPart(s, svc.ColdRate)
+			}
 		}
 		backends = append(backends, b)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -65,6 +65,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate that the server says it accepts. Its Version is not set.
 	Limit roster.Limit
+	// ColdFor is how long the server says it is cold; 0 if it did not say.
+	ColdFor time.Duration
 	// Leaving means that the server accepts no new requests from now on.
 	Leaving       bool
 	IsEventStream bool // the body is an event stream
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,7 +33,9 @@
 	Expired     bool // gone because its announcements stopped, not because it announced its end
 	Reclaimable bool
 	LeaveBy     time.Time     // when the server will be gone; zero if unknown
-	ColdFor     time.Duration // remaining time of slow responses after a cold start
+	ColdFor     time.Duration // remaining time of slow responses after a cold start, as announced
+	ColdStated  bool          // the announcement states ColdFor
+	ColdUntil   time.Time     // when the server stops being cold, by this instance's clock; zero if it is not
 	Limit       Limit
 }
 
@@ -102,9 +104,15 @@
 	if other.Newer(s) {
 		out, older = other, s
 	}
-	if out.Incarnation == older.Incarnation && older.Limit.newer(out.Limit) {
+	if out.Incarnation != older.Incarnation {
+		return out
+	}
+	if older.Limit.newer(out.Limit) {
 		out.Limit = older.Limit
 	}
+	if older.ColdUntil.After(out.ColdUntil) {
+		out.ColdUntil = older.ColdUntil
+	}
 	return out
 }
 
@@ -147,9 +155,13 @@
 		if s.Incarnation == e.server.Incarnation && s.Seq > e.lastSeq && e.server.State == world.Leaving {
 			e.lastSeq, e.lastAnnouncedAt = s.Seq, now
 		}
-		return r.setLimit(e, merged.Limit, now)
+		cold := r.setCold(e, merged.ColdUntil)
+		return r.setLimit(e, merged.Limit, now) || cold
 	} else {
 		s = merged
+		if !extends(e.server.ColdUntil, s.ColdUntil) && s.Incarnation == e.server.Incarnation {
+			s.ColdUntil = e.server.ColdUntil
+		}
 	}
 	if s.stage() == 0 && s.State != world.Gone && s.StartedBefore(e.saidLeavingTo.Add(-maxClockSkew)) {
 		s.State = world.Leaving // it had restarted before it said so
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -155,6 +155,7 @@
 	if g == nil {
 		return Choice{}, ErrNoServer
 	}
+	q.partsValid = t.partsValid(now)
 	for _, useEjected := range []bool{false, true} {
 		if c, ok := t.pick(g, &q, useEjected, now); ok {
 			return c, nil
@@ -211,13 +212,16 @@
 		return Opening{}, false
 	}
 	var earliest Opening
-	found := false
+	found, cold := false, false
 	for _, s := range g.servers {
-		o := s.opening(now)
+		o := t.coldOpening(s, s.opening(now), now)
 		if s.mayRun(&q, o.At) && (!found || o.At.Before(earliest.At)) {
-			earliest, found = o, true
+			earliest, found, cold = o, true, s.cold.gate.Limited()
 		}
 	}
+	if cold {
+		earliest = t.spreadCold(earliest, now)
+	}
 	return earliest, found
 }
 
@@ -370,7 +374,7 @@
 
 // eligible reports whether the request may be sent to the server now.
 func (s *server) eligible(q *Query, useEjected bool, now time.Time) bool {
-	return !now.Before(s.acceptsFrom) && s.pace.Admits(now) && s.mayRun(q, now) && (useEjected || !s.health.blocked(now))
+	return !now.Before(s.acceptsFrom) && s.pace.Admits(now) && s.admitsCold(q.partsValid, now) && s.mayRun(q, now) && (useEjected || !s.health.blocked(now))
 }
 
 // mayRun reports whether the server may run the request at all.
@@ -393,7 +397,7 @@
 }
 
 func (t *Table) candidate(g *group, s *server, q *Query, now time.Time) candidate {
-	score := s.delay(now, t.networkDelay(s, q)) + s.penalty(g, q)
+	score := s.delay(now, t.networkDelay(s, q)) + s.penalty(g, q) + s.coldPenalty(now)
 	age := reportDecaySeconds
 	if s.reported {
 		age = min(max(now.Sub(s.load.MeasuredAt).Seconds(), 0), reportDecaySeconds)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -42,6 +42,7 @@
 	// FetchPerToken is the time to fetch the cache of one prompt token from another
 	// server; 0 if servers cannot fetch.
 	FetchPerToken time.Duration
+	partsValid    bool // as of the Pick; see Config.PartsValid
 }
 
 // Cost is the work that one request causes on a backend server. Started and Ended
@@ -87,6 +88,9 @@
 	CacheBlocks int
 	// PrefillPerToken is the prefill time of a token until the first load report.
 	PrefillPerToken time.Duration
+	// PartsValid reports whether this instance may use its parts of the rates of cold servers;
+	// nil means always. It is called with the Table locked.
+	PartsValid func(now time.Time) bool
 }
 
 // Defaults of Config.
@@ -111,6 +115,7 @@
 	nextNum      uint32
 	serversByNum map[uint32]*server // keyed by server.num, for the block index
 	noise        float64            // noise factor; tests set 0
+	anyCold      bool               // a server is cold
 }
 
 type groupKey struct{ service, version string }
@@ -151,6 +156,7 @@
 	leavingSince       time.Time // when the Leaving state was first seen
 	acceptsFrom        time.Time // no request is sent before, also as a last resort
 	pace               pacing.Bucket
+	cold               coldState
 }
 
 // outstandingChange is one start (+1) or end (-1) of a request.
@@ -191,7 +197,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.servers
-	t.servers = make(map[string]*server, len(backends))
+	t.servers, t.anyCold = make(map[string]*server, len(backends)), false
 	for _, b := range backends {
 		s := old[b.ID]
 		if s == nil || s.backend.Incarnation < b.Incarnation {
@@ -201,7 +207,9 @@
 			s.backend = b
 			s.holdOff(b.AcceptsFrom)
 			s.setPace(b, now)
+			s.setCold(b, now)
 		}
+		t.anyCold = t.anyCold || s.cold.gate.Limited()
 		if s.backend.State == world.Leaving && s.leavingSince.IsZero() {
 			s.leavingSince = now
 		}
@@ -238,19 +246,21 @@
 	s.pace = s.pace.WithRate(b.Rate, now)
 }
 
-// TakeTurn reports whether a request may be sent to the chosen server, which may have a rate
-// limit, and counts it. The caller must send the request or pick again.
+// TakeTurn reports whether a request may be sent to the chosen server, which may be cold or have
+// a rate limit, and counts it. The caller must send the request or pick again.
 func (t *Table) TakeTurn(c Choice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[c.Backend.ID]
-	if s == nil || s.num != c.Cost.server || !s.pace.Limited() {
-		return true
+	if s == nil || s.num != c.Cost.server {
+		return s == nil || !s.cold.gate.Limited() // a server that restarted may be cold
 	}
-	if !s.pace.Admits(now) {
+	if !s.pace.Admits(now) || !t.takeColdTurn(s, now) {
 		return false
 	}
-	s.pace = s.pace.WithSent(now)
+	if s.pace.Limited() {
+		s.pace = s.pace.WithSent(now)
+	}
 	return true
 }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -96,6 +96,11 @@
 	MaxConns   int      // connections that one backend server accepts from all instances together
 	Engine     *Engine  // nil for a plain service
 	Scaling    *Scaling // nil if the fleet is fixed
+	// ColdStart is how long a backend server is cold after it has started during traffic.
+	ColdStart time.Duration
+	// ColdRate is the number of requests a second that a cold backend server tolerates from
+	// all instances together; 0 means any.
+	ColdRate float64
 }
 
 // Organisation is a customer of the deployment.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -88,6 +88,10 @@
 	// instance's part of it, in requests a second.
 	RateLimited bool
 	Rate        float64
+	// Cold means that the server accepts few requests until it is warm. ColdRate is this
+	// instance's part of them, in requests a second.
+	Cold     bool
+	ColdRate float64
 }
 
 // WithState returns a copy with the given state.
