--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -93,6 +93,10 @@
 	Evacuated bool
 	// Region is the region of DataCentre; empty if unknown.
 	Region string
+	// Cold means that the server accepts few requests until it is warm. ColdRate is this
+	// instance's part of them, in requests a second.
+	Cold     bool
+	ColdRate float64
 }
 
 // TakesRequests reports whether the server may get new requests.
