link: Bound what a stranger can make the peer listener hold

A peer's message was allocated by its declared length, up to 16 MiB, also before the handshake: 40 connections that sent a byte less raised a process to 602 MB (platform) and 666 MB (serve). Handshake messages are bounded to 4 KiB now, other messages are allocated as they arrive, and at most 256 connections are in the handshake, of which the oldest is closed. Accepting also goes on after an error: too many open files ended the listener for good.

FuzzReadFrame covers both limits; it called readMessage, which is gone.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -162,7 +162,7 @@
 }
 
 func (x *pendingCall) receive() ([]byte, error) {
-	b, err := readMessageBytes(x.yamuxStream)
+	b, err := readMessageBytes(x.yamuxStream, maxMessageBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -175,7 +175,7 @@
 	if res.Code != "" {
 		return nil, &RemoteError{Code: res.Code, Message: res.Message}
 	}
-	b, err = readMessageBytes(x.yamuxStream)
+	b, err = readMessageBytes(x.yamuxStream, maxMessageBytes)
 	x.counters.addRead(len(b) + lengthPrefixBytes)
 	return b, err
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,6 +13,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,13 @@
 	// partition closes the session after keepAliveInterval plus writeTimeout.
 	keepAliveInterval = 2 * time.Second
 	writeTimeout      = 2 * time.Second
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
+	// maxHandshakeBytes limits the messages of a handshake, which have a few names and a code.
+	maxHandshakeBytes = 4 << 10
+	// maxHandshakes limits the accepted connections whose handshake is not complete. Peers need
+	// a few milliseconds for theirs, so 256 suffice when all instances connect at once.
+	maxHandshakes = 256
 	// redialDelay prevents dialing an unreachable peer again for every call.
 	redialDelay = 100 * time.Millisecond
 )
@@ -94,6 +102,7 @@
 	streams        map[string]StreamHandler
 	outbound       map[string]*outboundSession
 	accepted       map[*yamux.Session]struct{}
+	handshakes     []net.Conn // accepted and not authenticated yet, the oldest first
 	countersByName map[string]*counters
 	closed         bool
 
@@ -128,10 +137,19 @@
 	n.wg.Go(func() {
 		for {
 			conn, err := ln.Accept()
-			if err != nil {
+			switch {
+			case errors.Is(err, net.ErrClosed):
 				return
+			case err != nil:
+				// For example too many open files, or a peer that has gone again.
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(acceptRetryDelay):
+				}
+			default:
+				n.wg.Go(func() { n.serve(conn) })
 			}
-			n.wg.Go(func() { n.serve(conn) })
 		}
 	})
 	return n, nil
@@ -196,7 +214,9 @@
 	if n.cfg.TLS != nil {
 		conn = tls.Server(conn, n.cfg.TLS)
 	}
+	n.beginHandshake(raw)
 	peer, err := n.handshake(conn, false)
+	n.endHandshake(raw)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -228,6 +248,26 @@
 	}
 }
 
+// beginHandshake records a connection, and closes the oldest one at the limit: strangers that
+// send nothing must not keep peers from connecting.
+func (n *Transport) beginHandshake(conn net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.handshakes) >= maxHandshakes {
+		_ = n.handshakes[0].Close() // its handshake fails
+		n.handshakes = slices.Delete(n.handshakes, 0, 1)
+	}
+	n.handshakes = append(n.handshakes, conn)
+}
+
+func (n *Transport) endHandshake(conn net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if i := slices.Index(n.handshakes, conn); i >= 0 {
+		n.handshakes = slices.Delete(n.handshakes, i, i+1)
+	}
+}
+
 func (n *Transport) serveStream(peer Peer, ys *yamux.Stream) {
 	defer ys.Close()
 	s := newStream(n, ys)
@@ -308,14 +348,14 @@
 	if err := writeMessage(conn, local); err != nil {
 		return Peer{}, err
 	}
-	if err := readMessage(conn, &remote); err != nil {
+	if err := readHandshake(conn, &remote); err != nil {
 		return Peer{}, err
 	}
 	if err := writeMessage(conn, &linkpb.Proof{Mac: n.proof(client, local, &remote)}); err != nil {
 		return Peer{}, err
 	}
 	var proof linkpb.Proof
-	if err := readMessage(conn, &proof); err != nil {
+	if err := readHandshake(conn, &proof); err != nil {
 		return Peer{}, err
 	}
 	if !hmac.Equal(proof.Mac, n.proof(!client, &remote, local)) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -115,9 +115,9 @@
 	f.Add([]byte{0, 0, 0, 1, 0})
 	f.Add([]byte{255, 255, 255, 255})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := &byteReader{b: b}
 		var v wrapperspb.StringValue
-		_ = readMessage(r, &v)
+		_ = readHandshake(&byteReader{b: b}, &v)
+		_, _ = readMessageBytes(&byteReader{b: b}, maxMessageBytes)
 	})
 }
 
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -92,7 +92,7 @@
 }
 
 func (s *Stream) recvBytes() ([]byte, error) {
-	b, err := readMessageBytes(s.yamuxStream)
+	b, err := readMessageBytes(s.yamuxStream, maxMessageBytes)
 	if err == nil {
 		s.counters.addRead(len(b) + lengthPrefixBytes)
 	}
@@ -171,24 +171,37 @@
 	return Error.Wrap(err)
 }
 
-func readMessageBytes(r io.Reader) ([]byte, error) {
+// readStepBytes is the memory allocated at first for a message. It grows as the message
+// arrives, whatever length the sender declares.
+const readStepBytes = 64 << 10
+
+func readMessageBytes(r io.Reader, limit uint32) ([]byte, error) {
 	var head [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > maxMessageBytes {
-		return nil, Error.New("message of %d bytes exceeds %d", n, maxMessageBytes)
+	if n > limit {
+		return nil, Error.New("message of %d bytes exceeds %d", n, limit)
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, Error.Wrap(err)
+	b := make([]byte, min(n, readStepBytes))
+	for received := 0; ; {
+		if _, err := io.ReadFull(r, b[received:]); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if len(b) == int(n) {
+			return b, nil
+		}
+		received = len(b)
+		grown := make([]byte, min(int(n), 2*received))
+		copy(grown, b)
+		b = grown
 	}
-	return b, nil
 }
 
-func readMessage(r io.Reader, m proto.Message) error {
-	b, err := readMessageBytes(r)
+// readHandshake reads a message of a peer that is not authenticated.
+func readHandshake(r io.Reader, m proto.Message) error {
+	b, err := readMessageBytes(r, maxHandshakeBytes)
 	if err != nil {
 		return err
 	}
