guard: Bound the memory and connections of callers

The memory for bodies of callers was unbounded on the platform: 40 connections raised a process to 918 MB.

--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,296 @@
+package guard
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"time"
+)
+
+const testLimit = 4 << 20
+
+func newGuard(t testing.TB, bytes int64) *Guard {
+	t.Helper()
+	g, err := New(Config{Bytes: bytes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func in(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// Guards against a single body inside the limits that is refused in calm, on the smallest
+// machine too, and against bodies that are cut or changed when they are joined.
+func TestBodiesArriveWhole(t *testing.T) {
+	g := newGuard(t, LimitsFor(144<<20, 3075).Bytes)
+	for _, n := range []int{0, 1, freeBytes, freeBytes + 1, segmentBytes, 100_000, maxDirectBytes, maxDirectBytes + 1, testLimit} {
+		want := bytes.Repeat([]byte("abcdefg"), n/7+1)[:n]
+		for _, length := range []int64{int64(n), -1} {
+			for _, reader := range []io.Reader{bytes.NewReader(want), iotest.DataErrReader(bytes.NewReader(want))} {
+				r, err := g.ReadBody(nil, reader, length, testLimit, in(time.Minute))
+				if err != nil || !bytes.Equal(r.Content(), want) {
+					t.Fatalf("%d bytes, length %d: got %d bytes and %v", n, length, len(r.Content()), err)
+				}
+				if n > freeBytes && g.Used() != int64(n) {
+					t.Errorf("%d bytes, length %d: %d bytes are held", n, length, g.Used())
+				}
+				r.Release()
+				r.Release()
+			}
+		}
+	}
+	if g.Used() != 0 {
+		t.Errorf("%d bytes are held at the end", g.Used())
+	}
+}
+
+// Guards against memory that is not returned after bodies that end early or are too large, and
+// against reading more of a body than its limit.
+func TestBadBodies(t *testing.T) {
+	g := newGuard(t, 20<<20)
+	endless := func() io.Reader { return iotest.DataErrReader(io.LimitReader(zeros{}, 1<<40)) }
+	for _, c := range []struct {
+		name   string
+		in     io.Reader
+		length int64
+		want   func(error) bool
+	}{
+		{"declared over the limit", endless(), 1 << 40, ErrTooLarge.Has},
+		{"sent over the limit", endless(), -1, ErrTooLarge.Has},
+		{"ends early", strings.NewReader("x"), 100_000, func(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }},
+		{"large, ends early", strings.NewReader("x"), testLimit, func(err error) bool { return errors.Is(err, io.ErrUnexpectedEOF) }},
+		{"longer than declared", strings.NewReader("xx"), 1, ErrTooLarge.Has},
+		{"broken off", iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("xx"))), -1, func(err error) bool { return errors.Is(err, iotest.ErrTimeout) }},
+	} {
+		if _, err := g.ReadBody(nil, c.in, c.length, testLimit, in(time.Minute)); !c.want(err) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if g.Used() != 0 {
+			t.Errorf("%s: %d bytes are held", c.name, g.Used())
+		}
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// Guards against an account that a declared length fills before a byte arrives.
+func TestDeclaredLengthsHoldLittle(t *testing.T) {
+	g := newGuard(t, 20<<20)
+	for range 1000 {
+		stalled, _ := io.Pipe()
+		go func() { _, _ = g.ReadBody(nil, stalled, testLimit, testLimit, in(time.Minute)) }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	if most := int64(1000 * segmentBytes); g.Used() > most {
+		t.Errorf("%d bytes are held, want at most %d", g.Used(), most)
+	}
+}
+
+// connect returns both ends of a connection that the guard has accepted.
+func connect(t *testing.T, ln net.Listener) (*Conn, net.Conn) {
+	t.Helper()
+	remote, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = remote.Close()
+		_ = c.Close()
+	})
+	return Of(c), remote
+}
+
+// Guards against stalled bodies that keep others from being received, whose time is up
+// only later, and against an account that is not empty when all have gone.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	g := newGuard(t, 1<<20)
+	ln, err := g.Listen("127.0.0.1:0", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var wg sync.WaitGroup
+	results := make(chan error, 40)
+	for range 40 { // of 28 KB each at most
+		c, remote := connect(t, ln)
+		_, _ = remote.Write(make([]byte, 30_000))
+		wg.Go(func() {
+			_, err := g.ReadBody(c, c, 400_000, 500_000, in(time.Minute))
+			results <- err
+		})
+	}
+	r, err := g.ReadBody(nil, bytes.NewReader(make([]byte, 300_000)), -1, 500_000, in(time.Minute))
+	for tries := 0; ErrFull.Has(err) && tries < 20; tries++ { // as an ordinary caller does
+		r, err = g.ReadBody(nil, bytes.NewReader(make([]byte, 300_000)), -1, 500_000, in(time.Minute))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Release()
+	if err := <-results; !ErrTooSlow.Has(err) && !ErrFull.Has(err) {
+		t.Errorf("a stalled body: %v", err)
+	}
+	conns, _ := g.usages(nil)
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+	wg.Wait()
+	if g.Used() != 0 {
+		t.Errorf("%d bytes are held at the end", g.Used())
+	}
+}
+
+// Guards against a caller that waits for memory for ever.
+func TestWaitEnds(t *testing.T) {
+	g := newGuard(t, 1<<20)
+	g.take(1 << 20)
+	if _, err := g.ReadBody(nil, zeros{}, -1, 500_000, in(50*time.Millisecond)); !ErrFull.Has(err) {
+		t.Errorf("got %v, want that the account is full", err)
+	}
+	if g.Used() != 1<<20 {
+		t.Errorf("%d bytes are held", g.Used())
+	}
+}
+
+// Guards against more connections than the bound, and against a bound that connections which
+// send nothing keep others from.
+func TestConnections(t *testing.T) {
+	const most = 5
+	g := newGuard(t, 1<<20)
+	ln, err := g.Listen("127.0.0.1:0", most)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	busy, _ := connect(t, ln)
+	busy.SetBusy()
+	var first net.Conn
+	for i := range 3 * most {
+		c, remote := connect(t, ln)
+		if i == 0 {
+			first = remote
+		}
+		_ = c // stays open until the guard closes it
+		_ = remote
+	}
+	_ = first.SetReadDeadline(in(10 * time.Second))
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the oldest connection: %v, want its end", err)
+	}
+	if Phase(busy.phase.Load()) != PhaseBusy {
+		t.Error("the connection with a running request was closed")
+	}
+}
+
+// Guards against heads that together hold more than the account.
+func TestHeadsAreCharged(t *testing.T) {
+	g := newGuard(t, 64<<10)
+	ln, err := g.Listen("127.0.0.1:0", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	refused := 0
+	for range 20 {
+		c, remote := connect(t, ln)
+		_, _ = remote.Write(make([]byte, 16<<10))
+		if _, err := io.ReadFull(c, make([]byte, 16<<10)); err != nil {
+			refused++
+		}
+		if g.Used() > 64<<10 {
+			t.Fatalf("%d bytes are held", g.Used())
+		}
+	}
+	if refused < 14 {
+		t.Errorf("%d of 20 heads were refused", refused)
+	}
+	conns, _ := g.usages(nil)
+	for _, c := range conns {
+		_ = c.Close()
+		_ = c.Close()
+	}
+	if g.Used() != 0 {
+		t.Errorf("%d bytes are held at the end", g.Used())
+	}
+}
+
+// Guards against panics, wrong contents and memory that is lost, for any sequence of reads.
+func FuzzReadBody(f *testing.F) {
+	f.Add([]byte("abc"), int64(3), 2)
+	f.Add([]byte("abc"), int64(-1), 1)
+	f.Add([]byte(strings.Repeat("x", 3*segmentBytes)), int64(-1), segmentBytes)
+	f.Add([]byte("abc"), int64(4), 7)
+	f.Add([]byte("abc"), int64(1<<62), 7)
+	f.Fuzz(func(t *testing.T, sent []byte, length int64, step int) {
+		g := newGuard(t, 1<<20)
+		r, err := g.ReadBody(nil, &steps{sent, max(1, step%(64<<10))}, length, 100_000, in(time.Minute))
+		if err == nil && (!bytes.Equal(r.Content(), sent) || length >= 0 && int64(len(sent)) != length || len(sent) > 100_000) {
+			t.Errorf("length %d: %d bytes of %d", length, len(r.Content()), len(sent))
+		}
+		r.Release()
+		if g.Used() != 0 {
+			t.Errorf("%d bytes are held at the end", g.Used())
+		}
+	})
+}
+
+// steps returns its bytes in pieces.
+type steps struct {
+	left []byte
+	size int
+}
+
+func (s *steps) Read(b []byte) (int, error) {
+	if len(s.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b[:min(len(b), s.size)], s.left)
+	s.left = s.left[n:]
+	return n, nil
+}
+
+// BenchmarkReadBody measures bodies of parallel requests against an unbounded buffer, as it
+// was used before.
+func BenchmarkReadBody(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		size int
+	}{{"1KB", 1000}, {"100KB", 100_000}, {"4MB", testLimit}} {
+		content := make([]byte, c.size)
+		b.Run(c.name+"/guard", func(b *testing.B) {
+			g := newGuard(b, 200<<20)
+			conn := &Conn{guard: g}
+			b.ReportAllocs()
+			for b.Loop() {
+				r, err := g.ReadBody(conn, bytes.NewReader(content), int64(c.size), testLimit, in(time.Minute))
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Release()
+			}
+		})
+		b.Run(c.name+"/before", func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				var buf bytes.Buffer
+				buf.Grow(min(max(c.size, bytes.MinRead), 64<<10) + bytes.MinRead)
+				// Hides WriteTo, which the bodies of requests do not have.
+				if _, err := buf.ReadFrom(struct{ io.Reader }{bytes.NewReader(content)}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
