platform, entry, contrl, meter: Bound what all callers hold together

All HTTP listeners use package guard now: a fifth of the machine's memory for heads and bodies, bounded connections (limits.max-fds, limits.memoryMB), at most 64 KiB of receive buffer. A refused body is not read to its end. Heads over max-header-bytes get 431. A multipart form is not read by fasthttp before the handler, and a body that no handler reads has a time limit.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # The packages that run whole deployments with leases on real sockets come last,
 # one at a time and a few tests at a time: their leases lapse when compilers and
 # other tests starve them of processor time.
-DEPLOYMENTS = internal/site internal/manage internal/coord platform/soak platform
+DEPLOYMENTS = internal/site internal/manage internal/coord platform/soak platform/abuse platform
 OTHERS = $$($(GO) list ./... | grep -v $(DEPLOYMENTS:%=-e /%$$))
 TEST = $(GO) test -race -timeout 20m -skip "$$(sed -n 's/^test: \(.*\)$$/^\1$$/p' KNOWN-RED.txt | paste -sd'|' -)"
 test:
--- a/internal/comand/serve.go
+++ b/internal/comand/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +14,14 @@
 	"cranberrypath.example/cranberrypath/internal/node"
 )
 
+const (
+	// gcPercent starts a collection at half the default heap growth, if the memory is known.
+	gcPercent = 50
+	// heapShare is the share of the machine's memory from which on the collector runs as often
+	// as it must. Socket buffers and code take the rest.
+	heapShare = 0.75
+)
+
 // serve runs one process until a signal. The first signal drains the process for up
 // to drainSeconds; a second signal stops it immediately.
 func serve(ctx context.Context, t terminal, args []string) error {
@@ -36,6 +45,11 @@
 	log.SetHandler(json.New(t.err)) // for the packages that log through the default logger
 	log.SetLevel(parseLevel(settings.LogLevel))
 	logger := &log.Logger{Handler: json.New(t.err), Level: parseLevel(settings.LogLevel)}
+	if memory := settings.MemoryBytes(); memory > 0 {
+		// The collector runs as often as it must in a small machine.
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(heapShare * memory))
+	}
 	n, err := node.Start(node.Config{Settings: settings, Log: logger})
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -105,6 +105,7 @@
 	Connections    int `json:"connections"`
 	RequestSeconds int `json:"requestSeconds"` // maximum duration of a request
 	KeepSeconds    int `json:"keepSeconds"`    // how long a complete answer can still be fetched
+	MemoryMB       int `json:"memoryMB"`       // memory of the machine; 0 if not known
 }
 
 // Backends describes properties of the backend servers.
@@ -184,6 +185,9 @@
 	return time.Duration(s.Backends.LeaseMillis) * time.Millisecond
 }
 
+// MemoryBytes returns the memory of the machine; 0 if it is not known.
+func (s Settings) MemoryBytes() float64 { return float64(s.Limits.MemoryMB) * (1 << 20) }
+
 type problemFunc func(key, format string, args ...any)
 
 func (s Settings) validate(problem problemFunc) {
@@ -301,6 +305,7 @@
 		{"limits.connections", s.Limits.Connections, 1, 100_000},
 		{"limits.requestSeconds", s.Limits.RequestSeconds, 1, 86_400},
 		{"limits.keepSeconds", s.Limits.KeepSeconds, 1, 3600},
+		{"limits.memoryMB", s.Limits.MemoryMB, 0, 1 << 20},
 		// A longer lease would violate the guarantee that a leaving backend server
 		// receives no new work after 3 s.
 		{"backends.leaseMillis", s.Backends.LeaseMillis, 200, 3000},
--- a/internal/contrl/api.go
+++ b/internal/contrl/api.go
@@ -113,7 +113,7 @@
 	if file == "" {
 		file = "declaration"
 	}
-	d, err := decl.Parse(file, r.PostBody())
+	d, err := decl.Parse(file, r.body)
 	if err != nil {
 		return d, newHTTPError(fasthttp.StatusUnprocessableEntity, store.Invalid, err.Error())
 	}
--- a/internal/contrl/conns.go
+++ b/internal/contrl/conns.go
@@ -36,6 +36,9 @@
 	return c, nil
 }
 
+// NetConn returns the connection that c wraps.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *trackedConn) Close() error {
 	c.listener.mu.Lock()
--- a/internal/contrl/contrl.go
+++ b/internal/contrl/contrl.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/guard"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/store"
 )
@@ -95,6 +96,8 @@
 	Log   Log
 	Store *store.Store
 	Clock func() time.Time
+	// Guard bounds what operators' connections occupy; nil means a default size.
+	Guard *guard.Guard
 	// Events returns the recorded events. It may be nil.
 	Events func(ctx context.Context, f event.Filter) ([]event.Event, error)
 	// Membership changes the members of the replicated log. It may be nil.
--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"cranberrypath.example/cranberrypath/internal/guard"
 	"cranberrypath.example/cranberrypath/internal/store"
 )
 
@@ -59,7 +60,10 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
-	raw, err := net.Listen("tcp", cfg.Listen)
+	if cfg.Guard == nil {
+		cfg.Guard = guard.Default()
+	}
+	raw, err := cfg.Guard.Listen(cfg.Listen, maxConnections)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -72,6 +76,7 @@
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: httpLogger{},
 	}
+	guard.BoundFast(s.http)
 	var listener net.Listener = ln
 	if cfg.TLS != nil {
 		listener = tls.NewListener(ln, cfg.TLS)
@@ -139,6 +144,7 @@
 	*fasthttp.RequestCtx
 	operator string
 	param    string // variable part of the path, such as a move ID
+	body     []byte
 }
 
 func (s *Server) serve(c *fasthttp.RequestCtx) {
@@ -154,7 +160,13 @@
 		writeError(c, err)
 		return
 	}
-	out, err := h(ctx, &request{c, operator, param})
+	body, err := s.cfg.Guard.ReadFast(c, maxBodyBytes, time.Now().Add(readTimeout))
+	if err != nil {
+		writeBodyError(c, err)
+		return
+	}
+	defer body.Release()
+	out, err := h(ctx, &request{c, operator, param, body.Content()})
 	if err != nil {
 		writeError(c, err)
 		return
@@ -271,7 +283,7 @@
 
 // decode parses a JSON body and rejects unknown fields.
 func decode(r *request, v any) error {
-	d := json.NewDecoder(bytes.NewReader(r.PostBody()))
+	d := json.NewDecoder(bytes.NewReader(r.body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return newHTTPError(fasthttp.StatusBadRequest, "body", err.Error())
@@ -334,6 +346,16 @@
 	return fasthttp.StatusConflict
 }
 
+// writeBodyError answers a request whose body could not be read, which has had no effect.
+func writeBodyError(c *fasthttp.RequestCtx, err error) {
+	if guard.ErrFull.Has(err) {
+		writeError(c, newHTTPError(fasthttp.StatusServiceUnavailable, "notRun", "this instance has no memory for the body"))
+	} else {
+		handleProtocolError(c, err)
+	}
+	c.SetConnectionClose()
+}
+
 // handleProtocolError answers requests that fasthttp could not read.
 func handleProtocolError(c *fasthttp.RequestCtx, err error) {
 	var smallBuffer *fasthttp.ErrSmallBuffer
@@ -341,9 +363,9 @@
 	switch {
 	case errors.As(err, &smallBuffer):
 		err = newHTTPError(fasthttp.StatusRequestHeaderFieldsTooLarge, "header", "the header exceeds "+strconv.Itoa(maxHeaderBytes)+" bytes")
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), guard.ErrTooLarge.Has(err):
 		err = newHTTPError(fasthttp.StatusRequestEntityTooLarge, "body", "the body exceeds "+strconv.Itoa(maxBodyBytes)+" bytes")
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case guard.ErrTooSlow.Has(err), errors.As(err, &netErr) && netErr.Timeout():
 		err = newHTTPError(fasthttp.StatusRequestTimeout, "timeout", "the request did not arrive in time")
 	default:
 		err = newHTTPError(fasthttp.StatusBadRequest, "request", err.Error())
--- a/internal/entry/conns.go
+++ b/internal/entry/conns.go
@@ -45,6 +45,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection that c wraps.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // abort resets all connections and discards buffered data.
 func (t *connTracker) abort() {
 	t.mu.Lock()
@@ -54,7 +57,11 @@
 	}
 	t.mu.Unlock()
 	for _, c := range all {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		raw := c.Conn
+		if wrapper, ok := raw.(interface{ NetConn() net.Conn }); ok {
+			raw = wrapper.NetConn()
+		}
+		if tcp, ok := raw.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		_ = c.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"cranberrypath.example/cranberrypath/internal/cells"
 	"cranberrypath.example/cranberrypath/internal/conf"
 	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/guard"
 	"cranberrypath.example/cranberrypath/internal/judge"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/member"
@@ -71,7 +72,9 @@
 	Backends      *backnd.Client
 	Events        *event.Log
 	Now           func() time.Time
-	Seed          uint64 // for routing decisions; 0 picks a random seed
+	// Guard bounds what callers occupy; nil means a default size.
+	Guard *guard.Guard
+	Seed  uint64 // for routing decisions; 0 picks a random seed
 	// Router overrides the default router, for experiments.
 	Router Router
 	// ReplayOnly makes streams on a reclaimed server that would not finish in
@@ -91,7 +94,6 @@
 	limitsTable       limitsTable
 	results           *judge.Recorder
 	server            *server
-	bodyMemory        bodyMemory
 	cells             *cells.Table
 	forwardTable      forwardTable
 	engines           engineAPI
@@ -134,6 +136,9 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
+	if cfg.Guard == nil {
+		cfg.Guard = guard.Default()
+	}
 	if cfg.Router == nil {
 		cfg.Router = route.New(route.Config{Seed: cfg.Seed})
 	}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -40,11 +40,11 @@
 	if e.server.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	body, release, f := e.readBody(ctx)
-	defer release()
+	body, f := e.readBody(ctx)
+	defer body.Release()
 	bodyUnread := f != nil
 	if !bodyUnread {
-		f = e.dispatch(ctx, body)
+		f = e.dispatch(ctx, body.Content())
 	}
 	if f == nil {
 		return
--- a/internal/guard/fast.go
+++ b/internal/guard/fast.go
@@ -10,11 +10,10 @@
 // overLengthHeader marks a request whose declared length is over the limit.
 const overLengthHeader = "X-Over-Length"
 
-// BoundFast makes a server of fasthttp follow the phases of its connections and leave the
-// reading of bodies to ReadFast.
-func BoundFast(s *fasthttp.Server) {
-	limit := s.MaxRequestBodySize
-	s.StreamRequestBody = true // otherwise the whole body is allocated when its length is known
+// FollowFast makes a server of fasthttp follow when its connections are idle. Its handler must
+// call SetBusy or ReadFast.
+func FollowFast(s *fasthttp.Server) {
+	// A form would be read before the handler is called, in memory and on disk.
 	s.DisablePreParseMultipartForm = true
 	s.ConnState = func(nc net.Conn, state fasthttp.ConnState) {
 		// StateActive begins before the head has been read.
@@ -22,6 +21,14 @@
 			c.SetIdle()
 		}
 	}
+}
+
+// BoundFast makes a server of fasthttp follow the phases of its connections and leave the
+// reading of bodies to ReadFast.
+func BoundFast(s *fasthttp.Server) {
+	limit := s.MaxRequestBodySize
+	s.StreamRequestBody = true // otherwise the whole body is allocated when its length is known
+	FollowFast(s)
 	s.HeaderReceived = func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 		// fasthttp waits for the first 8 KiB of a body before it calls the handler, also of one
 		// that is refused for its length.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -271,26 +271,32 @@
 		content := make([]byte, c.size)
 		b.Run(c.name+"/guard", func(b *testing.B) {
 			g := newGuard(b, 200<<20)
-			conn := &Conn{guard: g}
 			b.ReportAllocs()
-			for b.Loop() {
-				r, err := g.ReadBody(conn, bytes.NewReader(content), int64(c.size), testLimit, in(time.Minute))
-				if err != nil {
-					b.Fatal(err)
+			b.RunParallel(func(pb *testing.PB) {
+				conn := &Conn{guard: g}
+				for pb.Next() {
+					r, err := g.ReadBody(conn, bytes.NewReader(content), int64(c.size), testLimit, in(time.Minute))
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					r.Release()
 				}
-				r.Release()
-			}
+			})
 		})
 		b.Run(c.name+"/before", func(b *testing.B) {
 			b.ReportAllocs()
-			for b.Loop() {
-				var buf bytes.Buffer
-				buf.Grow(min(max(c.size, bytes.MinRead), 64<<10) + bytes.MinRead)
-				// Hides WriteTo, which the bodies of requests do not have.
-				if _, err := buf.ReadFrom(struct{ io.Reader }{bytes.NewReader(content)}); err != nil {
-					b.Fatal(err)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					var buf bytes.Buffer
+					buf.Grow(min(max(c.size, bytes.MinRead), 64<<10) + bytes.MinRead)
+					// Hides WriteTo, which the bodies of requests do not have.
+					if _, err := buf.ReadFrom(struct{ io.Reader }{bytes.NewReader(content)}); err != nil {
+						b.Error(err)
+						return
+					}
 				}
-			}
+			})
 		})
 	}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -19,6 +19,8 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/resource"
+
+	"cranberrypath.example/cranberrypath/internal/guard"
 )
 
 // Error is the class of this package's errors.
@@ -28,6 +30,11 @@
 	// readTimeout and writeTimeout bound a request for the metrics.
 	readTimeout  = 10 * time.Second
 	writeTimeout = 10 * time.Second
+	// maxConns bounds the connections. Those that send nothing are closed in favour of others,
+	// so that strangers do not keep the metrics from being read.
+	maxConns = 16
+	// maxHeadBytes bounds what the heads of all requests take together beyond 4 KiB each.
+	maxHeadBytes = 256 << 10
 	// closeTimeout bounds how long Close waits for requests in progress. A connection that
 	// sends half a request would otherwise keep the process from ending.
 	closeTimeout = 200 * time.Millisecond
@@ -61,15 +68,22 @@
 
 // Serve exposes the metrics at /metrics on addr until Close.
 func (m *Meters) Serve(addr string) (net.Addr, error) {
-	ln, err := net.Listen("tcp", addr)
+	g, err := guard.New(guard.Config{Bytes: maxHeadBytes})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ln, err := g.Listen(addr, maxConns)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	handler := fasthttpadaptor.NewFastHTTPHandler(m.handler)
 	s := &fasthttp.Server{
-		Name: "cranberrypath", MaxRequestBodySize: 1 << 10, Concurrency: 16,
+		Name: "cranberrypath", MaxRequestBodySize: 1 << 10, Concurrency: 2 * maxConns, // with those being closed
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		Handler: func(ctx *fasthttp.RequestCtx) {
+			if c := guard.Of(ctx.Conn()); c != nil {
+				c.SetBusy()
+			}
 			if string(ctx.Path()) != "/metrics" {
 				ctx.Error("the metrics are at /metrics", fasthttp.StatusNotFound)
 				return
@@ -77,6 +91,7 @@
 			handler(ctx)
 		},
 	}
+	guard.FollowFast(s)
 	m.shutdown, m.ln = s.ShutdownWithContext, ln
 	go func() { _ = s.Serve(ln) }()
 	return ln.Addr(), nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -79,7 +79,7 @@
 	}
 	c.operatorServer, err = contrl.NewServer(contrl.Config{
 		TLS:      operatorTLS,
-		Instance: s.Node, Listen: s.Listen.Operators, Operators: s.Operators, Net: n.net, Log: c, Store: c.store,
+		Instance: s.Node, Listen: s.Listen.Operators, Guard: n.guard, Operators: s.Operators, Net: n.net, Log: c, Store: c.store,
 		Clock: n.cfg.Now, Events: n.Events, Membership: c,
 	})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"cranberrypath.example/cranberrypath/internal/disk"
 	"cranberrypath.example/cranberrypath/internal/entry"
 	"cranberrypath.example/cranberrypath/internal/event"
+	"cranberrypath.example/cranberrypath/internal/guard"
 	"cranberrypath.example/cranberrypath/internal/link"
 	"cranberrypath.example/cranberrypath/internal/manage"
 	"cranberrypath.example/cranberrypath/internal/member"
@@ -71,6 +72,7 @@
 	events        *event.Log
 	eventFile     *os.File
 	meters        *meter.Meters
+	guard         *guard.Guard
 	net           *link.Transport
 	control       *control
 	member        *member.Member
@@ -127,6 +129,10 @@
 		return Error.Wrap(err)
 	}
 	n.meters = m
+	bounds := guard.ForMemory(s.MemoryBytes(), s.Limits.Connections)
+	if n.guard, err = guard.New(guard.Config{Bytes: bounds.Bytes, Log: n.log, Meter: m}); err != nil {
+		return Error.Wrap(err)
+	}
 	if s.Listen.Metrics == "" {
 		return nil
 	}
@@ -193,7 +199,7 @@
 	}
 	n.backendClient = backnd.New(n.cfg.Backends)
 	n.entry, err = entry.New(entry.Config{
-		Settings: s, Incarnation: n.incarnation, Net: n.net, Member: n.member, Configuration: n.watcher,
+		Settings: s, Guard: n.guard, Incarnation: n.incarnation, Net: n.net, Member: n.member, Configuration: n.watcher,
 		Claims: claim.NewClient(n.net, s.ClaimGroups, n.claimMembers), Backends: n.backendClient, Events: n.events,
 		Now: n.cfg.Now, Seed: n.cfg.Seed, Router: n.cfg.Router, ReplayOnly: n.cfg.ReplayOnly,
 	})
