guard, platform: Bound the wait for memory by a third of the caller's time

A caller whose request waited 2 s for memory had little of its time left to run it, or for another instance, and Retry-After exceeded the third of 1.5 s that callers wait. Bodies that lose their memory while they wait for more end at once, and the charge of a head is returned if another goroutine closes the connection.

--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -196,9 +196,8 @@
 	others := int(g.waiting.Add(1)) - 1
 	defer g.waiting.Add(-1)
 	start := g.cfg.Clock()
-	if until := start.Add(maxWait); until.Before(deadline) {
-		deadline = until
-	}
+	// The rest of the caller's time is for running the request, or for another instance.
+	deadline = start.Add(min(maxWait, deadline.Sub(start)/waitShare))
 	if r.conn != nil {
 		r.conn.waiting.Store(true)
 		defer func() {
@@ -208,6 +207,9 @@
 		}()
 	}
 	for mayWait(r.held, n, g.cfg.Bytes, others) && g.cfg.Clock().Before(deadline) {
+		if r.conn != nil && Phase(r.conn.phase.Load()) == PhaseEnded {
+			return ErrTooSlow.New("others waited for memory")
+		}
 		g.endSlowest()
 		time.Sleep(waitInterval)
 		if g.take(n) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -37,6 +37,7 @@
 	// waitInterval is how often a waiting body looks for memory, and maxWait how long.
 	waitInterval = 20 * time.Millisecond
 	maxWait      = 2 * time.Second
+	waitShare    = 3 // of the time until the deadline
 	// connShards is the number of locks of the set of connections, taken when one is opened
 	// or closed.
 	connShards = 16
@@ -121,6 +122,7 @@
 	shard uint32
 	once  sync.Once
 
+	closed   atomic.Bool
 	phase    atomic.Int32
 	since    atomic.Int64 // Unix time in ns
 	received atomic.Int64
@@ -206,6 +208,7 @@
 		delete(s.conns, c)
 		s.Unlock()
 		c.ln.open.Add(-1)
+		c.closed.Store(true)
 		c.guard.used.Add(-c.headHeld.Swap(0))
 	})
 	return c.Conn.Close()
@@ -235,6 +238,9 @@
 			return 0, os.ErrDeadlineExceeded // ends the connection without another response
 		}
 		c.headHeld.Add(more)
+		if c.closed.Load() { // by another goroutine, which has returned what was held until then
+			c.guard.used.Add(-c.headHeld.Swap(0))
+		}
 	}
 	return n, err
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"testing/iotest"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const testLimit = 4 << 20
@@ -246,6 +251,76 @@
 	})
 }
 
+// Guards against panics and memory that is lost, for any bytes that a caller sends to the HTTP
+// servers in use, whose readers of heads and bodies differ.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\nabc"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999999999999\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;ext=1\r\nabc\r\n0\r\nA: b\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Type: multipart/form-data; boundary=b\r\nContent-Length: 20\r\n\r\n--b\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n"))
+	f.Add([]byte("\r\n\r\n\r\n"))
+	f.Add([]byte("GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 20_000)))
+	const limit = 100_000
+	g := newGuard(f, 1<<20)
+	plain, err := g.Listen("127.0.0.1:0", 100)
+	if err != nil {
+		f.Fatal(err)
+	}
+	type connKey struct{}
+	server := &http.Server{
+		ConnState: ConnState, MaxHeaderBytes: 16 << 10, ErrorLog: log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) },
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			nc, _ := r.Context().Value(connKey{}).(net.Conn)
+			body, err := g.ReadBody(Of(nc), r.Body, r.ContentLength, limit, in(time.Minute))
+			if err != nil {
+				w.Header().Set("Connection", "close")
+			}
+			body.Release()
+		}),
+	}
+	fast, err := g.Listen("127.0.0.1:0", 100)
+	if err != nil {
+		f.Fatal(err)
+	}
+	fastServer := &fasthttp.Server{MaxRequestBodySize: limit, ReadBufferSize: 16 << 10, Logger: log.New(io.Discard, "", 0), Handler: func(ctx *fasthttp.RequestCtx) {
+		body, err := g.ReadFast(ctx, limit, in(time.Minute))
+		if err != nil {
+			ctx.SetConnectionClose()
+		}
+		body.Release()
+	}}
+	BoundFast(fastServer)
+	go func() { _ = server.Serve(plain) }()    // returns when the server is closed
+	go func() { _ = fastServer.Serve(fast) }() // likewise
+	f.Cleanup(func() {
+		_ = server.Close()
+		_ = fastServer.Shutdown()
+	})
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		for _, ln := range []net.Listener{plain, fast} {
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(in(10 * time.Second))
+			_, _ = c.Write(sent) // the server may have closed the connection
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}
+		for deadline := in(10 * time.Second); g.Used() != 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d bytes are held after the connections", g.Used())
+			}
+		}
+	})
+}
+
 // steps returns its bytes in pieces.
 type steps struct {
 	left []byte
