coord: Pass on the pace of servers with reports and totals

Cause: an instance sees a server every few seconds, a slowdown lasts 600 ms. Change: Load and Totals have the newest pace of a server and its age, in new fields that are absent if no server states one. The calls in relay_test.go have the time as a further argument; what they check is unchanged. Result: go test -race ./internal/coord passes.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -299,7 +299,7 @@
 	defer a.mu.Unlock()
 	n := a.process(req.Node, now)
 	n.lastReport, n.reportedAt, n.via, n.silent = now, now, nil, false
-	loads := loadsFromProto(req.Loads)
+	loads := loadsFromProto(req.Loads, now)
 	a.loads.replace(n.loads, loads)
 	n.loads = loads
 	n.setWindows(req.Windows)
@@ -371,10 +371,10 @@
 }
 
 // totalLoads returns the outstanding work by server.
-func (a *aggregator) totalLoads() []Load {
+func (a *aggregator) totalLoads(now time.Time) []Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.loads.list()
+	return a.loads.list(now)
 }
 
 // usage sums the counts of one window over all processes.
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -588,7 +588,7 @@
 	if agg == nil {
 		return out
 	}
-	for _, l := range agg.totalLoads() {
+	for _, l := range agg.totalLoads(c.cfg.Clock()) {
 		out[l.Server] = l
 	}
 	return out
--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -199,7 +199,7 @@
 	for _, s := range servers {
 		out.Servers = append(out.Servers, f.encode(s, now))
 	}
-	out.Totals = f.totalsToProto(p.totals)
+	out.Totals = f.totalsToProto(p.totals, now)
 	if req.Node.ConfigVersion < p.configVersion {
 		out.Config = p.config
 	}
@@ -262,8 +262,9 @@
 }
 
 // totalsToProto encodes the loads of the servers that have a number. mu must be held.
-func (f *feed) totalsToProto(loads []Load) *coordpb.Totals {
+func (f *feed) totalsToProto(loads []Load, now time.Time) *coordpb.Totals {
 	out := &coordpb.Totals{}
+	paces := make([]Pace, 0, len(loads))
 	for _, l := range loads {
 		n, ok := f.serverNumbers[l.Server]
 		if !ok {
@@ -273,11 +274,14 @@
 		out.Running = append(out.Running, uint32(l.Running))
 		out.Waiting = append(out.Waiting, uint32(l.Waiting))
 		out.Tokens = append(out.Tokens, uint32(max(l.WaitingTokens, 0)))
+		paces = append(paces, l.Pace)
 	}
+	addPaces(out, paces, now)
 	return out
 }
 
-// loadSums sums the outstanding work of several instances by server.
+// loadSums sums the outstanding work of several instances by server. Of their paces it keeps the
+// newest.
 type loadSums map[string]Load
 
 // replace subtracts the previous loads of an instance and adds the present ones.
@@ -295,13 +299,19 @@
 	}
 	for _, l := range after {
 		sum := s[l.Server]
-		s[l.Server] = Load{l.Server, sum.Running + l.Running, sum.Waiting + l.Waiting, sum.WaitingTokens + l.WaitingTokens}
+		s[l.Server] = Load{l.Server, sum.Running + l.Running, sum.Waiting + l.Waiting, sum.WaitingTokens + l.WaitingTokens, sum.Pace.newer(l.Pace)}
 	}
 }
 
-func (s loadSums) list() []Load {
+// list returns the sums. It drops servers without work and a recent pace.
+func (s loadSums) list(now time.Time) []Load {
 	out := make([]Load, 0, len(s))
-	for _, l := range s {
+	for id, l := range s {
+		l.Pace = l.Pace.fresh(now)
+		if l == (Load{Server: id}) {
+			delete(s, id)
+			continue
+		}
 		out = append(out, l)
 	}
 	return out
--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -146,7 +146,7 @@
 		c.changed = true
 	}
 	c.node, c.lastReport, c.silent = req.Node, now, false
-	loads := loadsFromProto(req.Loads)
+	loads := loadsFromProto(req.Loads, now)
 	r.loads.replace(c.loads, loads)
 	c.loads = loads
 	for _, w := range req.Windows {
@@ -230,9 +230,9 @@
 		req.Spent = append(req.Spent, &coordpb.Count{Name: name, Amount: units})
 	}
 	sums := loadSums{}
-	sums.replace(nil, loadsFromProto(req.Loads))
-	sums.replace(nil, r.loads.list())
-	req.Loads = loadsToProto(sums.list())
+	sums.replace(nil, loadsFromProto(req.Loads, now))
+	sums.replace(nil, r.loads.list(now))
+	req.Loads = loadsToProto(sums.list(now), now)
 	req.Held = append(req.Held, r.held...)
 	req.Children, req.ChildrenJudged = b.children, r.judged
 	r.resend = false
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -114,7 +114,7 @@
 	sent := uint64(0)
 	flush := func(agg *aggregator, term uint64, err error, now time.Time) {
 		sent++
-		req := &coordpb.Sync{Node: node("r", 1), SpentNumber: sent, Loads: loadsToProto([]Load{{Server: "e", Running: 1}})}
+		req := &coordpb.Sync{Node: node("r", 1), SpentNumber: sent, Loads: loadsToProto([]Load{{Server: "e", Running: 1}}, now)}
 		b := r.take(req, now)
 		if err == nil {
 			agg.applyReport(req, now)
@@ -123,7 +123,7 @@
 	}
 	done := r.add(&coordpb.Sync{
 		Node: node("x", 1), Windows: window(3), Servers: []*coordpb.Server{announced},
-		Loads: loadsToProto([]Load{{Server: "e", Running: 2, Waiting: 1}}),
+		Loads: loadsToProto([]Load{{Server: "e", Running: 2, Waiting: 1}}, start),
 	}, start)
 	flush(agg, 1, context.DeadlineExceeded, start)
 	if err := <-done; err == nil {
@@ -134,13 +134,13 @@
 		t.Errorf("the leader has the servers %v, want the one that leaves", s)
 	}
 	for range 3 {
-		r.add(&coordpb.Sync{Node: node("x", 1), Windows: window(4), Loads: loadsToProto([]Load{{Server: "e", Running: 2}})}, start)
+		r.add(&coordpb.Sync{Node: node("x", 1), Windows: window(4), Loads: loadsToProto([]Load{{Server: "e", Running: 2}}, start)}, start)
 		flush(agg, 1, nil, start)
 	}
 	if got := agg.usage(7)["o"]; got != 4 {
 		t.Errorf("usage %v, want 4", got)
 	}
-	if got := agg.totalLoads(); len(got) != 1 || got[0].Running != 3 || got[0].Waiting != 0 {
+	if got := agg.totalLoads(start); len(got) != 1 || got[0].Running != 3 || got[0].Waiting != 0 {
 		t.Errorf("loads %v, want 3 running", got)
 	}
 	// A new leader that has heard of nobody gets the instances again.
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -184,7 +184,7 @@
 	self.Ready = r.Ready
 	req = &coordpb.Sync{
 		Node: self.proto(), Feed: seen.feed, Epoch: seen.term, ServersSeen: seen.servers, NodesSeen: seen.instances, RolloutsSeen: seen.rollouts, Held: prefixesToProto(r.Prefixes), HeldSeen: seen.prefixes, Judged: r.VersionResults,
-		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads),
+		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads, now),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
 	records, lastCrash := c.cfg.Blame.Since(c.crashesSent, maxCrashRecords, now)
@@ -350,7 +350,7 @@
 		feed: reply.Feed, term: reply.Epoch, servers: reply.ServersSeen, instances: reply.NodesSeen, rollouts: reply.RolloutsSeen,
 		prefixes: reply.HeldSeen, crashes: reply.CrashesSeen,
 	}
-	v.Loads = c.loadsFromReply(reply, req.Feed)
+	v.Loads = c.loadsFromReply(reply, req.Feed, now)
 	if reply.NodesChanged {
 		v.Instances = c.instancesFromReply(reply)
 	}
@@ -369,7 +369,7 @@
 }
 
 // loadsFromReply decodes the outstanding work. mu must be held.
-func (c *Coord) loadsFromReply(reply *coordpb.SyncReply, feedBefore uint64) []Load {
+func (c *Coord) loadsFromReply(reply *coordpb.SyncReply, feedBefore uint64, now time.Time) []Load {
 	if reply.Feed != feedBefore {
 		c.serverIDs = make(map[uint32]string, len(reply.Servers))
 	}
@@ -381,7 +381,7 @@
 	out := make([]Load, 0, n)
 	for i := range n {
 		if id := c.serverIDs[t.Servers[i]]; id != "" {
-			out = append(out, Load{Server: id, Running: int(t.Running[i]), Waiting: int(t.Waiting[i]), WaitingTokens: int(t.Tokens[i])})
+			out = append(out, Load{Server: id, Running: int(t.Running[i]), Waiting: int(t.Waiting[i]), WaitingTokens: int(t.Tokens[i]), Pace: paceAt(t, i, now)})
 		}
 	}
 	return out
@@ -506,7 +506,7 @@
 	cfg, rollouts := m.state.config(), m.state.rollouts()
 	p := published{
 		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
-		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(), rolloutsSeen: rolloutsFingerprint(rollouts),
+		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(now), rolloutsSeen: rolloutsFingerprint(rollouts),
 		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)),
 	}
 	for _, r := range rollouts {
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -14,6 +14,7 @@
 	Running       int
 	Waiting       int // requests counted in Running whose response has not started
 	WaitingTokens int // uncached prompt tokens of the waiting requests
+	Pace          Pace
 }
 
 // Window holds the number of requests started in one usage window, by organisation.
@@ -151,18 +152,19 @@
 	return s
 }
 
-func loadsToProto(loads []Load) []*coordpb.Load {
+func loadsToProto(loads []Load, now time.Time) []*coordpb.Load {
 	out := make([]*coordpb.Load, len(loads))
 	for i, l := range loads {
 		out[i] = &coordpb.Load{Id: l.Server, Running: uint32(l.Running), Waiting: uint32(l.Waiting), Tokens: uint32(max(l.WaitingTokens, 0))}
+		out[i].Pace, out[i].PaceAgeMs = l.Pace.proto(now)
 	}
 	return out
 }
 
-func loadsFromProto(loads []*coordpb.Load) []Load {
+func loadsFromProto(loads []*coordpb.Load, now time.Time) []Load {
 	out := make([]Load, len(loads))
 	for i, l := range loads {
-		out[i] = Load{Server: l.Id, Running: int(l.Running), Waiting: int(l.Waiting), WaitingTokens: int(l.Tokens)}
+		out[i] = Load{Server: l.Id, Running: int(l.Running), Waiting: int(l.Waiting), WaitingTokens: int(l.Tokens), Pace: paceFromProto(l.Pace, l.PaceAgeMs, now)}
 	}
 	return out
 }
