route: Weigh the speed of servers and the lateness of mixed prompts

Cause: routing treated servers as equally fast, separated reviews and other requests by a hash, and 90 instances recomputed the same prefixes. Change: Engine-Load with a pace is decoded and observed. For services whose servers state it, waits, prefills and calls are scaled by the pace, pending prefill of others is predicted from the totals, and targets replace the partitions.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -58,6 +58,8 @@
 	Fetched    int    `json:"fetched,omitempty"` // prompt tokens to fetch from another server
 	Status     int    `json:"status,omitempty"`
 	Error      string `json:"error,omitempty"`
+	// Why is set for servers that state their pace.
+	Why *choiceLog `json:"why,omitempty"`
 }
 
 // recordFirstByte records that the server sent data. Only the first call of an attempt
@@ -74,6 +76,7 @@
 		p.queuePrefixReport(a.server.ID, a.req.parts[:shared], now)
 	}
 	if status < http.StatusInternalServerError {
+		p.metrics.recordKind(a, now)
 		p.table.FirstToken(a.choice, a.timeToFirstByte, now)
 	}
 	a.req.countUsage(now)
@@ -113,7 +116,7 @@
 	entry := attemptLog{
 		Server: a.server.ID, ExpectedMs: a.choice.Expected.Milliseconds(), FirstMs: a.timeToFirstByte.Milliseconds(),
 		TookMs: now.Sub(a.sentAt).Milliseconds(), PauseMs: a.maxEventGap.Milliseconds(), Cached: a.choice.CachedTokens,
-		Fetched: a.choice.FetchTokens, Status: a.status,
+		Fetched: a.choice.FetchTokens, Status: a.status, Why: newChoiceLog(a.choice.Reason),
 	}
 	outcome := "answered"
 	if a.err != nil {
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -336,8 +336,14 @@
 		Prefix: f.prefixBlocks, PromptTokens: min(f.r.PromptTokens, maxRoutedTokens), MaxTokens: min(f.r.MaxOutputTokens, maxRoutedTokens),
 		Exclude: f.triedServers,
 	}
+	if f.route.LatencyTarget > 0 {
+		q.Target = max(f.r.Arrived.Add(f.route.LatencyTarget).Sub(now), time.Millisecond)
+	}
 	if shared := len(f.parts) - 1; shared > 0 {
 		q.AffinityKey = f.parts[shared-1].Hash
+		for _, part := range f.parts[:shared] {
+			q.SharedTokens = min(q.SharedTokens+part.Tokens, q.PromptTokens)
+		}
 	}
 	if svc := f.cfg.Service(f.service); svc.Engine != nil {
 		q.FetchPerToken = svc.Engine.FetchPerToken
@@ -417,6 +423,7 @@
 	if p.cfg.ServerLimit != nil && (resp.Limit.Named || s.Limit.Named) {
 		p.cfg.ServerLimit(s, resp.Limit, sent)
 	}
+	p.applyLoad(s, resp.Load, p.cfg.Clock())
 	if resp.RetryAfter > 0 {
 		p.holdOff(s, sent, resp.RetryAfter, p.cfg.Clock())
 	}
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -11,8 +11,8 @@
 
 // requestMetrics holds the metrics of the request path.
 type requestMetrics struct {
-	requests, attempts, fetched, holdOffs metric.Int64Counter
-	firstByte, duration, eventGap         metric.Float64Histogram
+	requests, attempts, fetched, holdOffs, kinds metric.Int64Counter
+	firstByte, duration, eventGap                metric.Float64Histogram
 }
 
 // latencyBuckets are the histogram bucket boundaries in seconds.
@@ -30,6 +30,7 @@
 		{&out.requests, "requests", "requests by route, outcome and reason"},
 		{&out.attempts, "attempts", "sends to backend servers by service and outcome"},
 		{&out.fetched, "fetched.tokens", "prompt tokens that servers were told to fetch from others"},
+		{&out.kinds, "first.bytes", "first bytes by service, kind of request and whether within the route's target, of servers that state their pace"},
 		{&out.holdOffs, "hold.offs", "times that a backend server wanted no requests for some time, by service"},
 	} {
 		var err error
@@ -66,6 +67,18 @@
 	m.holdOffs.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("service", service))))
 }
 
+// recordKind counts the first byte of a response of a server that states its pace.
+func (m *requestMetrics) recordKind(t *attemptState, now time.Time) {
+	target := t.req.route.LatencyTarget
+	if t.choice.Reason.Pace == 0 || target <= 0 {
+		return
+	}
+	m.kinds.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("service", t.server.Service), attribute.String("kind", t.choice.Cost.Class.String()),
+		attribute.Bool("inTarget", now.Sub(t.req.r.Arrived) <= target),
+	)))
+}
+
 func (m *requestMetrics) recordAttempt(t *attemptState, outcome string) {
 	service := attribute.String("service", t.server.Service)
 	m.attempts.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(service, attribute.String("outcome", outcome))))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,6 +140,7 @@
 	servers          map[string]roster.Server
 	lastByteNanos    map[string]*atomic.Int64 // when each server last sent a byte, Unix time in ns
 	loads            map[string]*coord.Load   // this instance's outstanding work, by server
+	paces            map[string]coord.Pace    // stated by servers since the last report
 	rollouts         map[string]coord.Rollout
 	usageWindows     map[int64]map[string]float64
 	runTimes         map[string]runTimes     // by route
@@ -169,7 +170,7 @@
 		cfg: cfg, metrics: m, table: route.New(route.Config{Seed: cfg.Seed, PrefillPerToken: cfg.PrefillPerToken}),
 		configured: make(chan struct{}), stopping: newStopping(), runTimes: map[string]runTimes{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, instances: 1,
-		servers: map[string]roster.Server{}, lastByteNanos: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
+		servers: map[string]roster.Server{}, lastByteNanos: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, paces: map[string]coord.Pace{}, rollouts: map[string]coord.Rollout{},
 		holdOffs: map[string]holdOff{}, usageWindows: map[int64]map[string]float64{}, prefixReportedAt: map[prefixKey]time.Time{},
 	}, nil
 }
@@ -294,6 +295,7 @@
 			load.WaitingTokens = max(load.WaitingTokens-own.WaitingTokens, 0)
 		}
 		p.table.Report(id, load, at)
+		p.table.ObservePace(id, l.Pace.Factor, l.Pace.At)
 	}
 }
 
@@ -321,21 +323,6 @@
 	return b
 }
 
-// Loads returns this instance's outstanding work by server.
-func (p *Proxy) Loads() []coord.Load {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []coord.Load
-	for id, l := range p.loads {
-		if l.Running == 0 {
-			delete(p.loads, id)
-			continue
-		}
-		out = append(out, *l)
-	}
-	return out
-}
-
 // reportedWindows is the number of recent usage windows in a report. The leader
 // needs the counts of a window a few seconds after its end.
 const reportedWindows = 4
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -65,11 +65,19 @@
 	RetryAfter time.Duration
 	// Limit is the rate that the server says it accepts. Its Version is not set.
 	Limit roster.Limit
+	// Load is what the server says about its load and speed.
+	Load ServerLoad
 	// Leaving means that the server accepts no new requests from now on.
 	Leaving       bool
 	IsEventStream bool // the body is an event stream
 }
 
+// ServerLoad is what a backend server says about its load and speed. The zero value says nothing.
+type ServerLoad struct {
+	Running, Waiting, Slots int
+	Pace                    float64 // how long work takes relative to usual; 0 if not given
+}
+
 // Sender sends requests to backend servers.
 type Sender interface {
 	// Send returns once the response header has arrived. An error is a
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -100,6 +100,7 @@
 type candidate struct {
 	server *server
 	score  float64
+	wait   float64 // expected before the request's own work starts; set for servers that state their pace
 }
 
 // maxCandidates is the number of servers that one Pick compares in the end.
@@ -295,22 +296,32 @@
 		holder, holderTokens = t.leavingHolder(q, holder, holderTokens, now)
 		holder, holderTokens = t.limitedHolder(q, holder, holderTokens)
 	}
+	svc := t.paced[q.Service]
 	var out Choice
 	var s *server
-	bestScore, bestPrefill := math.Inf(1), 0.0
+	bestScore, secondScore, bestPrefill, wait := math.Inf(1), math.Inf(1), 0.0, 0.0
 	for i := range list.n {
 		c := list.candidates[i]
 		hit, fetch := hits[i], 0
 		if missing := holderTokens - hit; q.FetchPerToken > 0 && missing >= minFetchTokens {
 			fetch = missing
 		}
-		prefillSeconds := float64(q.PromptTokens-hit-fetch) * c.server.perToken().Seconds()
+		perToken := c.server.perTokenAt(now).Seconds()
+		prefillSeconds := float64(q.PromptTokens-hit-fetch) * perToken
 		fetchSeconds := float64(fetch) * q.FetchPerToken.Seconds()
-		score := c.score + prefillWeight*prefillSeconds + fetchSeconds + fetchCostWeight*float64(fetch)*c.server.perToken().Seconds()
+		weight := prefillWeight
+		if svc != nil {
+			weight = pacedPrefillWeight
+		}
+		score := c.score + weight*prefillSeconds + fetchSeconds + fetchCostWeight*float64(fetch)*perToken
+		if svc != nil {
+			score += c.server.pacedScore(svc, q, c.wait, fetchSeconds, prefillSeconds, now)
+		}
 		if score >= bestScore {
+			secondScore = min(secondScore, score)
 			continue
 		}
-		bestScore, bestPrefill, s = score, prefillSeconds+fetchSeconds, c.server
+		secondScore, bestScore, bestPrefill, s, wait = bestScore, score, prefillSeconds+fetchSeconds, c.server, c.wait
 		out = Choice{Backend: s.backend, CachedTokens: hit, FetchTokens: fetch}
 		if fetch > 0 {
 			out.Source = holder.backend
@@ -321,6 +332,9 @@
 		Class: q.Class, Prefix: q.Prefix, UncachedTokens: q.PromptTokens - out.CachedTokens - out.FetchTokens,
 		MaxTokens: q.MaxTokens, server: s.num,
 	}
+	if svc != nil {
+		t.explain(&out, svc, s, q, wait, bestPrefill, secondScore-bestScore, list.n, now)
+	}
 	return out
 }
 
@@ -381,25 +395,36 @@
 	if len(q.Exclude) > 0 && slices.Contains(q.Exclude, s.backend.ID) {
 		return false
 	}
-	if !s.backend.LeaveBy.IsZero() && float64(s.backend.LeaveBy.Sub(now)) < noticeSafetyFactor*float64(s.expectedDuration(q)) {
+	if !s.backend.LeaveBy.IsZero() && float64(s.backend.LeaveBy.Sub(now)) < noticeSafetyFactor*float64(s.expectedDuration(q, now)) {
 		return false
 	}
 	return true
 }
 
 // expectedDuration estimates how long the request would run on the server.
-func (s *server) expectedDuration(q *Query) time.Duration {
-	return time.Duration(q.PromptTokens)*s.perToken() + time.Duration(q.MaxTokens)*defaultDecodePerToken
+func (s *server) expectedDuration(q *Query, now time.Time) time.Duration {
+	d := time.Duration(q.PromptTokens)*s.perToken() + time.Duration(q.MaxTokens)*defaultDecodePerToken
+	if s.work != nil {
+		d = time.Duration(float64(d) * s.factor(now))
+	}
+	return d
 }
 
 func (t *Table) candidate(g *group, s *server, q *Query, now time.Time) candidate {
-	score := s.delay(now, t.networkDelay(s, q)) + s.penalty(g, q)
+	wait, score := 0.0, 0.0
+	if s.work == nil {
+		score = s.delay(now, t.networkDelay(s, q)) + s.penalty(g, q)
+	} else {
+		var batch float64
+		wait, batch = s.pacedDelay(g.paced, now, t.networkDelay(s, q))
+		score = wait + batch + s.penalty(g, q)
+	}
 	age := reportDecaySeconds
 	if s.reported {
 		age = min(max(now.Sub(s.load.MeasuredAt).Seconds(), 0), reportDecaySeconds)
 	}
-	noise := t.noise * (noiseBaseSeconds + noisePerAgeSecond*age) * gumbelMinima[t.rnd.Uint32()%uint32(len(gumbelMinima))]
-	return candidate{server: s, score: score + noise}
+	noise := t.noise * s.noiseFactor() * (noiseBaseSeconds + noisePerAgeSecond*age) * gumbelMinima[t.rnd.Uint32()%uint32(len(gumbelMinima))]
+	return candidate{server: s, score: score + noise, wait: wait}
 }
 
 func (t *Table) networkDelay(s *server, q *Query) float64 {
@@ -452,7 +477,7 @@
 
 // penalty is the part of the server's score that is not delay, in seconds.
 func (s *server) penalty(g *group, q *Query) float64 {
-	seconds := s.partitionPenalty(g, q.Class) - s.affinityBonus(g, q)
+	seconds := s.partitionPenalty(g, q) - s.affinityBonus(g, q)
 	if g.meanPrice > 0 {
 		seconds += pricePenaltySeconds[min(int(q.Class), len(pricePenaltySeconds)-1)] * (s.backend.Price/g.meanPrice - 1)
 	}
@@ -477,7 +502,7 @@
 	// Among n servers the highest hash is about 1/n below the maximum; the bonus
 	// falls off quickly beyond that, so only one server gets most of it.
 	rank := float64(len(g.servers)) * (1 - float64(h>>11)/(1<<53))
-	return affinityShare * float64(q.PromptTokens) * s.perToken().Seconds() / (1 + rank*rank)
+	return g.affinitySeconds(q, s.perToken().Seconds()) / (1 + rank*rank)
 }
 
 // affinityKey returns the key by which all instances prefer the same server for a prompt,
@@ -512,11 +537,13 @@
 
 // partitionPenalty separates reviews from lookups. The partition of a server follows
 // from a hash of its id, so all instances prefer the same servers for reviews without
-// coordination. Both classes may still use either partition.
-func (s *server) partitionPenalty(g *group, c world.Class) float64 {
-	if len(g.servers) < 2 || g.reviewShare < 0.01 {
+// coordination. Both classes may still use either partition. Where lateness decides, there
+// are no partitions.
+func (s *server) partitionPenalty(g *group, q *Query) float64 {
+	if len(g.servers) < 2 || g.reviewShare < 0.01 || g.mixes(q) {
 		return 0
 	}
+	c := q.Class
 	reviews := s.partition < min(g.reviewShare, maxReviewShare)
 	switch {
 	case c == world.Review && !reviews:
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -42,6 +42,12 @@
 	// FetchPerToken is the time to fetch the cache of one prompt token from another
 	// server; 0 if servers cannot fetch.
 	FetchPerToken time.Duration
+	// Target is the time left until the target for the first byte; 0 for none. It counts
+	// only for services whose servers state their pace.
+	Target time.Duration
+	// SharedTokens is the length of the part of the prompt that other prompts share; 0 if
+	// unknown. It counts only where Target does.
+	SharedTokens int
 }
 
 // Cost is the work that one request causes on a backend server. Started and Ended
@@ -54,6 +60,12 @@
 	// server is the number of the server's table entry. A server that restarted or was
 	// removed and added again has a new number, so this request does not count there.
 	server uint32
+	// For servers that state their pace: the number of the request, the time left until its
+	// target, and the expected times before and of its own work. queued is the part of wait
+	// that is not network delay, in seconds.
+	request            uint64
+	target, wait, work time.Duration
+	queued             float64
 }
 
 // Choice is the backend server that Pick selected.
@@ -65,7 +77,8 @@
 	// zero if FetchTokens is 0.
 	Source      world.Backend
 	FetchTokens int
-	Cost        Cost // for Started and Ended
+	Cost        Cost   // for Started and Ended
+	Reason      Reason // for the log
 }
 
 // Result is the outcome of a request on a backend server.
@@ -111,6 +124,8 @@
 	nextNum      uint32
 	serversByNum map[uint32]*server // keyed by server.num, for the block index
 	noise        float64            // noise factor; tests set 0
+	paced        map[string]*pacedService
+	nextRequest  uint64
 }
 
 type groupKey struct{ service, version string }
@@ -126,6 +141,7 @@
 	avgFirstToken              float64 // time to first token, s
 	avgPrefillTokens           float64 // uncached prompt tokens of a request
 	ejected                    int
+	paced                      *pacedService // nil if the servers state no pace
 }
 
 // server is this instance's state of one backend server.
@@ -151,6 +167,7 @@
 	leavingSince       time.Time // when the Leaving state was first seen
 	acceptsFrom        time.Time // no request is sent before, also as a last resort
 	pace               pacing.Bucket
+	work               *work // nil if the service's servers state no pace
 }
 
 // outstandingChange is one start (+1) or end (-1) of a request.
@@ -181,7 +198,7 @@
 	}
 	return &Table{
 		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 0)), servers: map[string]*server{},
-		groups: map[groupKey]*group{}, index: newBlockIndex(), serversByNum: map[uint32]*server{}, noise: 1,
+		groups: map[groupKey]*group{}, index: newBlockIndex(), serversByNum: map[uint32]*server{}, noise: 1, paced: map[string]*pacedService{},
 	}
 }
 
@@ -271,6 +288,7 @@
 	t.groups, t.leaving, t.limited = map[groupKey]*group{}, map[string][]*server{}, map[string][]*server{}
 	for _, s := range t.servers {
 		s.group = nil
+		t.addWork(s)
 		if s.backend.State == world.Leaving {
 			t.leaving[s.backend.Service] = append(t.leaving[s.backend.Service], s)
 		}
@@ -284,7 +302,7 @@
 			key := groupKey{s.backend.Service, v}
 			g := t.groups[key]
 			if g == nil {
-				g = &group{}
+				g = &group{paced: t.paced[s.backend.Service]}
 				if o := old[key]; o != nil {
 					g.otherLoad, g.reviewShare, g.avgFirstToken, g.avgPrefillTokens = o.otherLoad, o.reviewShare, o.avgFirstToken, o.avgPrefillTokens
 					g.answerTokens, g.reviewTokens = o.answerTokens, o.reviewTokens
@@ -327,7 +345,10 @@
 	if s.prefillUntil.Before(now) {
 		s.prefillUntil = now
 	}
-	s.prefillUntil = s.prefillUntil.Add(time.Duration(cost.UncachedTokens) * s.perToken())
+	s.prefillUntil = s.prefillUntil.Add(time.Duration(cost.UncachedTokens) * s.perTokenAt(now))
+	if s.work != nil {
+		s.startWork(t.paced[s.backend.Service], &cost)
+	}
 	s.health.recordStart(now)
 	if g := s.group; g != nil {
 		// A request holds its slot for the whole answer, so the share is measured
@@ -355,6 +376,10 @@
 	}
 	deviation := min(max((timeToFirstToken-c.Expected).Seconds(), -maxBiasSeconds), maxBiasSeconds)
 	s.firstTokenBias, s.biasAt = smooth(s.biasAfterDecay(now), deviation, biasSmoothing), now
+	if s.work != nil {
+		s.measure(t.paced[s.backend.Service], &c.Cost, timeToFirstToken)
+		s.endPrefill(c.Cost.request, now)
+	}
 	g := s.group
 	if g == nil {
 		return
@@ -377,6 +402,9 @@
 	}
 	s.outstanding--
 	s.recordChange(now, -1)
+	if s.work != nil {
+		s.endPrefill(res.Cost.request, now)
+	}
 	if s.outstanding == 0 {
 		s.prefillUntil = now // no request is left whose prompt could be prefilled
 	}
@@ -389,6 +417,10 @@
 	if res.Failed {
 		return
 	}
+	if s.work != nil {
+		svc := t.paced[s.backend.Service]
+		svc.mix = svc.mix.WithDuration(res.Duration.Seconds() / s.factor(now))
+	}
 	if s.health.ejected() && !s.health.probeSentAt.IsZero() {
 		t.readmit(s)
 	}
@@ -407,6 +439,9 @@
 		return
 	}
 	s.load, s.reported = load, true
+	if s.work != nil {
+		s.reportWork()
+	}
 	if s.group != nil {
 		s.group.otherLoad = smooth(s.group.otherLoad, s.reportedOtherLoad(), 1/float64(4+len(s.group.servers)))
 	}
