--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -195,7 +195,7 @@
 		e.duties = duty.Start(duty.Config{
 			Name: cfg.Name, Coord: e.coord, Platform: cfg.DutyPlatform, Timing: cfg.UsageTiming, Organisations: e.organisationNames,
 			ReportsUsage: cfg.ReportsUsage, ScalesEngines: cfg.ScalesServices, Services: e.services, Evacuated: e.evacuatedDataCentres, Heartbeat: cfg.HeartbeatInterval,
-			Clock: cfg.Clock, Log: cfg.Log,
+			StatesPace: e.proxy.StatesPace, Clock: cfg.Clock, Log: cfg.Log,
 		})
 	}
 	return e, nil
