--- a/internal/routes/regions.go
+++ b/internal/routes/regions.go
@@ -22,9 +22,10 @@
 	return both
 }
 
-// Homes returns the regions in which some request may run, sorted. Nil means any.
+// Homes returns the regions in which some request may run, sorted. Nil means any, also if no
+// request may run at all: a new configuration has no routes yet.
 func (c *Config) Homes() []string {
-	homes := []string{}
+	var homes []string
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		senders := []*Organisation{}
