edge: Give callers addresses by what instances can carry

Instances of 0.144 core and of 0.48 core were named alike, so the small ones got 1.58 times the load that fits them. Each instance states its capacity, from the limits of the settings; if capacities differ, each answer names a subset drawn in proportion to them, at least two, own data centre first, and others of the region if it has less than half of an even share. Where all are alike the answers are the same as before.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -51,6 +51,7 @@
 	Ready          bool   // accepts requests
 	Durable        bool   // has a disk
 	Started        time.Time
+	Capacity       float32 // what it can carry, relative to other instances; 0 if unknown
 }
 
 // Config configures a Coord.
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -107,14 +107,14 @@
 func (n Instance) proto() *coordpb.Node {
 	return &coordpb.Node{
 		Id: n.ID, Name: n.Name, DataCentre: n.DataCentre, Region: n.Region, Callers: n.CallerAddress, Control: n.ControlAddress,
-		Ready: n.Ready, Durable: n.Durable, StartedMs: n.Started.UnixMilli(),
+		Ready: n.Ready, Durable: n.Durable, StartedMs: n.Started.UnixMilli(), Capacity: n.Capacity,
 	}
 }
 
 func instanceFromProto(p *coordpb.Node) Instance {
 	return Instance{
 		ID: p.Id, Name: p.Name, DataCentre: p.DataCentre, Region: p.Region, CallerAddress: p.Callers, ControlAddress: p.Control,
-		Ready: p.Ready, Durable: p.Durable, Started: time.UnixMilli(p.StartedMs),
+		Ready: p.Ready, Durable: p.Durable, Started: time.UnixMilli(p.StartedMs), Capacity: p.Capacity,
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/spread"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -67,6 +68,8 @@
 	Bootstrap bool
 	// ToleratedLosses is how many instances with a disk may be lost at the same time.
 	ToleratedLosses int
+	// Machine is what this instance has to serve requests with.
+	Machine spread.Machine
 	// HeartbeatInterval is the interval of the heartbeats of backend servers.
 	HeartbeatInterval time.Duration
 	RetryLimit        proxy.RetryLimit
@@ -124,6 +127,8 @@
 
 	serversMu sync.Mutex // held while the roster is copied to the request path
 
+	addresses *addressChoice
+
 	mu          sync.Mutex
 	confirmedAt time.Time // see coord.View.ConfirmedAt
 	outbox      outbox
@@ -154,8 +159,10 @@
 		self: coord.Instance{
 			ID: cfg.PeerAddress, Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, CallerAddress: cfg.CallerAddress,
 			ControlAddress: cfg.ControlAddress, Durable: cfg.DataDir != "", Started: now,
+			Capacity: float32(cfg.Machine.Capacity()),
 		},
 	}
+	e.addresses = newAddressChoice(uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress))
 	e.quota = quota.NewBuckets(leaderLender{e})
 	if e.self.Durable {
 		e.relayQuota = quota.NewBuckets(nil)
@@ -371,37 +378,28 @@
 	}, abandoned)
 }
 
-// maxAddresses is the maximum number of addresses that callers accept.
-const maxAddresses = 64
-
 // Addresses returns the addresses for callers in a data centre and how long they may be
 // cached. It prefers instances in the same data centre, then in the same region, and
 // returns at least two addresses if possible, to tolerate the loss of an instance.
 func (e *Edge) Addresses(dataCentre, region string) ([]string, time.Duration) {
-	const minAddresses = 2
 	e.mu.Lock()
 	instances := e.instances
 	e.mu.Unlock()
 	suspect := e.coord.Suspect()
-	var addresses, sameRegion, otherRegions []string
-	for _, n := range instances {
-		switch {
+	var own, sameRegion, otherRegions []*coord.Instance
+	for i := range instances {
+		switch n := &instances[i]; {
 		case n.ID == suspect: // unresponsive leader, which cannot report its own failure
 		case !n.Ready || n.ID == e.self.ID && e.draining.Load():
 		case n.DataCentre == dataCentre:
-			addresses = append(addresses, n.CallerAddress)
+			own = append(own, n)
 		case n.Region == region:
-			sameRegion = append(sameRegion, n.CallerAddress)
+			sameRegion = append(sameRegion, n)
 		default:
-			otherRegions = append(otherRegions, n.CallerAddress)
+			otherRegions = append(otherRegions, n)
 		}
 	}
-	if len(addresses) < minAddresses {
-		addresses = append(addresses, sameRegion...)
-	}
-	if len(addresses) < minAddresses {
-		addresses = append(addresses, otherRegions...)
-	}
+	addresses := e.chooseAddresses(own, sameRegion, otherRegions)
 	if len(addresses) == 0 && e.Ready() {
 		addresses = []string{e.cfg.CallerAddress}
 	}
