roster: Don't spread how a server states its coldness

Whether an announcement states a time was compared with what a leader reports, which doesn't say so. A server that some instances hear and others learn from the leader changed with every heartbeat, and each change goes to all instances. Only the end of the time counts as a change. The new test fails without it.

--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+// Guards against a change with each heartbeat of a server that some instances hear and others
+// learn from a leader, which would spread to all of them.
+func TestColdStatementsAreNoChange(t *testing.T) {
+	r := New()
+	for seq := range 20 {
+		s := server("a", 1, uint64(seq+1), world.Ready)
+		if s.ColdStated = seq%2 == 0; s.ColdStated && seq < 10 {
+			s.ColdFor = time.Duration(10-seq) * time.Second
+		}
+		s.ColdUntil = start.Add(10 * time.Second)
+		if changed := r.Put(s, start.Add(time.Duration(seq)*time.Second)); changed != (seq == 0) {
+			t.Errorf("announcement %d: change %v", seq, changed)
+		}
+	}
+}
+
 // Guards against a server that starts during traffic and gets its full share at once, and
 // against limits at the first start of a whole deployment.
 func TestColdStart(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -183,10 +183,9 @@
 
 func changed(a, b Server) bool {
 	a.Seq, b.Seq = 0, 0
-	// The remaining times shrink with each announcement; only their presence is relevant.
-	if (a.ColdFor > 0) == (b.ColdFor > 0) {
-		a.ColdFor, b.ColdFor = 0, 0
-	}
+	// ColdUntil holds what they state, and other instances report only that.
+	a.ColdFor, b.ColdFor, a.ColdStated, b.ColdStated = 0, 0, false, false
+	// The remaining time shrinks with each announcement; only its presence is relevant.
 	if !a.LeaveBy.IsZero() && !b.LeaveBy.IsZero() {
 		a.LeaveBy, b.LeaveBy = time.Time{}, time.Time{}
 	}
