route: Don't eject cold servers because they are slow

A server whose first bytes take four times the group's average is ejected. A cold one is slow by nature; ejected, it would stay cold, and its times would raise the average by which the others are judged. The new test fails without the change.

--- a/internal/route/cold_test.go
+++ b/internal/route/cold_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// Guards against a cold server that is ejected because it is slow: it would stay cold, and
+// other servers would count as fast by comparison with it.
+func TestColdServerIsNotEjected(t *testing.T) {
+	table := New(Config{Seed: 1})
+	for _, cold := range []int{1, 0} {
+		table.SetBackends(coldFleet(4, cold, 2), start)
+		for range 3 * minSlowSamples {
+			for i, b := range fleet(4) {
+				took := 100 * time.Millisecond
+				if i == 0 {
+					took = 3 * time.Second
+				}
+				table.FirstToken(Choice{Backend: b, Cost: table.cost(b.ID, nil)}, took, start)
+			}
+		}
+		if ejected := table.servers["e0000"].health.ejected(); ejected != (cold == 0) {
+			t.Errorf("%d cold servers: the slow one is ejected: %v", cold, ejected)
+		}
+	}
+}
+
 // Guards against callers that are refused together and return together when all servers are
 // cold, and against requests that wait for a server that another request will get.
 func TestAllServersCold(t *testing.T) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -366,7 +366,7 @@
 	deviation := min(max((timeToFirstToken-c.Expected).Seconds(), -maxBiasSeconds), maxBiasSeconds)
 	s.firstTokenBias, s.biasAt = smooth(s.biasAfterDecay(now), deviation, biasSmoothing), now
 	g := s.group
-	if g == nil {
+	if g == nil || s.cold.gate.Limited() { // a cold server is slow, not faulty
 		return
 	}
 	s.health.recordFirstToken(timeToFirstToken.Seconds())
