member: Order a caller's addresses by what instances can carry

On the project's own interface uneven instances were the first choice of as many callers as each other. The setting capacity weights the rendezvous hashing; where all are alike or unknown the order is the same as before. Of 2,000 keys, instances of 0.1, 0.1 and 0.4 are the first choice of 333, 333 and 1333 within 100 each.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -32,6 +32,9 @@
 	// Seeds are the peer addresses of some entry instances, used to discover the
 	// others.
 	Seeds []string `json:"seeds"`
+	// Capacity is what the machine of an entry instance can carry, relative to the others;
+	// 0 means the mean of the others.
+	Capacity float64 `json:"capacity"`
 	// Control lists the initial members of the Raft group of control.
 	Control []ControlMember `json:"control"`
 	// ClaimGroups is the number of Raft groups over which claims are sharded. It must
@@ -184,6 +187,9 @@
 	return time.Duration(s.Backends.LeaseMillis) * time.Millisecond
 }
 
+// maxCapacity bounds the capacity of an instance; sums of larger ones are not exact.
+const maxCapacity = 1e6
+
 type problemFunc func(key, format string, args ...any)
 
 func (s Settings) validate(problem problemFunc) {
@@ -311,6 +317,9 @@
 			problem(r.key, "is %d; want %d to %d", r.value, r.from, r.upTo)
 		}
 	}
+	if s.Capacity < 0 || s.Capacity > maxCapacity {
+		problem("capacity", "is %v; want 0 to %v", s.Capacity, float64(maxCapacity))
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -51,6 +51,7 @@
 		{"missing", `"dataFolder": "data",`, ``, "dataFolder: is missing"},
 		{"claims beyond a snapshot", `"dataFolder"`, `"claimGroups": 1, "claimBytes": 104857600, "dataFolder"`, "s.json:9: claimBytes: is 104857600; want 1048576 to 100663296"},
 		{"out of range", `"dataFolder"`, `"backends": {"leaseMillis": 5000}, "dataFolder"`, "s.json:9: backends.leaseMillis: is 5000; want 200 to 3000"},
+		{"negative capacity", `"dataFolder"`, `"capacity": -0.5, "dataFolder"`, "s.json:9: capacity: is -0.5; want 0 to 1e+06"},
 		{"bad cell", `"dataFolder"`, `"cell": "north/1", "dataFolder"`, `s.json:9: cell: is "north/1"; want 1 to 32 letters, digits`},
 		{"half of tls", `"dataFolder"`, `"tls": {"key": "k.pem"}, "dataFolder"`, "s.json:9: tls: names only some of its files; want"},
 		{"syntax", `"roles": [`, `"roles": (`, "s.json:5"},
--- a/internal/member/directory.go
+++ b/internal/member/directory.go
@@ -1,9 +1,13 @@
 package member
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cranberrypath.example/cranberrypath/internal/spread"
 )
 
 const (
@@ -51,8 +55,34 @@
 		serving = append(serving, m.self)
 	}
 	d := Directory{TTL: minDirectoryTTL + time.Duration(xxhash.Sum64String(c.Key)%uint64(directoryTTLJitter))}
-	for _, p := range rankPeers(serving, c.Key, c.DataCentre) {
+	for _, p := range rankByCapacity(serving, c.Key, c.DataCentre) {
 		d.Addresses = append(d.Addresses, p.CallerAddress)
 	}
 	return d
 }
+
+// rankByCapacity sorts peers like rankPeers. If their capacities differ, each comes before the
+// others in its data centre for a share of the keys in proportion to its capacity.
+func rankByCapacity(peers []Peer, key, dataCentre string) []Peer {
+	capacities := make([]float64, len(peers))
+	for i, p := range peers {
+		capacities[i] = float64(p.Capacity)
+	}
+	if !spread.Uneven(capacities) {
+		return rankPeers(peers, key, dataCentre)
+	}
+	scores := map[string]float64{}
+	for i, w := range spread.Weights(capacities) {
+		scores[peers[i].Instance] = spread.Score(xxhash.Sum64String(peers[i].Instance+"\x00"+key), w)
+	}
+	slices.SortFunc(peers, func(a, b Peer) int {
+		if near := a.DataCentre == dataCentre; near != (b.DataCentre == dataCentre) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(scores[b.Instance], scores[a.Instance]), cmp.Compare(a.Instance, b.Instance))
+	})
+	return peers
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -73,6 +73,7 @@
 	Seeds                      []string
 	// Incarnation increases with each start of the process.
 	Incarnation  uint64
+	Capacity     float32       // what the machine can carry, relative to others; 0 if unknown
 	Lease        time.Duration // lifetime of a permit
 	PullInterval time.Duration // between two pulls from a peer; 0 means 1 s
 	Clock        func() time.Time
@@ -89,6 +90,7 @@
 	CallerAddress string // address that callers and backend servers use
 	Draining      bool
 	Incarnation   uint64
+	Capacity      float32 // what it can carry, relative to other instances; 0 if unknown
 	// Serving is set if the instance accepts requests from callers, by its last report.
 	Serving    bool
 	servingSeq uint64 // number of changes of Serving in this incarnation
@@ -137,7 +139,7 @@
 		cfg: cfg, net: net, started: now, ctx: ctx, cancel: cancel,
 		self: Peer{
 			Instance: cfg.Instance, DataCentre: cfg.DataCentre, Address: cfg.Address, CallerAddress: cfg.CallerAddress,
-			Incarnation: cfg.Incarnation, Serving: true,
+			Incarnation: cfg.Incarnation, Serving: true, Capacity: cfg.Capacity,
 		},
 		peers: map[string]*peer{}, table: newLocalTable(), latestStates: map[string]latestState{},
 		cacheBudget: cacheBudget{refilledAt: now},
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -433,6 +433,37 @@
 	}
 }
 
+// Guards against callers that are sent to small instances as often as to large ones, and
+// against another order where the instances are all alike or of unknown size.
+func TestDirectoryByCapacity(t *testing.T) {
+	peers := func(capacities ...float32) []Peer {
+		var out []Peer
+		for i, c := range capacities {
+			out = append(out, Peer{Instance: fmt.Sprint("e", i), DataCentre: fmt.Sprint("d", i/3), Capacity: c})
+		}
+		return out
+	}
+	first := map[string]int{}
+	for i := range 2000 {
+		key := fmt.Sprint(i)
+		for _, alike := range [][]float32{{0, 0, 0, 0}, {0.2, 0.2, 0.2, 0.2}, {0.2, 0, 0.2, 0.2}} {
+			if got, want := rankByCapacity(peers(alike...), key, "d0"), rankPeers(peers(alike...), key, "d0"); !slices.Equal(got, want) {
+				t.Fatalf("%v: %v, want %v", alike, got, want)
+			}
+		}
+		ranked := rankByCapacity(peers(0.1, 0.1, 0.4, 5), key, "d0")
+		if ranked[3].Instance != "e3" {
+			t.Fatalf("an instance of another data centre comes before one of the caller's: %v", ranked)
+		}
+		first[ranked[0].Instance]++
+	}
+	for name, want := range map[string]int{"e0": 333, "e1": 333, "e2": 1333} {
+		if n := first[name]; n < want-100 || n > want+100 {
+			t.Errorf("%s is the first choice of %d of 2000 callers, want about %d", name, n, want)
+		}
+	}
+}
+
 // Guards against all callers being sent to the same instance first.
 func TestDirectorySpreadsCallers(t *testing.T) {
 	c := newCell(t, 8)
--- a/internal/member/wire.go
+++ b/internal/member/wire.go
@@ -12,6 +12,7 @@
 	return &membpb.Peer{
 		Node: p.Instance, DataCentre: p.DataCentre, Address: p.Address, Callers: p.CallerAddress,
 		Draining: p.Draining, Incarnation: p.Incarnation, Refusing: !p.Serving, Turn: p.servingSeq,
+		Capacity: p.Capacity,
 	}
 }
 
@@ -19,6 +20,7 @@
 	return Peer{
 		Instance: p.Node, DataCentre: p.DataCentre, Address: p.Address, CallerAddress: p.Callers,
 		Draining: p.Draining, Incarnation: p.Incarnation, Serving: !p.Refusing, servingSeq: p.Turn,
+		Capacity: p.Capacity,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 	var err error
 	n.member, err = member.New(member.Config{
 		Instance: s.Node, DataCentre: s.DataCentre, Cell: s.Cell, Address: n.net.Addr(), CallerAddress: callersAddr,
-		Seeds: s.Seeds, Incarnation: n.incarnation, Lease: s.SendLease(), Clock: n.cfg.Now,
+		Seeds: s.Seeds, Incarnation: n.incarnation, Lease: s.SendLease(), Clock: n.cfg.Now, Capacity: float32(s.Capacity),
 	}, n.net)
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -93,6 +93,19 @@
 	return out
 }
 
+// Weights returns the capacities with the mean of the known ones in place of unknown ones.
+func Weights(capacities []float64) []float64 {
+	weights, _ := known(capacities)
+	return weights
+}
+
+// Score returns the rank of an instance for a hash of the instance and a key: the instance with
+// the highest score is the first choice for a share of the keys in proportion to its weight.
+func Score(hash uint64, weight float64) float64 {
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53) // in (0, 1)
+	return -weight / math.Log(uniform)
+}
+
 // known returns the capacities with the mean of the known ones in place of unknown ones, and
 // their sum.
 func known(capacities []float64) (weights []float64, sum float64) {
