spread: Treat instances that differ little as alike

Memory figures that differ by some per cent changed all answers to subsets, which survive fewer losses.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -43,8 +43,13 @@
 	return least
 }
 
-// Uneven reports whether the capacities differ. Unknown ones, which are 0, do not differ from
-// any other.
+// maxEvenRatio is the ratio of the largest to the smallest capacity up to which instances count
+// as alike. Answers that name all of them survive more losses, which is worth more than a
+// quarter of load.
+const maxEvenRatio = 1.25
+
+// Uneven reports whether the capacities differ by more than maxEvenRatio. Unknown ones, which
+// are 0, do not differ from any other.
 func Uneven(capacities []float64) bool {
 	lowest, highest := math.Inf(1), 0.0
 	for _, c := range capacities {
@@ -52,7 +57,7 @@
 			lowest, highest = min(lowest, c), max(highest, c)
 		}
 	}
-	return highest > lowest
+	return highest > maxEvenRatio*lowest
 }
 
 // Choose returns the indices of the instances for one answer, in ascending order: at least
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -26,7 +26,7 @@
 	for _, c := range []struct {
 		capacities []float64
 		want       bool
-	}{{nil, false}, {[]float64{0.2, 0.2}, false}, {[]float64{0.2, 0}, false}, {[]float64{0.2, 0.3}, true}} {
+	}{{nil, false}, {[]float64{0.2, 0.2}, false}, {[]float64{0.2, 0}, false}, {[]float64{0.192, 0.204}, false}, {[]float64{0.2, 0.3}, true}} {
 		if got := Uneven(c.capacities); got != c.want {
 			t.Errorf("%v: uneven %v", c.capacities, got)
 		}
