--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -37,6 +37,7 @@
 	leaving       bool
 	retryAfter    time.Duration
 	limit         roster.Limit
+	coldFor       time.Duration
 }
 
 var (
@@ -77,7 +78,7 @@
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
 		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving, RetryAfter: resp.retryAfter,
-		Limit: resp.limit,
+		Limit: resp.limit, ColdFor: resp.coldFor,
 	}, nil
 }
 
