--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/spread"
 	"cranberrypath.example/cranberrypath/internal/world"
 )
 
@@ -67,6 +68,8 @@
 	Bootstrap bool
 	// ToleratedLosses is how many instances with a disk may be lost at the same time.
 	ToleratedLosses int
+	// Machine is what this instance has to serve requests with.
+	Machine spread.Machine
 	// HeartbeatInterval is the interval of the heartbeats of backend servers.
 	HeartbeatInterval time.Duration
 	RetryLimit        proxy.RetryLimit
@@ -126,6 +129,8 @@
 
 	serversMu sync.Mutex // held while the roster is copied to the request path
 
+	addresses *addressChoice
+
 	mu          sync.Mutex
 	confirmedAt time.Time // see coord.View.ConfirmedAt
 	outbox      outbox
@@ -159,9 +164,11 @@
 		self: coord.Instance{
 			ID: cfg.PeerAddress, Name: cfg.Name, DataCentre: cfg.DataCentre, Region: cfg.Region, CallerAddress: cfg.CallerAddress,
 			ControlAddress: cfg.ControlAddress, Durable: cfg.DataDir != "", Started: now,
+			Capacity: float32(cfg.Machine.Capacity()),
 		},
 	}
 	e.regions = regionsAfter(cfg.Regions, []coord.Instance{e.self})
+	e.addresses = newAddressChoice(uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress))
 	e.quota = quota.NewBuckets(leaderLender{e})
 	if e.self.Durable {
 		e.relayQuota = quota.NewBuckets(nil)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -38,6 +38,7 @@
 	retryAfter    time.Duration
 	limit         roster.Limit
 	load          ServerLoad
+	coldFor       time.Duration
 }
 
 var (
@@ -78,7 +79,7 @@
 	return &Response{
 		Status: resp.status, Header: http.Header{"Signature": {a.Server.ID}}, Length: -1, Body: io.NopCloser(body),
 		NotRun: resp.notRun, WrongServer: resp.wrongServer, IsEventStream: resp.isEventStream, Leaving: resp.leaving, RetryAfter: resp.retryAfter,
-		Limit: resp.limit, Load: resp.load,
+		Limit: resp.limit, Load: resp.load, ColdFor: resp.coldFor,
 	}, nil
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -394,7 +394,7 @@
 		s.endPrefill(c.Cost.request, now)
 	}
 	g := s.group
-	if g == nil {
+	if g == nil || s.cold.gate.Limited() { // a cold server is slow, not faulty
 		return
 	}
 	s.health.recordFirstToken(timeToFirstToken.Seconds())
