--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -314,14 +314,15 @@
 	return nil
 }
 
-// Configuration returns the latest configuration as originally sent, or nil if there
-// is none.
-func (e *Edge) Configuration(ctx context.Context) ([]byte, error) {
+// Configuration returns a reader of the latest configuration as originally sent, or nil if
+// there is none. It decompresses while it is read: many callers that read slowly must not hold
+// a copy each.
+func (e *Edge) Configuration(ctx context.Context) (io.Reader, error) {
 	state, err := e.coord.Read(ctx)
 	if err != nil || state.Version == 0 {
 		return nil, err
 	}
-	return decompress(state.Config)
+	return io.LimitReader(flate.NewReader(bytes.NewReader(state.Config)), MaxConfigBytes), nil
 }
 
 // Rollouts returns the durable state of all rollouts.
