guard, contrl: Charge large responses to operators to the account

fasthttp keeps a response until it has been read, and a declaration has up to 4 MiB: 256 connections that read nothing could hold 1 GB for the 15 s of a write. By reading; no process test, since it needs a large declaration. TestResponsesAreCharged covers the account. Responses to requests that change something are not refused.

--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -379,6 +379,11 @@
 		log.WithError(err).Error("cannot encode response")
 		status, b = fasthttp.StatusInternalServerError, []byte(`{"error":{"code":"internal","message":"the answer cannot be encoded"}}`)
 	}
+	// fasthttp keeps the response until the operator has read it. Only what changes nothing may
+	// be refused now.
+	if conn := guard.Of(c.Conn()); conn != nil && c.IsGet() && !conn.Charge(len(b)) {
+		status, b = fasthttp.StatusServiceUnavailable, []byte(`{"error":{"code":"notRun","message":"this instance has no memory for the answer"}}`)
+	}
 	c.SetStatusCode(status)
 	c.SetContentType("application/json")
 	c.SetBody(append(b, '\n'))
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -128,8 +128,8 @@
 	received atomic.Int64
 	held     atomic.Int64 // of the body
 	waiting  atomic.Bool
-	head     int64 // bytes of the current head; used by the reading goroutine
-	headHeld atomic.Int64
+	head     int64        // bytes of the current head; used by the reading goroutine
+	headHeld atomic.Int64 // of the head, and of the response
 }
 
 // defaultBytes is the size of the account of a process whose memory is not known.
@@ -266,6 +266,23 @@
 	c.setPhase(PhaseIdle)
 }
 
+// Charge charges a response to the account, until the connection is idle again or closed. It
+// reports false if there is no room.
+func (c *Conn) Charge(n int) bool {
+	if n <= freeBytes {
+		return true
+	}
+	if !c.guard.take(int64(n)) {
+		c.guard.Refuse(MemoryBound)
+		return false
+	}
+	c.headHeld.Add(int64(n))
+	if c.closed.Load() {
+		c.guard.used.Add(-c.headHeld.Swap(0))
+	}
+	return true
+}
+
 // SetBusy marks that the head of a request has been received.
 func (c *Conn) SetBusy() { c.setPhase(PhaseBusy) }
 
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -231,6 +231,33 @@
 	}
 }
 
+// Guards against large responses that callers do not read, and that together hold more than
+// the account, and against a charge that outlives its response.
+func TestResponsesAreCharged(t *testing.T) {
+	g := newGuard(t, 1<<20)
+	ln, err := g.Listen("127.0.0.1:0", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a, _ := connect(t, ln)
+	b, _ := connect(t, ln)
+	if !a.Charge(freeBytes) || g.Used() != 0 {
+		t.Errorf("a small response holds %d bytes", g.Used())
+	}
+	if !a.Charge(700_000) || b.Charge(700_000) {
+		t.Error("want room for one response of 700,000 bytes")
+	}
+	a.SetIdle()
+	if !b.Charge(700_000) {
+		t.Error("no room after the first response")
+	}
+	_ = b.Close()
+	if b.Charge(700_000); g.Used() != 0 {
+		t.Errorf("%d bytes are held at the end", g.Used())
+	}
+}
+
 // Guards against panics, wrong contents and memory that is lost, for any sequence of reads.
 func FuzzReadBody(f *testing.F) {
 	f.Add([]byte("abc"), int64(3), 2)
