--- a/internal/route/mixedsim_test.go
+++ b/internal/route/mixedsim_test.go
@@ -22,6 +22,8 @@
 	mixDecode      = 4230 * time.Microsecond // a token, alone; twice as long in a full batch
 	mixReportEvery = 250 * time.Millisecond
 	mixReportDelay = 150 * time.Millisecond
+	mixCallSlots   = 6
+	mixCallTime    = 80 * time.Millisecond
 	mixNetwork     = time.Millisecond
 	mixDocuments   = 60
 	mixWarmUp      = 2 * time.Second // not counted; the caches are empty at first
@@ -35,7 +37,9 @@
 	bursts    bool // reviews come in bursts of four times the rate
 	slowShare float64
 	slowdowns bool
-	documents int // mixDocuments if 0
+	documents int     // mixDocuments if 0
+	calls     float64 // of a plain service, instead of prompts
+	stale     bool    // reports are half a second later
 }
 
 // mixServer runs prompts one after the other, at its speed of the moment.
@@ -62,12 +66,20 @@
 }
 
 func (s *mixServer) run(q *Query, doc int, arrived time.Time) (first, end time.Time) {
-	slot := 0
-	for i := range s.slots {
+	slot, slots := 0, s.slots
+	if q.Class == world.Call {
+		slots = slots[:mixCallSlots]
+	}
+	for i := range slots {
 		if s.slots[i].Before(s.slots[slot]) {
 			slot = i
 		}
 	}
+	if q.Class == world.Call {
+		begin := latest(arrived, s.slots[slot])
+		s.slots[slot] = begin.Add(time.Duration(float64(mixCallTime) * s.pace(begin)))
+		return s.slots[slot], s.slots[slot]
+	}
 	begin := latest(arrived, s.freeAt, s.slots[slot])
 	tokens := q.PromptTokens
 	if s.cached[doc] {
@@ -83,10 +95,13 @@
 }
 
 func sharedTokens(q *Query) int {
-	if q.Class == world.Review {
+	switch q.Class {
+	case world.Review:
 		return 13300
+	case world.Lookup:
+		return 200
 	}
-	return 200
+	return 0
 }
 
 type timedEvent struct {
@@ -168,6 +183,9 @@
 		if class == world.Review {
 			q.PromptTokens, q.MaxTokens, q.Target, doc = 17000, 150, 900*time.Millisecond, rnd.IntN(cmp.Or(l.documents, mixDocuments))
 		}
+		if class == world.Call {
+			q.PromptTokens, q.MaxTokens, q.Target = 0, 0, 250*time.Millisecond
+		}
 		for b := 0; b < q.PromptTokens; b += 256 {
 			h := uint64(doc)<<32 + uint64(b)
 			if b >= sharedTokens(&q) {
@@ -175,8 +193,10 @@
 			}
 			q.Prefix = append(q.Prefix, h*0x9E3779B97F4A7C15)
 		}
-		q.SharedTokens = sharedTokens(&q)
-		q.AffinityKey = q.Prefix[sharedTokens(&q)/256-min(1, sharedTokens(&q)/256)]
+		if class != world.Call {
+			q.SharedTokens = sharedTokens(&q)
+			q.AffinityKey = q.Prefix[max(sharedTokens(&q)/256-1, 0)]
+		}
 		instance := rnd.IntN(mixInstances)
 		q.DataCentre = fmt.Sprint(instance % 4)
 		table := tables[instance]
@@ -231,10 +251,14 @@
 		own := append([][mixServers]int(nil), ownTokens...)
 		held := prefixes
 		prefixes = nil
-		schedule(now.Add(mixReportDelay), func() {
+		delay := mixReportDelay
+		if l.stale {
+			delay += 500 * time.Millisecond
+		}
+		schedule(now.Add(delay), func() {
 			for n, t := range tables {
 				for i := range servers {
-					t.Report(backends[i].ID, world.Load{Running: running[i], WaitingTokens: max(tokens[i]-own[n][i], 0), PrefillPerToken: 21 * time.Microsecond, MeasuredAt: now}, now.Add(mixReportDelay))
+					t.Report(backends[i].ID, world.Load{Running: running[i], WaitingTokens: max(tokens[i]-own[n][i], 0), PrefillPerToken: 21 * time.Microsecond, MeasuredAt: now}, now.Add(delay))
 					if p := stated[i]; p.pace > 0 {
 						t.ObservePace(backends[i].ID, p.pace, p.at)
 					}
@@ -249,7 +273,7 @@
 		schedule(start.Add(at), func() { report(start.Add(at)) })
 	}
 	arrivals := func(rate float64, class world.Class, bursts bool) {
-		for at := time.Duration(0); at < mixLength; {
+		for at := time.Duration(0); rate > 0 && at < mixLength; {
 			r := rate
 			if bursts { // a fifth of the time at four times the usual rate
 				if r = rate / 4; at%(2500*time.Millisecond) < 500*time.Millisecond {
@@ -262,6 +286,7 @@
 	}
 	arrivals(l.reviews, world.Review, l.bursts)
 	arrivals(l.chats, world.Lookup, false)
+	arrivals(l.calls, world.Call, false)
 	for len(queue) > 0 {
 		e := heap.Pop(&queue).(timedEvent)
 		if e.at.After(start.Add(mixLength)) {
@@ -288,8 +313,11 @@
 	{name: "few documents", reviews: 120, chats: 120, documents: 6},
 	{name: "one document", reviews: 120, chats: 120, documents: 1},
 	{name: "many documents", reviews: 40, chats: 200, documents: 2000},
-	{name: "chats only", chats: 700, reviews: 0.01},
-	{name: "reviews only", reviews: 150, chats: 0.01},
+	{name: "chats only", chats: 700},
+	{name: "reviews only", reviews: 150},
+	{name: "stale reports", reviews: 60, chats: 200, stale: true},
+	{name: "plain calls, slowdowns", calls: 900, slowdowns: true},
+	{name: "plain calls, stale", calls: 900, slowdowns: true, stale: true},
 }
 
 // Guards against a choice by lateness and pace that serves fewer requests of either kind within
