edge: Track coldness only where a service has a rate for it

Servers that state that they are cold made instances update their servers at the end of that time and after each lost contact, in deployments without cold-per-s as well. These do now what they did before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -299,7 +299,7 @@
 	servers := e.roster.Present()
 	e.mu.Lock()
 	e.limits.any = slices.ContainsFunc(servers, func(s roster.Server) bool { return s.Limit.Named })
-	e.limits.setCold(servers, now)
+	e.limits.setCold(servers, e.proxy.Config(), now)
 	e.mu.Unlock()
 	e.proxy.SetServers(servers, now)
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -8,6 +8,7 @@
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/pacing"
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/routes"
 )
 
 const (
@@ -37,15 +38,25 @@
 	Overshoot, Slack float64
 }
 
-func (l *limitState) setCold(servers []roster.Server, now time.Time) {
+// setCold records which of the servers are cold whose service has a rate for cold servers.
+func (l *limitState) setCold(servers []roster.Server, c *routes.Config, now time.Time) {
 	l.anyCold = false
 	for _, s := range servers {
-		if end := s.ColdEnd(); s.Cold(now) && (!l.anyCold || end.Before(l.coldEndAt)) {
+		if end := s.ColdEnd(); limitedWhenCold(s, c) && s.Cold(now) && (!l.anyCold || end.Before(l.coldEndAt)) {
 			l.anyCold, l.coldEndAt = true, end
 		}
 	}
 }
 
+// limitedWhenCold reports whether the service of a server has a rate for cold servers.
+func limitedWhenCold(s roster.Server, c *routes.Config) bool {
+	if c == nil {
+		return false
+	}
+	svc := c.Service(s.Service)
+	return svc != nil && svc.ColdRate > 0
+}
+
 // markLimit records the rate limit that a backend server names in its response to a request
 // sent at the given time, or that it names none, and reports a change to the other instances.
 func (e *Edge) markLimit(s roster.Server, l roster.Limit, sent time.Time) {
@@ -147,14 +158,10 @@
 // just started and the announcement does not state it.
 func (e *Edge) withColdStart(s roster.Server, now time.Time) roster.Server {
 	c := e.proxy.Config()
-	if c == nil {
-		return s
-	}
-	svc := c.Service(s.Service)
-	if svc == nil || svc.ColdRate <= 0 || svc.ColdStart <= 0 {
+	if !limitedWhenCold(s, c) {
 		return s
 	}
-	return e.roster.WithColdStart(s, svc.ColdStart, now)
+	return e.roster.WithColdStart(s, c.Service(s.Service).ColdStart, now)
 }
 
 // markCold records that a backend server says in its response for how long it is cold, and
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -77,6 +77,11 @@
 		t.Fatal(err)
 	}
 	defer e.Close()
+	config, err := routes.New(routes.Config{Version: 1, Services: []routes.Service{{Name: "s", ColdRate: 6}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.proxy.SetConfig(config, now)
 	server := roster.Server{
 		ID: "i", Incarnation: 1, Seq: 1, Service: "s", Address: "10.0.0.9:80", State: world.Ready, ColdUntil: now.Add(time.Minute),
 	}
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -83,7 +83,7 @@
 		return out
 	}
 	for _, s := range e.roster.Present() {
-		if svc := c.Service(s.Service); svc != nil && svc.ColdRate > 0 && s.Cold(now) {
+		if limitedWhenCold(s, c) && s.Cold(now) {
 			out[s.Service]++
 		}
 	}
