--- a/internal/route/speed_test.go
+++ b/internal/route/speed_test.go
@@ -180,7 +180,7 @@
 				tab.ObservePace(id, 1+float64(i%3)/2, start)
 				tab.Started(id, tab.cost(id, promptBlocks(i%50, 400)), start)
 			}
-			q := Query{Service: "m", Version: "1", Class: world.Review, PromptTokens: 6400, MaxTokens: 300, Prefix: promptBlocks(3, 500), Target: time.Second}
+			q := Query{Service: "m", Version: "1", Class: world.Review, PromptTokens: 6400, MaxTokens: 300, Prefix: promptBlocks(3, 500), Target: time.Second, SharedTokens: 5000}
 			b.ReportAllocs()
 			for b.Loop() {
 				if _, err := tab.Pick(q, start); err != nil {
