--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -103,6 +103,7 @@
 type Load struct {
 	Running         int
 	Waiting         int
+	Unstarted       int     // requests counted in Running whose response has not started; 0 if unknown
 	WaitingTokens   int     // prompt tokens to prefill for waiting requests; 0 if unknown
 	CacheUsed       float64 // fraction of the cache, 0 to 1
 	TokensPerSecond float64 // generated, over the last second
