coord: Collect demand and distribute shares for admission

Cause: an instance sees a few of the requests of a service, so it cannot tell how capacity is to be shared among organisations. Change: reports carry the demand by organisation and rank since the last report (Sync.demands, 42), relays add it up, and the leader answers with the shares of services under load (SyncReply.shares, 42; not set while they are unknown). A repeated report counts once, like spending; the demand of a report that is lost is not repeated, since it would look like a burst. Instances of earlier versions report no demand and ignore the shares.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/admit"
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
@@ -47,6 +48,7 @@
 	rulesVersion   uint64 // configuration version of the ledger's rules
 	processes      map[processKey]*processState
 	loads          loadSums
+	admission      *admit.Ledger
 	useRelays      bool
 	relays         []Instance // live instances that may serve as relays
 	lastTick       time.Time
@@ -107,7 +109,7 @@
 func newAggregator(self string, f *feed, term uint64, counted []*coordpb.Counted, now time.Time) *aggregator {
 	agg := &aggregator{
 		self: self, term: term, electedAt: now, feed: f, ledger: quota.NewLedger(),
-		processes: map[processKey]*processState{}, loads: loadSums{}, lastTick: now, greetedAt: map[string]time.Time{},
+		processes: map[processKey]*processState{}, loads: loadSums{}, admission: admit.NewLedger(now), lastTick: now, greetedAt: map[string]time.Time{},
 	}
 	for _, inst := range f.listed() {
 		agg.processes[keyOf(inst)] = &processState{instance: inst, lastReport: now.Add(relayGrace)}
@@ -317,6 +319,7 @@
 		for _, s := range req.Spent {
 			a.ledger.Spend(s.Name, s.Amount, now)
 		}
+		a.admission.Add(demandsFromProto(req.Demands), now)
 	}
 }
 
--- a/internal/coord/feed.go
+++ b/internal/coord/feed.go
@@ -59,7 +59,8 @@
 	members       []string
 	counted       []*coordpb.Counted
 	useRelays     bool
-	unconfirmed   bool // the leader could not be sure that the durable state is the newest
+	shares        *coordpb.Shares // nil if they are not known
+	unconfirmed   bool            // the leader could not be sure that the durable state is the newest
 }
 
 // retainedPrefixes is how many prefix reports are kept for instances that missed some.
@@ -194,7 +195,7 @@
 	out := &coordpb.SyncReply{
 		Epoch: p.term, Leader: p.leader, Feed: f.id, ServersSeen: change, NodesSeen: f.change, HeldSeen: f.nextPrefix,
 		Levels: p.levels, Members: p.members, RolloutsSeen: p.rolloutsSeen, Fronts: uint32(f.ready),
-		ConfigVersion: p.configVersion, UseRelays: p.useRelays, MoreServers: more, Unconfirmed: p.unconfirmed,
+		ConfigVersion: p.configVersion, UseRelays: p.useRelays, MoreServers: more, Unconfirmed: p.unconfirmed, Shares: p.shares,
 	}
 	for _, s := range servers {
 		out.Servers = append(out.Servers, f.encode(s, now))
--- a/internal/coord/relay.go
+++ b/internal/coord/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cranberrypath.example/cranberrypath/internal/admit"
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/quota"
 )
@@ -72,6 +73,7 @@
 	resend   bool                       // that leader does not have all children
 	servers  map[string]*coordpb.Server // latest announcements that the leader may not have
 	spent    map[string]float64
+	demands  admit.Demands
 	held     []*coordpb.Held
 	judged   [][]byte
 	waiting  []chan error        // reports to be confirmed by the leader
@@ -158,6 +160,7 @@
 	for _, s := range req.Spent {
 		r.spent[s.Name] += s.Amount
 	}
+	r.demands = r.demands.With(demandsFromProto(req.Demands))
 	r.held = append(r.held, req.Held...)
 	if len(req.Judged) > 0 {
 		r.judged = append(r.judged, req.Judged)
@@ -233,10 +236,13 @@
 	sums.replace(nil, loadsFromProto(req.Loads))
 	sums.replace(nil, r.loads.list())
 	req.Loads = loadsToProto(sums.list())
+	if len(r.demands) > 0 {
+		req.Demands = demandsToProto(r.demands.With(demandsFromProto(req.Demands)))
+	}
 	req.Held = append(req.Held, r.held...)
 	req.Children, req.ChildrenJudged = b.children, r.judged
 	r.resend = false
-	r.servers, r.spent, r.held, r.judged, r.waiting = map[string]*coordpb.Server{}, map[string]float64{}, nil, nil, nil
+	r.servers, r.spent, r.demands, r.held, r.judged, r.waiting = map[string]*coordpb.Server{}, map[string]float64{}, nil, nil, nil, nil
 	return b
 }
 
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -184,7 +184,7 @@
 	self.Ready = r.Ready
 	req = &coordpb.Sync{
 		Node: self.proto(), Feed: seen.feed, Epoch: seen.term, ServersSeen: seen.servers, NodesSeen: seen.instances, RolloutsSeen: seen.rollouts, Held: prefixesToProto(r.Prefixes), HeldSeen: seen.prefixes, Judged: r.VersionResults,
-		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads),
+		Spent: countsToProto(r.Spent), SpentNumber: number, Loads: loadsToProto(r.Loads), Demands: demandsToProto(r.Demands),
 	}
 	req.Node.ConfigVersion = r.ConfigVersion
 	records, lastCrash := c.cfg.Blame.Since(c.crashesSent, maxCrashRecords, now)
@@ -323,7 +323,7 @@
 	c.cfg.Blame.Merge(crashesFromProto(reply.Crashes, now), now)
 	v := View{
 		Leader: reply.Leader, Term: reply.Epoch, ReadyInstances: int(reply.Fronts), Levels: countsFromProto(reply.Levels),
-		Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt,
+		Prefixes: prefixesFromProto(reply.Held), ReportSentAt: sentAt, Shares: sharesFromProto(reply.Shares, sentAt),
 	}
 	if !reply.Unconfirmed {
 		v.ConfirmedAt = confirmedAt
@@ -424,7 +424,7 @@
 	c.feed.addPrefixes(reply.Held)
 	p := published{
 		term: reply.Epoch, leader: reply.Leader, levels: reply.Levels, totals: v.Loads, members: reply.Members,
-		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays, unconfirmed: reply.Unconfirmed,
+		rolloutsSeen: reply.RolloutsSeen, counted: reply.Counted, useRelays: reply.UseRelays, unconfirmed: reply.Unconfirmed, shares: reply.Shares,
 	}
 	c.feed.mu.Lock()
 	before := c.feed.published
@@ -507,7 +507,7 @@
 	p := published{
 		term: agg.term, leader: c.cfg.Self.ID, configVersion: cfg.Version, config: cfg.Content,
 		levels: countsToProto(agg.ledger.Levels(now)), totals: agg.totalLoads(), rolloutsSeen: rolloutsFingerprint(rollouts),
-		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)),
+		useRelays: agg.usesRelays(), unconfirmed: !m.group.Current(c.leaseTime(now)), shares: agg.shares(now),
 	}
 	for _, r := range rollouts {
 		p.rollouts = append(p.rollouts, r.proto())
--- a/internal/coord/view.go
+++ b/internal/coord/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/admit"
 	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/world"
@@ -56,6 +57,7 @@
 	Loads          []Load
 	Windows        []Window       // total counts of recent windows
 	Prefixes       []CachedPrefix // since the last report
+	Demands        admit.Demands  // since the last report
 	VersionResults []byte         // results of versions in a rollout, as encoded by package judge
 }
 
@@ -71,10 +73,11 @@
 	Loads          []Load // of all instances together
 	Rollouts       []Rollout
 	Prefixes       []CachedPrefix
-	ReadyInstances int       // number of instances that accept requests
-	Relays         int       // number of instances that may serve as relays; 0 if the deployment uses none
-	Parts          int       // number of instances whose parts of the rates this instance holds as a relay
-	ReportSentAt   time.Time // when the answered report was sent
+	ReadyInstances int           // number of instances that accept requests
+	Relays         int           // number of instances that may serve as relays; 0 if the deployment uses none
+	Parts          int           // number of instances whose parts of the rates this instance holds as a relay
+	ReportSentAt   time.Time     // when the answered report was sent
+	Shares         *admit.Shares // of services under load; nil if the leader does not know them
 	// ConfirmedAt is a time at or after which the configuration was the newest; zero if the
 	// leader could not be sure. Unlike ReportSentAt it counts suspensions of the machine.
 	ConfirmedAt time.Time
