proxy, edge: Refuse requests under overload

Cause: requests that cannot meet their target are sent to servers that are overloaded. Change: before each send of a request that no server has run, the request path asks package admit, for model services whose servers state their pace (Config.StatesPace; nil, as everywhere now, means none). A refusal has the cause overloaded, is certain not to have run, refunds the quota and says when the request is due. Logs and the metric overload.refused give the reason. The demand goes into the reports, the shares come with the replies. Forecast no longer gives the mean queueing, which the rule does not use. Not run in a deployment.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,6 +90,8 @@
 	Buffers *buffer.Pool
 	// Accepts reports whether a backend server accepts a new connection.
 	Accepts func(ctx context.Context, s roster.Server) bool
+	// StatesPace reports whether the servers of a service state their pace; nil means none.
+	StatesPace func(service string) bool
 	// AddressTTL is how long callers may cache the result of Addresses.
 	AddressTTL time.Duration
 	Clock      func() time.Time
@@ -164,7 +166,7 @@
 	e.proxy, err = proxy.New(proxy.Config{
 		DataCentre: cfg.DataCentre, Sender: cfg.Sender, Buffers: cfg.Buffers, Accepts: cfg.Accepts, Quota: e.quota, Retry: cfg.RetryLimit, PrefillPerToken: prefillPerToken,
 		UsageWindow: cfg.UsageTiming.Window, Clock: cfg.Clock, ConfigAge: e.configAge, MaxConfigAge: cfg.ConfigMaxAge, Log: cfg.Log, Seed: uint64(now.UnixNano()) ^ xxhash.Sum64String(cfg.PeerAddress), Meter: metricMeter, VersionResults: e.judgeRecorder,
-		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit,
+		Blame: e.blame, CrashRecorded: func() { e.coord.SyncSoon() }, ServerLeaves: e.markLeaving, ServerLimit: e.markLimit, Part: e.partOfLimit, StatesPace: cfg.StatesPace,
 	})
 	if err == nil && metricMeter != nil {
 		err = e.registerGauges(metricMeter)
@@ -425,7 +427,7 @@
 	}
 	r := coord.Report{
 		Ready: e.Ready(), Spent: spent, Loads: e.proxy.Loads(), Windows: e.proxy.UsageWindows(now),
-		Prefixes: e.proxy.TakePrefixReports(now),
+		Prefixes: e.proxy.TakePrefixReports(now), Demands: e.proxy.TakeDemands(),
 	}
 	if c := e.proxy.Config(); c != nil {
 		r.ConfigVersion = c.Version
@@ -486,6 +488,9 @@
 	e.relays.Store(int32(v.Relays))
 	e.proxy.SetLoads(v.Loads, v.ReportSentAt)
 	e.proxy.LearnPrefixes(v.Prefixes)
+	if v.Shares != nil {
+		e.proxy.SetShares(*v.Shares)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !v.ConfirmedAt.IsZero() {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -70,6 +70,7 @@
 	}
 	a.awaitingFirstByte, a.status, a.timeToFirstByte = false, status, now.Sub(a.sentAt)
 	p.addLoad(coord.Load{Server: a.server.ID, Waiting: -1, WaitingTokens: -a.choice.Cost.UncachedTokens})
+	a.req.countStarted(a.choice, a.timeToFirstByte)
 	if shared := len(a.req.parts) - 1; shared > 0 {
 		p.queuePrefixReport(a.server.ID, a.req.parts[:shared], now)
 	}
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cranberrypath.example/cranberrypath/internal/admit"
 	"cranberrypath.example/cranberrypath/internal/backnd"
 	"cranberrypath.example/cranberrypath/internal/blame"
 	"cranberrypath.example/cranberrypath/internal/buffer"
@@ -73,6 +74,11 @@
 	lastEventID  string      // of the last event written to the caller
 	usageCounted bool        // the request is counted in its organisation's usage
 	retryCharged atomic.Bool // the next send is already charged to the retry budget
+
+	offered  bool           // the request is counted in the demand
+	kind     admit.Kind     // set with offered
+	own      time.Duration  // expected time to the first byte without queueing
+	decision admit.Decision // whether it was admitted
 }
 
 func (f *inflight) serve(ctx context.Context) error {
@@ -244,6 +250,9 @@
 		if at, ok := f.p.stopping.deadline(); ok && !f.headerSent && !f.completesBefore(at, now) {
 			return f.finalError(Stopping)
 		}
+		if !f.admitted(query, now) {
+			return f.finalError(Overloaded)
+		}
 		if !f.p.table.TakeTurn(choice, now) {
 			continue // another request has taken the server's turn since
 		}
@@ -288,6 +297,8 @@
 		return maxRetryAfter // a server takes seconds to start
 	case CrashesServers:
 		return blamedRetryAfter
+	case Overloaded:
+		return f.decision.RetryAfter
 	case Full, HeldOff:
 		q := f.routeQuery(now)
 		q.Exclude = nil // the servers tried are open to the next request
@@ -365,6 +376,7 @@
 	f.sends++
 	f.triedServers = append(f.triedServers, server.ID)
 	p.table.Started(server.ID, choice.Cost, sent)
+	f.countAdmitted(choice)
 	p.addLoad(coord.Load{Server: server.ID, Running: 1, Waiting: 1, WaitingTokens: choice.Cost.UncachedTokens})
 	t := &attemptState{req: f, server: server, choice: choice, sentAt: sent, awaitingFirstByte: true, lastByte: p.lastByteOf(server.ID)}
 	defer t.finish()
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -11,8 +11,8 @@
 
 // requestMetrics holds the metrics of the request path.
 type requestMetrics struct {
-	requests, attempts, fetched, holdOffs metric.Int64Counter
-	firstByte, duration, eventGap         metric.Float64Histogram
+	requests, attempts, fetched, holdOffs, overloads metric.Int64Counter
+	firstByte, duration, eventGap                    metric.Float64Histogram
 }
 
 // latencyBuckets are the histogram bucket boundaries in seconds.
@@ -31,6 +31,7 @@
 		{&out.attempts, "attempts", "sends to backend servers by service and outcome"},
 		{&out.fetched, "fetched.tokens", "prompt tokens that servers were told to fetch from others"},
 		{&out.holdOffs, "hold.offs", "times that a backend server wanted no requests for some time, by service"},
+		{&out.overloads, "overload.refused", "requests refused because a service has more work than it can do in time, by service, organisation and reason"},
 	} {
 		var err error
 		if *c.dst, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -66,6 +67,12 @@
 	m.holdOffs.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(attribute.String("service", service))))
 }
 
+func (m *requestMetrics) recordOverload(service, organisation, reason string) {
+	m.overloads.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("service", service), attribute.String("organisation", organisation), attribute.String("reason", reason),
+	)))
+}
+
 func (m *requestMetrics) recordAttempt(t *attemptState, outcome string) {
 	service := attribute.String("service", t.server.Service)
 	m.attempts.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(service, attribute.String("outcome", outcome))))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,6 +52,7 @@
 	HeldOff                     // each server wants no requests, or no more, from this instance for some time
 	CrashesServers              // it has something in common with requests that crash servers
 	Stopping                    // this instance stops before the request may complete
+	Overloaded                  // the service has more work than it can do in time
 	NoTime                      // the deadline expired before a server started the request
 	TimedOut                    // the deadline expired while a server may have run the request
 	Lost                        // a server may have run the request, but its response was lost
@@ -59,7 +60,7 @@
 
 // String returns the reason code used in logs and metrics.
 func (c Cause) String() string {
-	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "heldOff", "crashesServers", "stopping", "noTime", "timedOut", "lost"}[c]
+	return [...]string{"noConfig", "noRoute", "noKey", "staleConfig", "overQuota", "noServer", "full", "heldOff", "crashesServers", "stopping", "overloaded", "noTime", "timedOut", "lost"}[c]
 }
 
 // Refusal is the final error of a request that got no response from a backend server.
@@ -114,6 +115,9 @@
 	// Part returns this instance's part of the rate that a server with a limit accepts, in
 	// requests a second.
 	Part func(s roster.Server) float64
+	// StatesPace reports whether the servers of a service state their pace. Only requests to
+	// such services are refused because of overload; nil means none.
+	StatesPace func(service string) bool
 }
 
 // RetryLimit bounds the retries sent to one service by all instances together.
@@ -129,6 +133,7 @@
 	table    *route.Table
 	metrics  *requestMetrics
 	stopping *stopping
+	overload *overload
 
 	routing    atomic.Pointer[routes.Config]
 	configured chan struct{} // closed when the first configuration arrives
@@ -167,7 +172,7 @@
 	}
 	return &Proxy{
 		cfg: cfg, metrics: m, table: route.New(route.Config{Seed: cfg.Seed, PrefillPerToken: cfg.PrefillPerToken}),
-		configured: make(chan struct{}), stopping: newStopping(), runTimes: map[string]runTimes{},
+		configured: make(chan struct{}), stopping: newStopping(), overload: &overload{}, runTimes: map[string]runTimes{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), budgets: map[string]*limit.Budget{}, instances: 1,
 		servers: map[string]roster.Server{}, lastByteNanos: map[string]*atomic.Int64{}, loads: map[string]*coord.Load{}, rollouts: map[string]coord.Rollout{},
 		holdOffs: map[string]holdOff{}, usageWindows: map[int64]map[string]float64{}, prefixReportedAt: map[prefixKey]time.Time{},
@@ -288,7 +293,7 @@
 	defer p.mu.Unlock()
 	for id := range p.servers {
 		l := byServer[id]
-		load := world.Load{Running: l.Running, WaitingTokens: l.WaitingTokens, PrefillPerToken: p.cfg.PrefillPerToken, MeasuredAt: at}
+		load := world.Load{Running: l.Running, Unstarted: l.Waiting, WaitingTokens: l.WaitingTokens, PrefillPerToken: p.cfg.PrefillPerToken, MeasuredAt: at}
 		if own := p.loads[id]; own != nil {
 			// The route table already accounts for this instance's own prefills.
 			load.WaitingTokens = max(load.WaitingTokens-own.WaitingTokens, 0)
@@ -411,6 +416,10 @@
 	if len(f.attemptLogs) > 0 {
 		fields["tried"] = f.attemptLogs
 	}
+	if !f.decision.Admitted() {
+		fields["admission"], fields["fraction"] = f.decision.Reason.String(), f.decision.Fraction
+		fields["queueingMs"], fields["sharesAgeMs"] = f.decision.Queueing.Milliseconds(), f.decision.Age.Milliseconds()
+	}
 	if f.blamedFor != 0 {
 		fields["key"] = hexKeys([]blame.Key{f.blamedFor})[0]
 	}
--- a/internal/route/forecast.go
+++ b/internal/route/forecast.go
@@ -6,9 +6,8 @@
 
 // Forecast is the expected delay of a request, and the load of its service.
 type Forecast struct {
-	FirstByte    time.Duration // at the server with the least expected time to the first byte
-	Queueing     time.Duration // part of FirstByte that the work of other requests causes
-	MeanQueueing time.Duration // over the servers
+	FirstByte time.Duration // at the server with the least expected time to the first byte
+	Queueing  time.Duration // part of FirstByte that the work of other requests causes
 	// UncachedTokens are the prompt tokens that this server would have to prefill.
 	UncachedTokens int
 	// Sums over the servers that may run the request. Running includes the waiting requests,
@@ -57,10 +56,8 @@
 			found = true
 			f.FirstByte, f.Queueing, f.UncachedTokens = first, seconds(max(delay-network, 0)), uncached
 		}
-		f.MeanQueueing += seconds(max(delay-network, 0))
 		s.addTo(&f, now)
 	}
-	f.MeanQueueing /= time.Duration(max(f.Servers, 1))
 	f.Servers, f.Running, f.Waiting = f.Servers*len(g.servers)/looked, f.Running*len(g.servers)/looked, f.Waiting*len(g.servers)/looked
 	f.Slots, f.PendingTokens = f.Slots*len(g.servers)/looked, f.PendingTokens*len(g.servers)/looked
 	return f, found
