--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -410,7 +410,7 @@
 	}
 	r := coord.Report{
 		Ready: e.Ready(), Spent: spent, Loads: e.proxy.Loads(), Windows: e.proxy.UsageWindows(now),
-		Prefixes: e.proxy.TakePrefixReports(now),
+		Prefixes: e.proxy.TakePrefixReports(now), Demands: e.proxy.TakeDemands(),
 	}
 	if c := e.proxy.Config(); c != nil {
 		r.ConfigVersion = c.Version
@@ -474,6 +474,9 @@
 	e.relays.Store(int32(v.Relays))
 	e.proxy.SetLoads(v.Loads, v.ReportSentAt)
 	e.proxy.LearnPrefixes(v.Prefixes)
+	if v.Shares != nil {
+		e.proxy.SetShares(*v.Shares)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !v.ConfirmedAt.IsZero() {
--- a/internal/proxy/meter.go
+++ b/internal/proxy/meter.go
@@ -11,8 +11,8 @@
 
 // requestMetrics holds the metrics of the request path.
 type requestMetrics struct {
-	requests, attempts, fetched, holdOffs, kinds metric.Int64Counter
-	firstByte, duration, eventGap                metric.Float64Histogram
+	requests, attempts, fetched, holdOffs, kinds, overloads metric.Int64Counter
+	firstByte, duration, eventGap                           metric.Float64Histogram
 }
 
 // latencyBuckets are the histogram bucket boundaries in seconds.
@@ -32,6 +32,7 @@
 		{&out.fetched, "fetched.tokens", "prompt tokens that servers were told to fetch from others"},
 		{&out.kinds, "first.bytes", "first bytes by service, kind of request and whether within the route's target, of servers that state their pace"},
 		{&out.holdOffs, "hold.offs", "times that a backend server wanted no requests for some time, by service"},
+		{&out.overloads, "overload.refused", "requests refused because a service has more work than it can do in time, by service, organisation and reason"},
 	} {
 		var err error
 		if *c.dst, err = m.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -79,6 +80,12 @@
 	)))
 }
 
+func (m *requestMetrics) recordOverload(service, organisation, reason string) {
+	m.overloads.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("service", service), attribute.String("organisation", organisation), attribute.String("reason", reason),
+	)))
+}
+
 func (m *requestMetrics) recordAttempt(t *attemptState, outcome string) {
 	service := attribute.String("service", t.server.Service)
 	m.attempts.Add(context.Background(), 1, metric.WithAttributeSet(attribute.NewSet(service, attribute.String("outcome", outcome))))
