--- a/Makefile
+++ b/Makefile
@@ -43,10 +43,10 @@
 # Prints the inputs of docs/CAPACITY.md. One package at a time, so that the
 # benchmarks do not disturb each other.
 capacity:
-	$(GO) test -p 1 -run '^$$' -bench '^Benchmark(Call|Pull|Wire|Confirm|Apply|Claim|ClaimBytes|Record|Idle|Copy|AppendRead|Report|Verdict|Allocate|Decide|Next|Pick|Memory|DecodeAnnouncement|DecodeAnnouncement100Blocks|EncodeReply|StreamEvent|Sync|Cells|Choose)$$' \
+	$(GO) test -p 1 -run '^$$' -bench '^Benchmark(Call|Pull|Wire|Confirm|Apply|Claim|ClaimBytes|Record|Idle|Copy|AppendRead|Report|Verdict|Allocate|Decide|Next|Pick|Memory|DecodeAnnouncement|DecodeAnnouncement100Blocks|EncodeReply|StreamEvent|Sync|Cells|Choose|ReadBody)$$' \
 		-benchtime 300ms ./internal/link ./internal/member ./internal/watch ./internal/store ./internal/claim \
 		./internal/stream ./internal/judge ./internal/limit ./internal/fleet ./internal/moves ./internal/route \
-		./internal/backnd ./internal/disk ./internal/cells
+		./internal/backnd ./internal/disk ./internal/cells ./internal/guard
 
 # Runs the program as separate processes and disturbs them from outside.
 SEED ?= 1
@@ -54,3 +54,11 @@
 INSTANCES ?= 5
 soak:
 	SOAK_SEED=$(SEED) SOAK_SECONDS=$(SECONDS) SOAK_INSTANCES=$(INSTANCES) $(GO) test -count=1 -timeout 60m -v -run TestSoak ./platform/soak
+
+# Fuzzes the readers and decoders of what callers, servers and operators send. make test runs
+# their seeds.
+FUZZTIME ?= 10s
+fuzz:
+	for target in ./internal/guard:FuzzReadBody ./internal/guard:FuzzConnection ./internal/link:FuzzReadFrame \
+		./platform:FuzzDecodeConfig ./platform:FuzzDecodeHeartbeat ./platform:FuzzDecodeRollout ./platform:FuzzParseHeaders; do \
+		$(GO) test -run '^$$' -fuzz "^$${target#*:}$$" -fuzztime $(FUZZTIME) $${target%:*} || exit 1; done
