proxy: Limit cold servers before requests see a new configuration

An instance that started while servers were cold, as after a power cut, sent them every request that waited for the first configuration: SetConfig let the requests go before the next SetServers limited the servers by it. Now SetConfig updates the servers that are listed first, and requests see the configuration after that.

Without the change TestColdServersAtTheFirstConfiguration fails: all 50 waiting requests are sent to servers without a part of their rate.

--- a/internal/proxy/cold_test.go
+++ b/internal/proxy/cold_test.go
@@ -3,12 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"cranberrypath.example/cranberrypath/internal/quota"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/routes"
+	"cranberrypath.example/cranberrypath/internal/world"
 )
 
 // Guards against requests to cold servers beyond this instance's part, against callers that
@@ -68,6 +75,48 @@
 	}
 }
 
+// Guards against requests that wait for the first configuration and reach cold servers before
+// the servers are limited as it demands.
+func TestColdServersAtTheFirstConfiguration(t *testing.T) {
+	s := &scriptedSender{}
+	p, err := New(Config{
+		Sender: s, Quota: quota.NewBuckets(nil), Clock: time.Now, Log: &log.Logger{Handler: discard.New()}, UsageWindow: time.Second,
+		ColdPart: func(roster.Server, float64) float64 { return 0 },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	var all []roster.Server
+	for i := range 10 {
+		all = append(all, roster.Server{
+			ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 8, State: world.Ready, ColdUntil: now.Add(time.Minute),
+		})
+	}
+	p.SetServers(all, now)
+	var wg sync.WaitGroup
+	for range 50 {
+		s.responses = append(s.responses, scriptedResponse{status: 200, body: "x"})
+	}
+	for range 50 {
+		wg.Go(func() { _ = p.Serve(t.Context(), httptest.NewRecorder(), newRequest("/unsafe/")) })
+	}
+	time.Sleep(20 * time.Millisecond) // the requests wait
+	config := *testConfig(t)
+	config.Services = []routes.Service{{Name: "s", ColdRate: 6}}
+	c, err := routes.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.SetConfig(c, now)
+	time.Sleep(20 * time.Millisecond) // a slow machine
+	p.SetServers(all, now)
+	wg.Wait()
+	if len(s.attempts) > 0 {
+		t.Errorf("%d requests were sent to cold servers without a part of their rate", len(s.attempts))
+	}
+}
+
 // Guards against what a response of another server at the address says.
 func TestColdResponses(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -160,6 +160,7 @@
 
 	serversMu sync.Mutex         // held while holdOffs or the servers in table change
 	holdOffs  map[string]holdOff // by server
+	listed    []roster.Server    // as of the last SetServers
 }
 
 // New returns a proxy without configuration and servers. It fails only if the
@@ -184,9 +185,13 @@
 	}, nil
 }
 
-// SetConfig activates a configuration.
+// SetConfig activates a configuration. Requests see it only after the servers are limited as
+// it demands: those waiting for the first one would exceed the rates of cold servers.
 func (p *Proxy) SetConfig(c *routes.Config, now time.Time) {
 	p.forgetRunTimes(c)
+	p.serversMu.Lock()
+	defer p.serversMu.Unlock()
+	p.setServers(c, now)
 	if p.routing.Swap(c) == nil {
 		p.mu.Lock()
 		p.configuredAt = now
@@ -206,6 +211,14 @@
 func (p *Proxy) SetServers(servers []roster.Server, now time.Time) {
 	p.serversMu.Lock()
 	defer p.serversMu.Unlock()
+	p.listed = servers
+	p.setServers(p.Config(), now)
+}
+
+// setServers updates the route table to the listed servers and a configuration, which may be
+// nil. serversMu must be held.
+func (p *Proxy) setServers(cfg *routes.Config, now time.Time) {
+	servers := p.listed
 	p.pruneHoldOffs(now)
 	p.mu.Lock()
 	rollouts, places := p.rollouts, p.places
@@ -221,7 +234,6 @@
 	crashed := p.restarted(now)
 	p.mu.Unlock()
 	p.recordRestarts(crashed, now)
-	cfg := p.Config()
 	backends := make([]world.Backend, 0, len(servers))
 	for _, s := range servers {
 		b := world.Backend{
