edge: Keep a data centre's region if an instance states none

Requests with a home were refused after an instance without a region had started in a data centre: its empty region replaced the one known from the settings or from other instances. An instance that states no region now changes none, as docs/design/evac.md says that a region is never forgotten.

--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -77,15 +77,15 @@
 }
 
 // regionsAfter returns the regions of the data centres after a new list of instances. Those of
-// data centres whose instances have ended are kept, as their servers may still run. Of
-// instances that contradict each other the first one counts.
+// data centres whose instances have ended are kept, as their servers may still run. Instances
+// that state no region change none. Of those that contradict each other the first one counts.
 func regionsAfter(known map[string]string, instances []coord.Instance) map[string]string {
 	out := maps.Clone(known)
 	if out == nil {
 		out = map[string]string{}
 	}
 	for _, inst := range slices.Backward(instances) {
-		if inst.DataCentre != "" {
+		if _, ok := out[inst.DataCentre]; inst.DataCentre != "" && (inst.Region != "" || !ok) {
 			out[inst.DataCentre] = inst.Region
 		}
 	}
--- a/internal/edge/evacuations_test.go
+++ b/internal/edge/evacuations_test.go
@@ -30,7 +30,7 @@
 }
 
 // Guards against an instance that loses what it knows of the data centres with the next reply,
-// or when the instances there have ended.
+// when the instances there have ended, or when one there states no region.
 func TestPlaces(t *testing.T) {
 	e := startAlone(t, routes.Config{})
 	now := time.Now()
@@ -38,7 +38,12 @@
 		Instances:   []coord.Instance{{ID: "a", DataCentre: "y", Region: "s"}, {ID: "b", DataCentre: "y", Region: "other"}},
 		Evacuations: coord.Evacuations{Version: 2, DataCentres: []string{"y"}},
 	}, now)
-	e.Apply(coord.View{Instances: []coord.Instance{{ID: "c", DataCentre: "z", Region: "s"}}}, now)
+	e.Apply(coord.View{Instances: []coord.Instance{
+		{ID: "c", DataCentre: "z", Region: "s"}, {ID: "d", DataCentre: "y"}, {ID: "f", DataCentre: "x"}, {ID: "g", DataCentre: "u"},
+	}}, now)
+	if !e.KnowsDataCentre("u") {
+		t.Error("a data centre is unknown whose instance states no region")
+	}
 	if got := e.evacuatedDataCentres(); !slices.Equal(got, []string{"y"}) {
 		t.Errorf("evacuated %v, want y", got)
 	}
