roster: Count the cold time of a started server from its first announcement

A server whose clock led, by 10 minutes for example, got no more than cold-per-s requests a second for those 10 minutes and cold-start-s, since its time counted from the start that it states; each heartbeat extended it, which was sent to all instances. At the first start of a deployment it also looked like a server that starts during traffic. The earlier of the start and the first announcement that the instance saw counts now.

TestColdStartOfAClockThatLeads failed: every announcement was a change, and the server was cold after 60 s with cold-start-s of 20.

--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -54,17 +54,32 @@
 // coldStart for which a server is cold after it has started during traffic. Traffic is assumed
 // if the server has restarted or another one started earlier: the first start of a whole
 // deployment is not during traffic.
+//
+// The time counts from the first announcement that was seen if that is earlier than the start:
+// the server's clock may lead.
 func (r *Roster) WithColdStart(s Server, coldStart time.Duration, now time.Time) Server {
-	started := time.UnixMilli(s.Incarnation)
-	left := min(started.Add(coldStart+maxClockSkew).Sub(now), coldStart)
-	if s.ColdStated || left <= 0 {
+	if s.ColdStated {
 		return s
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	started, seen := time.UnixMilli(s.Incarnation), now
+	if e := r.servers[s.ID]; e != nil && e.server.Incarnation == s.Incarnation {
+		seen = e.firstAnnouncedAt
+	}
+	end := started.Add(coldStart + maxClockSkew)
+	if byFirst := seen.Add(coldStart); byFirst.Before(end) {
+		end = byFirst
+	}
+	if !end.After(now) {
+		return s
+	}
+	if seen.Before(started) {
+		started = seen
+	}
 	for id, e := range r.servers {
 		if id == s.ID && e.server.Incarnation < s.Incarnation || e.server.StartedBefore(started.Add(-startSpread)) {
-			s.ColdUntil = now.Add(left)
+			s.ColdUntil = end
 			break
 		}
 	}
--- a/internal/roster/cold_test.go
+++ b/internal/roster/cold_test.go
@@ -101,3 +101,29 @@
 		}
 	}
 }
+
+// Guards against a server that stays cold for as long as its clock leads, and against limits at
+// the first start of a whole deployment with such clocks.
+func TestColdStartOfAClockThatLeads(t *testing.T) {
+	const coldStart, lead = 20 * time.Second, 10 * time.Minute
+	born := func(id string, seq uint64, at time.Time) Server { return server(id, at.UnixMilli(), seq, world.Ready) }
+	r := New()
+	r.Put(born("old", 1, start.Add(-time.Minute)), start)
+	for i := range 60 {
+		now := start.Add(time.Duration(i) * time.Second)
+		changed := r.Put(r.WithColdStart(born("new", uint64(i+1), start.Add(lead)), coldStart, now), now)
+		if changed != (i == 0) {
+			t.Errorf("announcement %d: change %v", i, changed)
+		}
+		for _, s := range r.Present() {
+			if s.ID == "new" && s.Cold(now) != (i <= 20) {
+				t.Errorf("cold after %d s: %v", i, s.Cold(now))
+			}
+		}
+	}
+	r = New()
+	r.Put(born("other", 1, start.Add(-2*time.Second)), start)
+	if s := r.WithColdStart(born("new", 1, start.Add(lead)), coldStart, start); !s.ColdUntil.IsZero() {
+		t.Errorf("at the first start: cold until %v", s.ColdUntil)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,10 +121,11 @@
 const GoneRetention = 60 * time.Second
 
 type entry struct {
-	server          Server
-	lastAnnouncedAt time.Time
-	lastSeq         uint64 // of any announcement of the incarnation, also one that changes nothing
-	changeNumber    uint64 // number of the last relevant change of the server
+	server           Server
+	firstAnnouncedAt time.Time // of the incarnation
+	lastAnnouncedAt  time.Time
+	lastSeq          uint64 // of any announcement of the incarnation, also one that changes nothing
+	changeNumber     uint64 // number of the last relevant change of the server
 	// saidLeavingTo is when the last request was sent that the server answered by saying that
 	// it leaves.
 	saidLeavingTo time.Time
@@ -170,8 +171,8 @@
 		e.limitSince = now
 	}
 	relevant := e.changeNumber == 0 || changed(e.server, s)
-	if s.Incarnation != e.server.Incarnation {
-		e.lastSeq = 0
+	if s.Incarnation != e.server.Incarnation || e.firstAnnouncedAt.IsZero() {
+		e.lastSeq, e.firstAnnouncedAt = 0, now
 	}
 	e.server, e.lastAnnouncedAt, e.lastSeq = s, now, max(e.lastSeq, s.Seq)
 	if relevant {
