edge: Test by requests that parts of cold servers' rates are given up

TestPartOfCold called giveUpParts itself, so it passed without the call in Apply, and an instance that had been silent could have used a part that another instance has. It now calls Apply only, with a configuration and a sender that counts the requests, and checks in place of the result of giveUpParts that nothing is sent for 1.5 s after the silence. Parts and their validity are compared as before.

Without the call in Apply the test fails: a request is sent 0.8 s after the answer.

--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -1,6 +1,10 @@
 package edge
 
 import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"cranberrypath.example/cranberrypath/internal/coord"
+	"cranberrypath.example/cranberrypath/internal/proxy"
 	"cranberrypath.example/cranberrypath/internal/roster"
 	"cranberrypath.example/cranberrypath/internal/routes"
 	"cranberrypath.example/cranberrypath/internal/world"
@@ -62,51 +67,85 @@
 	}
 }
 
+// countingSender answers every request and counts them.
+type countingSender struct{ sent atomic.Int64 }
+
+func (s *countingSender) Send(context.Context, *proxy.Request, proxy.Attempt) (*proxy.Response, error) {
+	s.sent.Add(1)
+	return &proxy.Response{Status: 200, Length: -1, Body: io.NopCloser(strings.NewReader("x"))}, nil
+}
+
+// coldConfig is a configuration whose cold servers tolerate rate requests a second; 0 for any.
+func coldConfig(t *testing.T, rate float64) routes.Config {
+	t.Helper()
+	return routes.Config{
+		Version: 1, Services: []routes.Service{{Name: "s", ColdRate: rate}},
+		Routes: []routes.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}},
+	}
+}
+
 // Guards against an instance that sends to a cold server without contact to a leader, or by
 // the part that it had before it lost contact, which another instance may have got since.
 func TestPartOfCold(t *testing.T) {
 	now := time.Now()
 	var passed atomic.Int64 // ns since now
+	clock := func() time.Time { return now.Add(time.Duration(passed.Load())) }
+	sender := &countingSender{}
 	e, err := Start(Config{
-		Name: "n", PeerAddress: "127.0.0.1:0", Seeds: func() []string { return nil }, HeartbeatInterval: time.Second,
-		Clock:        func() time.Time { return now.Add(time.Duration(passed.Load())) },
-		DecodeConfig: func([]byte) (*routes.Config, error) { return &routes.Config{}, nil }, Log: &log.Logger{Handler: discard.New()},
+		Name: "n", PeerAddress: "127.0.0.1:0", Seeds: func() []string { return nil }, HeartbeatInterval: time.Second, Clock: clock, Sender: sender,
+		DecodeConfig: func([]byte) (*routes.Config, error) { return routes.New(coldConfig(t, 6)) }, Log: &log.Logger{Handler: discard.New()},
 		ColdTolerance: ColdTolerance{Overshoot: 1.5, Slack: 5},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer e.Close()
+	content, err := compress(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
 	server := roster.Server{
-		ID: "i", Incarnation: 1, Seq: 1, Service: "s", Address: "10.0.0.9:80", State: world.Ready, ColdUntil: now.Add(time.Minute),
+		ID: "i", Incarnation: 1, Seq: 1, Service: "s", Address: "10.0.0.9:80", State: world.Ready, Slots: 8, ColdUntil: now.Add(time.Minute),
 	}
 	self, other := coord.Instance{ID: e.self.ID, Ready: true}, coord.Instance{ID: "10.0.0.1:7600", Ready: true}
 	at := func(d time.Duration) time.Time { return now.Add(d) }
+	const ms = time.Millisecond
 	for _, c := range []struct {
 		name      string
 		view      *coord.View // nil for none
 		at        time.Duration
 		want      float64
 		wantValid bool
-		wantGave  bool
+		wantSent  int64 // of a request at that time
 	}{
-		{"no list", &coord.View{Servers: []roster.Server{server}, ConfirmedAt: now}, 0, 0, true, false},
-		{"listed", &coord.View{Instances: []coord.Instance{self, other}, ConfirmedAt: at(100 * time.Millisecond)}, 100 * time.Millisecond, 3, true, false},
-		{"no answer for a while", nil, time.Second, 3, true, false},
-		{"no answer", nil, 1100 * time.Millisecond, 3, false, false},
-		{"a leader that may have been replaced", &coord.View{}, 1200 * time.Millisecond, 3, false, true},
-		{"an answer after that", &coord.View{ConfirmedAt: at(5 * time.Second)}, 5 * time.Second, 3, true, true},
-		{"the next answer", &coord.View{ConfirmedAt: at(5200 * time.Millisecond)}, 5200 * time.Millisecond, 3, true, false},
+		{"no list", &coord.View{Version: 1, Config: content, Servers: []roster.Server{server}, ConfirmedAt: now}, 0, 0, true, 0},
+		{"listed", &coord.View{Instances: []coord.Instance{self, other}, ConfirmedAt: at(100 * ms)}, 100 * ms, 3, true, 0},
+		{"another answer", &coord.View{ConfirmedAt: at(900 * ms)}, 900 * ms, 3, true, 0},
+		{"before the part is used", &coord.View{ConfirmedAt: at(1500 * ms)}, 1500 * ms, 3, true, 0},
+		{"the part is used", &coord.View{ConfirmedAt: at(2300 * ms)}, 2300 * ms, 3, true, 1},
+		{"no answer for a while", nil, 3200 * ms, 3, true, 1},
+		{"no answer", nil, 3400 * ms, 3, false, 0},
+		{"a leader that may have been replaced", &coord.View{}, 3500 * ms, 3, false, 0},
+		{"an answer after that", &coord.View{ConfirmedAt: at(5000 * ms)}, 5000 * ms, 3, true, 0},
+		{"the next answer", &coord.View{ConfirmedAt: at(5800 * ms)}, 5800 * ms, 3, true, 0},
+		{"1.4 s after the answer", &coord.View{ConfirmedAt: at(6400 * ms)}, 6400 * ms, 3, true, 0},
+		{"1.9 s after the answer", &coord.View{ConfirmedAt: at(6900 * ms)}, 6900 * ms, 3, true, 1},
+		{"no answer again", nil, 8000 * ms, 3, false, 0},
+		{"an answer at once", &coord.View{ConfirmedAt: at(8100 * ms)}, 8100 * ms, 3, true, 0},
+		{"0.8 s after that answer", &coord.View{ConfirmedAt: at(8900 * ms)}, 8900 * ms, 3, true, 0},
+		{"1.4 s after that answer", nil, 9500 * ms, 3, true, 0},
 	} {
 		passed.Store(int64(c.at))
 		if c.view != nil {
-			if gave := e.giveUpParts(at(c.at)); gave != c.wantGave {
-				t.Errorf("%s: gave up its parts: %v, want %v", c.name, gave, c.wantGave)
-			}
 			e.Apply(*c.view, at(c.at))
 		}
 		if got, valid := e.partOfCold(server, 6), e.partsValid(at(c.at)); got != c.want || valid != c.wantValid {
 			t.Errorf("%s: a part of %v, valid %v, want %v, %v", c.name, got, valid, c.want, c.wantValid)
 		}
+		before := sender.sent.Load()
+		_ = e.proxy.Serve(t.Context(), httptest.NewRecorder(), &proxy.Request{ID: "r", Method: "POST", Host: "h", Path: "/", URI: "/", Arrived: clock(), CallerTimeout: 300 * ms})
+		if got := sender.sent.Load() - before; got != c.wantSent {
+			t.Errorf("%s: %d requests sent, want %d", c.name, got, c.wantSent)
+		}
 	}
 }
