edge: Ignore what servers state about being cold without cold-per-s

Deployments without cold-per-s whose servers send cold-remaining-ms or Cold-Remaining got a change of the server for all instances, a log entry, an early report and another copy of the roster with each new time; a header that does not count down repeated this every 250 ms.

TestColdServersThatAreNotLimited failed: a heartbeat and a response changed the server, and the instance counted a part of a cold server.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -303,10 +303,10 @@
 func (e *Edge) updateServers(now time.Time) {
 	e.serversMu.Lock()
 	defer e.serversMu.Unlock()
-	servers := e.roster.Present()
+	servers, c := e.roster.Present(), e.proxy.Config()
 	e.mu.Lock()
 	e.limits.any = slices.ContainsFunc(servers, func(s roster.Server) bool { return s.Limit.Named })
-	e.limits.setCold(servers, now)
+	e.limits.setCold(servers, c, now)
 	e.mu.Unlock()
 	e.proxy.SetServers(servers, now)
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -8,6 +8,7 @@
 	"cranberrypath.example/cranberrypath/internal/coord"
 	"cranberrypath.example/cranberrypath/internal/pacing"
 	"cranberrypath.example/cranberrypath/internal/roster"
+	"cranberrypath.example/cranberrypath/internal/routes"
 )
 
 const (
@@ -37,10 +38,20 @@
 	Overshoot, Slack float64
 }
 
-func (l *limitState) setCold(servers []roster.Server, now time.Time) {
+// limitsCold reports whether a configuration, which may be nil, limits the rate of a service's
+// cold servers.
+func limitsCold(c *routes.Config, service string) bool {
+	if c == nil {
+		return false
+	}
+	svc := c.Service(service)
+	return svc != nil && svc.ColdRate > 0
+}
+
+func (l *limitState) setCold(servers []roster.Server, c *routes.Config, now time.Time) {
 	l.anyCold = false
 	for _, s := range servers {
-		if end := s.ColdEnd(); s.Cold(now) && (!l.anyCold || end.Before(l.coldEndAt)) {
+		if end := s.ColdEnd(); s.Cold(now) && limitsCold(c, s.Service) && (!l.anyCold || end.Before(l.coldEndAt)) {
 			l.anyCold, l.coldEndAt = true, end
 		}
 	}
@@ -144,22 +155,30 @@
 }
 
 // withColdStart returns an announcement with the time for which the server is cold if it has
-// just started and the announcement does not state it.
+// just started and the announcement does not state it. If the configuration does not limit
+// cold servers, the result states no time: each change of it would go to all instances.
 func (e *Edge) withColdStart(s roster.Server, now time.Time) roster.Server {
 	c := e.proxy.Config()
-	if c == nil {
+	switch {
+	case c == nil: // the first configuration may limit them
 		return s
-	}
-	svc := c.Service(s.Service)
-	if svc == nil || svc.ColdRate <= 0 || svc.ColdStart <= 0 {
+	case !limitsCold(c, s.Service):
+		s.ColdFor, s.ColdUntil = 0, time.Time{}
 		return s
 	}
-	return e.roster.WithColdStart(s, svc.ColdStart, now)
+	if coldStart := c.Service(s.Service).ColdStart; coldStart > 0 {
+		return e.roster.WithColdStart(s, coldStart, now)
+	}
+	return s
 }
 
 // markCold records that a backend server says in its response for how long it is cold, and
-// reports it to the other instances.
+// reports it to the other instances. It does nothing for services whose cold servers are not
+// limited.
 func (e *Edge) markCold(s roster.Server, coldFor time.Duration) {
+	if !limitsCold(e.proxy.Config(), s.Service) {
+		return
+	}
 	now := e.cfg.Clock()
 	known, changed := e.roster.MarkCold(s.ID, s.Incarnation, coldFor, now)
 	if !changed {
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -149,3 +149,37 @@
 		}
 	}
 }
+
+// Guards against messages to all instances because of what servers state about being cold
+// where the configuration does not limit cold servers.
+func TestColdServersThatAreNotLimited(t *testing.T) {
+	for _, rate := range []float64{0, 6} {
+		e := startAlone(t, coldConfig(t, rate))
+		content, err := compress(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Apply(coord.View{Version: 1, Config: content}, time.Now())
+		last := func() uint64 { _, last, _ := e.roster.Since(0, 0); return last }
+		server := roster.Server{ID: "i", Incarnation: 1, Seq: 1, Service: "s", Address: "10.0.0.9:80", State: world.Ready, ColdStated: true}
+		if err := e.Announce(t.Context(), server); err != nil {
+			t.Fatal(err)
+		}
+		before := last()
+		server.Seq, server.ColdFor, server.ColdUntil = 2, 5*time.Second, time.Now().Add(5*time.Second)
+		if err := e.Announce(t.Context(), server); err != nil {
+			t.Fatal(err)
+		}
+		if changed := last() != before; changed != (rate > 0) {
+			t.Errorf("cold-per-s %v: a heartbeat changes the server: %v", rate, changed)
+		}
+		before = last()
+		e.markCold(server, 9*time.Second)
+		if changed := last() != before; changed != (rate > 0) {
+			t.Errorf("cold-per-s %v: a response changes the server: %v", rate, changed)
+		}
+		if e.limits.anyCold != (rate > 0) {
+			t.Errorf("cold-per-s %v: the instance has a part of a cold server: %v", rate, e.limits.anyCold)
+		}
+	}
+}
