coord: Give members the evacuations that the leader knows with each order

An acknowledged evacuation could be lost for good after a rolling upgrade.

The leader now adds the orders of all data centres to the command, and members that have applied no order since then adopt them first, also if it is the leader that had skipped one.

TestEvacuationsAfterASkippedOrder failed: the members differed after the next orders. TestEvacuationsReachAMemberThatSkippedSome failed without the leader's part: the follower did not get the order that it lacked.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -412,6 +412,13 @@
 	if cmd.Departure != nil {
 		return c.proposeDeparture(ctx, m, cmd.Departure, out)
 	}
+	if cmd.Evacuation != nil {
+		before, err := m.evacuationsBefore(ctx)
+		if err != nil {
+			return err
+		}
+		cmd.EvacuationsBefore = before
+	}
 	return c.commit(ctx, m, cmd, out)
 }
 
--- a/internal/coord/evacuations.go
+++ b/internal/coord/evacuations.go
@@ -74,6 +74,26 @@
 	return out
 }
 
+// adoptEvacuations replaces the orders by those that the leader knew when it proposed the log
+// entry with an index. A member or leader that skipped orders as an earlier program version
+// would otherwise accept other orders than the rest. A member that has applied an order which
+// the leader did not know yet adopted the leader's list then, and keeps it. mu must be held.
+func (m *stateMachine) adoptEvacuations(index uint64, before *coordpb.Evacuations) {
+	if before != nil && m.state.EvacuationIndex <= before.Index {
+		m.state.Evacuations = slices.Clone(before.All)
+	}
+	m.state.EvacuationIndex = index
+}
+
+// evacuationsBefore returns the orders that this instance's member, which leads, knows.
+func (m *member) evacuationsBefore(ctx context.Context) (*coordpb.Evacuations, error) {
+	index, err := m.group.Barrier(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &coordpb.Evacuations{All: m.state.copy().Evacuations, Index: index}, nil
+}
+
 // applyEvacuation records an order for a data centre and returns the one that is in force
 // then. An order that was given before the last one has no effect. One that repeats the last
 // one counts: it ends the effect of orders that were given before it and are still on their
--- a/internal/coord/evacuations_test.go
+++ b/internal/coord/evacuations_test.go
@@ -213,6 +213,86 @@
 	}
 }
 
+// Guards against orders that are acknowledged and that a member lacks which skipped an earlier
+// one as a previous program version, whether it follows or leads; and against a member that
+// undoes an order which the leader did not know when it proposed the next one.
+func TestEvacuationsAfterASkippedOrder(t *testing.T) {
+	for _, leaderSkipped := range []bool{false, true} {
+		members := []*stateMachine{newStateMachine(ignoreDepartures), newStateMachine(ignoreDepartures)}
+		index := uint64(0)
+		apply := func(m *stateMachine, cmd *coordpb.Command) {
+			t.Helper()
+			b, err := proto.Marshal(cmd)
+			if err != nil {
+				t.Fatal(err)
+			}
+			m.Apply(index, b)
+		}
+		order := func(name string, active bool, after uint64, before *coordpb.Evacuations) *coordpb.Command {
+			index++
+			return &coordpb.Command{Evacuation: &coordpb.Evacuation{DataCentre: name, Active: active}, AfterSerial: &after, EvacuationsBefore: before}
+		}
+		upToDate, skipped := members[0], members[1]
+		apply(upToDate, order("x", true, 0, &coordpb.Evacuations{}))
+		apply(upToDate, order("y", true, 0, &coordpb.Evacuations{All: upToDate.copy().Evacuations, Index: index}))
+		leader := upToDate
+		if leaderSkipped {
+			leader = skipped
+		}
+		known := &coordpb.Evacuations{All: leader.copy().Evacuations, Index: index}
+		after := uint64(0)
+		if len(known.All) > 0 {
+			after = known.All[0].Serial
+		}
+		// Both are proposed before either is applied.
+		for _, cmd := range []*coordpb.Command{order("x", true, after, known), order("z", true, 0, known)} {
+			index = known.Index + 1
+			if cmd.Evacuation.DataCentre == "z" {
+				index++
+			}
+			for _, m := range members {
+				apply(m, cmd)
+			}
+		}
+		want := []string{"x", "y", "z"}
+		if leaderSkipped {
+			want = []string{"x", "z"}
+		}
+		for i, m := range members {
+			if got := m.evacuations(); !slices.Equal(got.DataCentres, want) || got.Version != leader.evacuations().Version {
+				t.Errorf("leader skipped orders %v: member %d has %v, want %v as the leader", leaderSkipped, i, got, want)
+			}
+		}
+		first, _ := members[0].Snapshot()
+		if second, _ := members[1].Snapshot(); !bytes.Equal(first, second) {
+			t.Errorf("leader skipped orders %v: members differ: %v and %v", leaderSkipped, members[0].state, members[1].state)
+		}
+	}
+}
+
+// Guards against an order that is proposed without the orders that the leader knows.
+func TestEvacuationsReachAMemberThatSkippedSome(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 3, 0)
+	d.configure(d.instances[0], 1)
+	eventually(t, "all instances with a disk vote", func() bool { return len(d.voters()) == 3 })
+	eventually(t, "the order is acknowledged", func() bool { return d.evacuate(d.instances[0], "a", true) == nil })
+	leader := d.awaitLeader()
+	i := slices.IndexFunc(d.instances, func(inst *instance) bool { return inst != leader })
+	d.instances[i].coord.mu.Lock()
+	skipped := d.instances[i].coord.member.state
+	d.instances[i].coord.mu.Unlock()
+	eventually(t, "the follower has the order", func() bool { return skipped.evacuations().Contains("a") })
+	skipped.mu.Lock()
+	skipped.state.Evacuations, skipped.state.EvacuationIndex = nil, 0
+	skipped.mu.Unlock()
+	eventually(t, "the order is acknowledged", func() bool { return d.evacuate(d.instances[0], "b", true) == nil })
+	eventually(t, "the follower has both orders", func() bool {
+		got := skipped.evacuations()
+		return got.Contains("a") && got.Contains("b")
+	})
+}
+
 // Guards against an instance that goes back to fewer orders after a reply from a relay or a
 // leader that is behind, that never does after a loss of state, or that takes a leader of the
 // previous program version to revoke all orders.
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -99,12 +99,12 @@
 
 // Apply implements raft.StateMachine. It returns the state affected by the command, so that
 // a proposer learns which of two concurrent commands took effect.
-func (m *stateMachine) Apply(_ uint64, cmd []byte) []byte {
+func (m *stateMachine) Apply(index uint64, cmd []byte) []byte {
 	var c coordpb.Command
 	if err := proto.Unmarshal(cmd, &c); err != nil {
 		return nil // an entry of a later program version; all members skip it
 	}
-	out := m.apply(&c)
+	out := m.apply(index, &c)
 	if c.Departure.GetServer() != nil {
 		m.departed([]*coordpb.Departure{c.Departure})
 	}
@@ -115,7 +115,7 @@
 	return b
 }
 
-func (m *stateMachine) apply(c *coordpb.Command) *coordpb.State {
+func (m *stateMachine) apply(index uint64, c *coordpb.Command) *coordpb.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := &coordpb.State{}
@@ -132,6 +132,7 @@
 	case c.Departure.GetServer() != nil:
 		m.applyDeparture(c.Departure)
 	case c.Evacuation != nil:
+		m.adoptEvacuations(index, c.EvacuationsBefore)
 		out.Evacuations = []*coordpb.Evacuation{m.applyEvacuation(c.Evacuation, c.AfterSerial)}
 	}
 	return out
