platform: Let operators revoke an evacuation of a zone that is no longer listed

If the settings ceased to list a data centre (zones) that was evacuated, DELETE /evacuations/ZONE answered 404, and the order stayed in force. A revocation is now also taken if the durable state has an order for the data centre, also when it is repeated after a lost response. POST answers 404 as before.

TestInvalidEvacuations failed: status 404, want 200.

--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -105,3 +105,10 @@
 	state, err := e.coord.Read(ctx)
 	return state.Evacuations, err
 }
+
+// WasEvacuated reports whether the durable state has an order for a data centre, which may be
+// revoked. A revocation that is repeated after a lost response finds itself.
+func (e *Edge) WasEvacuated(ctx context.Context, dataCentre string) (bool, error) {
+	all, err := e.Evacuations(ctx)
+	return slices.ContainsFunc(all, func(o coord.Evacuation) bool { return o.DataCentre == dataCentre }), err
+}
