cause: Blame an evacuation only if servers of the service are there

explain gave an evacuation as the cause of each refusal without a server while any data centre was evacuated, also of services that never had a server there. The logs did not say where servers are: server.announced now has dataCentre, and the finding needs a server of the service in an evacuated data centre. Lines without the field, of earlier versions, count as before.

--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -115,6 +115,23 @@
 			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
 		}},
+		{"the data centre of a server that another instance heard is evacuated", Evacuated, []string{
+			logLine("n2", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"x"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
+		{"servers of the service are elsewhere", Unexplained, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"y"`),
+			logLine("n1", 100, `"event":"server.announced","server":"i-2","service":"other","state":"ready","dataCentre":"x"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
+		{"the server in the evacuated data centre had left", NoServers, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"x"`),
+			logLine("n1", 200, `"event":"server.left","server":"i-1","service":"s"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
 		{"servers outside of the home only", NoneInRegions, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0,"regions":["x"]`, ""),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -1,6 +1,7 @@
 package cause
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -166,16 +167,31 @@
 	return []Finding{{NoServers, fmt.Sprintf("the instance knew no ready server of service %s", service), changes[max(len(changes)-maxEvidence, 0):]}}
 }
 
-// evacuated returns the last order by which the instance sent nothing to some data centres.
+// evacuated returns the last order by which the instance sent nothing to some data centres, if
+// a server of the service is there by the logs of any instance.
 func (l *Logs) evacuated(end requestEnd) []Finding {
 	var last event.Event
+	places := map[string]string{} // data centres of the service's servers
 	for _, e := range l.events {
-		if e.Kind == "evacuation.applied" && e.Node == end.Node && !e.Time.After(end.Time) {
+		switch {
+		case e.Time.After(end.Time):
+		case e.Kind == "evacuation.applied" && e.Node == end.Node:
 			last = e
+		case e.Kind == "server.announced" && e.Detail["service"] == end.Detail["service"]:
+			places[e.Detail["server"]] = e.Detail["dataCentre"]
+		case e.Kind == "server.left":
+			delete(places, e.Detail["server"])
 		}
 	}
-	if n, _ := numberField(last, "count"); n > 0 {
-		return []Finding{{Evacuated, fmt.Sprintf("operators had evacuated the data centres %s", last.Detail["dataCentres"]), []event.Event{last}}}
+	var evacuated []string
+	if err := json.Unmarshal([]byte(last.Detail["dataCentres"]), &evacuated); err != nil || len(evacuated) == 0 {
+		return nil
+	}
+	for _, place := range places {
+		// Earlier program versions do not log the data centre.
+		if place == "" || slices.Contains(evacuated, place) {
+			return []Finding{{Evacuated, fmt.Sprintf("operators had evacuated the data centres %s", last.Detail["dataCentres"]), []event.Event{last}}}
+		}
 	}
 	return nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -259,7 +259,7 @@
 		e.updateServers(now)
 		e.cfg.Log.WithFields(log.Fields{
 			"event": "server.announced", "server": s.ID, "service": s.Service, "state": s.State.String(), "version": s.Version,
-			"cold": s.Cold(now),
+			"cold": s.Cold(now), "dataCentre": s.DataCentre,
 		}).Info("backend server state changed")
 	}
 	if s.State == world.Ready {
