routes: Collect the homes of a configuration in a set

Homes kept a copy of the regions for each pair of route and organisation before it sorted them, with each new configuration: at 1,000 routes and 1,000 organisations a million times the regions of one pair, on machines with 144 MB. TestRegions passes as before; no test for the memory was written.

--- a/internal/routes/regions.go
+++ b/internal/routes/regions.go
@@ -1,6 +1,9 @@
 package routes
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // RegionsFor returns the regions whose backend servers may run a request of an organisation,
 // which may be nil. Both the route and the organisation have to allow a region. Nil means any.
@@ -25,7 +28,7 @@
 // Homes returns the regions in which some request may run, sorted. Nil means any, also if no
 // request may run at all: a new configuration has no routes yet.
 func (c *Config) Homes() []string {
-	var homes []string
+	homes := map[string]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		senders := []*Organisation{}
@@ -40,9 +43,10 @@
 			if regions == nil {
 				return nil
 			}
-			homes = append(homes, regions...)
+			for _, region := range regions {
+				homes[region] = true
+			}
 		}
 	}
-	slices.Sort(homes)
-	return slices.Compact(homes)
+	return slices.Sorted(maps.Keys(homes))
 }
