cause: Explain refusals because servers are cold

explain had no cause for requests refused with heldOff while all servers of a service were cold. The lines server.cold, and server.announced with cold and the new field forMs, are evidence now until the time that they state is over.

--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -159,6 +159,19 @@
 			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
 			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
 		}},
+		{"a server said in a response that it is cold", ServersHeldOff, []string{
+			logLine("n2", 300, `"event":"server.cold","server":"i-1","service":"s","forMs":2000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"a server announced that it is cold", ServersHeldOff, []string{
+			logLine("n2", 300, `"event":"server.announced","server":"i-1","service":"s","state":"ready","cold":true,"forMs":2000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"a server had been cold, and one of another service is", Unexplained, []string{
+			logLine("n2", 300, `"event":"server.cold","server":"i-1","service":"s","forMs":500`),
+			logLine("n2", 300, `"event":"server.cold","server":"i-2","service":"other","forMs":5000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
 		{"the limit of the only server had ended", Unexplained, []string{
 			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
 			logLine("n3", 400, `"event":"server.limit","server":"i-1","service":"s","limited":false`),
--- a/internal/cause/rules.go
+++ b/internal/cause/rules.go
@@ -201,7 +201,18 @@
 func (l *Logs) serversHeldOff(end requestEnd) []Finding {
 	var lines []event.Event
 	limits := map[string]event.Event{} // the last change of each server's limit, logged by any instance
+	cold := map[string]event.Event{}   // the last line of any instance that says for how long a server is cold
 	for _, e := range l.events {
+		if e.Detail["service"] == end.Detail["service"] && !e.Time.After(end.Time) {
+			switch {
+			case e.Kind == "server.cold" || e.Kind == "server.announced" && e.Detail["cold"] == "true":
+				if d, _ := numberField(e, "forMs"); end.Time.Sub(e.Time).Milliseconds() <= d {
+					cold[e.Detail["server"]] = e
+				}
+			case e.Kind == "server.announced" && e.Detail["cold"] == "false", e.Kind == "server.left":
+				delete(cold, e.Detail["server"])
+			}
+		}
 		if e.Kind == "server.limit" && e.Detail["service"] == end.Detail["service"] && !e.Time.After(end.Time) {
 			limits[e.Detail["server"]] = e
 		}
@@ -216,6 +227,9 @@
 			lines = append(lines, limits[id])
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(cold)) {
+		lines = append(lines, cold[id])
+	}
 	if len(lines) == 0 {
 		return nil
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -257,10 +257,14 @@
 	e.mu.Unlock()
 	if changed {
 		e.updateServers(now)
-		e.cfg.Log.WithFields(log.Fields{
+		fields := log.Fields{
 			"event": "server.announced", "server": s.ID, "service": s.Service, "state": s.State.String(), "version": s.Version,
 			"cold": s.Cold(now), "dataCentre": s.DataCentre,
-		}).Info("backend server state changed")
+		}
+		if s.Cold(now) {
+			fields["forMs"] = s.ColdEnd().Sub(now).Milliseconds()
+		}
+		e.cfg.Log.WithFields(fields).Info("backend server state changed")
 	}
 	if s.State == world.Ready {
 		if changed {
