proxy: Take a cold server's turn last

A retry took the turn of a cold server, of which there are few, before the retry limit refused it or the server turned out to have left; the turn was lost, and other requests were refused meanwhile. Both are checked first now. A retry whose turn another request takes is not charged to the retry limit again.

--- a/internal/proxy/cold_test.go
+++ b/internal/proxy/cold_test.go
@@ -138,3 +138,44 @@
 		}
 	}
 }
+
+// Guards against turns of cold servers that are taken by requests which the retry limit refuses.
+func TestColdTurnIsNotTakenWithoutABudget(t *testing.T) {
+	s := &scriptedSender{}
+	p := newProxy(t, s, 2)
+	config := *p.Config()
+	config.Services = []routes.Service{{Name: "s", ColdRate: 6}}
+	c, err := routes.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	p.cfg.Clock = func() time.Time { return now }
+	p.cfg.Retry = RetryLimit{Window: time.Minute}
+	p.cfg.ColdPart = func(roster.Server, float64) float64 { return 0.5 }
+	p.SetConfig(c, now)
+	warm, cold := p.servers["e0"], p.servers["e1"]
+	cold.ColdUntil = now.Add(time.Hour)
+	p.SetServers([]roster.Server{warm, cold}, now)
+	serve := func(r scriptedResponse) error {
+		s.responses = append(s.responses[:len(s.attempts)], r)
+		return p.Serve(t.Context(), httptest.NewRecorder(), &Request{
+			ID: "r", HasKey: true, Key: "k", Method: "POST", Host: "h", Path: "/unsafe/", URI: "/unsafe/", Arrived: now, CallerTimeout: 5 * time.Second,
+		})
+	}
+	for range 100 {
+		now = now.Add(5 * time.Second) // the cold server has a turn
+		var refusal *Refusal
+		if err := serve(scriptedResponse{status: 503, notRun: true}); !errors.As(err, &refusal) || refusal.Cause != Full {
+			t.Fatalf("a request that may not be retried ends with %v", err)
+		}
+		if s.attempts[len(s.attempts)-1].Server.ID == "e0" {
+			p.SetServers([]roster.Server{cold}, now)
+			if err := serve(scriptedResponse{status: 200, body: "x"}); err != nil {
+				t.Errorf("the next request is not sent to the cold server: %v", err)
+			}
+			return
+		}
+	}
+	t.Fatal("no request was sent to the warm server first")
+}
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -244,15 +244,23 @@
 		if at, ok := f.p.stopping.deadline(); ok && !f.headerSent && !f.completesBefore(at, now) {
 			return f.finalError(Stopping)
 		}
-		if !f.p.table.TakeTurn(choice, now) {
-			continue // another request has taken the server's turn since
+		server, ok := f.p.readyServer(choice.Backend.ID)
+		if !ok {
+			f.lastErr, refused = Error.New("server %q is no longer ready", choice.Backend.ID), true
+			continue
 		}
 		// A send that reached no server repeats no work, so the next send is not charged as a
 		// retry.
-		if f.delivered > 0 && !f.retryCharged.Swap(false) && !f.p.budget(f.service).Retry(now) {
+		isRetry := f.delivered > 0
+		if isRetry && !f.retryCharged.Swap(false) && !f.p.budget(f.service).Retry(now) {
 			return f.finalError(Full)
 		}
-		ended, err := f.sendOnce(ctx, choice)
+		// Last, since a cold server has few turns and each one taken must be used.
+		if !f.p.table.TakeTurn(choice, now) {
+			f.retryCharged.Store(isRetry)
+			continue // another request has taken the server's turn since
+		}
+		ended, err := f.sendOnce(ctx, server, choice)
 		if ended {
 			return err
 		}
@@ -264,6 +272,14 @@
 	}
 }
 
+// readyServer returns a server, and false if it takes no requests any more.
+func (p *Proxy) readyServer(id string) (roster.Server, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	return s, ok && s.State == world.Ready
+}
+
 // finalError returns the error of a request that is not retried. If the request may
 // have run, the error must not claim that it did not.
 func (f *inflight) finalError(cause Cause) error {
@@ -359,14 +375,8 @@
 
 // sendOnce sends the request to one server. It returns true with the final result,
 // or false if the request may be retried on another server.
-func (f *inflight) sendOnce(ctx context.Context, choice route.Choice) (bool, error) {
+func (f *inflight) sendOnce(ctx context.Context, server roster.Server, choice route.Choice) (bool, error) {
 	p := f.p
-	p.mu.Lock()
-	server, ok := p.servers[choice.Backend.ID]
-	p.mu.Unlock()
-	if !ok || server.State != world.Ready {
-		return false, Error.New("server %q is no longer ready", choice.Backend.ID)
-	}
 	sent := p.cfg.Clock()
 	f.sends++
 	f.triedServers = append(f.triedServers, server.ID)
