route, proxy: Wait for a warm server although a cold one opens first

If the warm servers of a service had asked for a pause that was worth waiting for, and a cold server opened before its end, requests were refused at once: the earliest opening counted, and no request waits for a cold server. Whether to wait is now decided by the earliest opening of the others. Services without cold servers wait as before.

TestWaitForTheWarmServer failed: heldOff at once, with no attempt.

--- a/internal/proxy/cold_test.go
+++ b/internal/proxy/cold_test.go
@@ -179,3 +179,27 @@
 	}
 	t.Fatal("no request was sent to the warm server first")
 }
+
+// Guards against refusals because a cold server opens before a warm one that is worth waiting
+// for.
+func TestWaitForTheWarmServer(t *testing.T) {
+	s := &scriptedSender{responses: []scriptedResponse{{status: 200, body: "x"}}}
+	p := newProxy(t, s, 2)
+	config := *p.Config()
+	config.Services = []routes.Service{{Name: "s", ColdRate: 6}}
+	c, err := routes.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	p.cfg.ColdPart = func(roster.Server, float64) float64 { return 0 } // opens elsewhere, 0.2 s later
+	p.SetConfig(c, began)
+	warm, cold := p.servers["e0"], p.servers["e1"]
+	cold.ColdUntil = began.Add(time.Hour)
+	p.SetServers([]roster.Server{warm, cold}, began)
+	now := time.Now()
+	p.holdOff(warm, now, 300*time.Millisecond, now)
+	if err := p.Serve(t.Context(), httptest.NewRecorder(), newRequest("/unsafe/")); err != nil || s.attempts[0].Server.ID != "e0" {
+		t.Errorf("%v after %v with %d attempts, want an answer of the warm server", err, time.Since(now), len(s.attempts))
+	}
+}
--- a/internal/proxy/inflight.go
+++ b/internal/proxy/inflight.go
@@ -229,8 +229,12 @@
 			f.lastErr = err
 			opening, found := f.p.table.NextOpening(query, now)
 			heldOff := found && opening.At.After(now)
-			if heldOff && worthWaiting(now, opening, f.r.Arrived, f.deadline, f.route.LatencyTarget) {
-				sleep(ctx, opening.At.Sub(now))
+			wait := opening
+			if warm, ok := f.p.table.NextWarmOpening(query, now); ok {
+				wait = warm
+			}
+			if heldOff && worthWaiting(now, wait, f.r.Arrived, f.deadline, f.route.LatencyTarget) {
+				sleep(ctx, wait.At.Sub(now))
 				continue
 			}
 			switch {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -208,6 +208,18 @@
 func (t *Table) NextOpening(q Query, now time.Time) (Opening, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.nextOpening(&q, now, true)
+}
+
+// NextWarmOpening is NextOpening without the cold servers, for which no request waits.
+func (t *Table) NextWarmOpening(q Query, now time.Time) (Opening, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.nextOpening(&q, now, false)
+}
+
+// nextOpening is NextOpening with or without the cold servers. mu must be held.
+func (t *Table) nextOpening(q *Query, now time.Time, withCold bool) (Opening, bool) {
 	g := t.groups[groupKey{q.Service, q.Version}]
 	if g == nil {
 		return Opening{}, false
@@ -215,8 +227,11 @@
 	var earliest Opening
 	found, cold := false, false
 	for _, s := range g.servers {
+		if !withCold && s.cold.gate.Limited() {
+			continue
+		}
 		o := t.coldOpening(s, s.opening(now), now)
-		if s.mayRun(&q, o.At) && (!found || o.At.Before(earliest.At)) {
+		if s.mayRun(q, o.At) && (!found || o.At.Before(earliest.At)) {
 			earliest, found, cold = o, true, s.cold.gate.Limited()
 		}
 	}
