--- a/internal/cause/cause_test.go
+++ b/internal/cause/cause_test.go
@@ -115,6 +115,23 @@
 			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
 		}},
+		{"the data centre of a server that another instance heard is evacuated", Evacuated, []string{
+			logLine("n2", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"x"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
+		{"servers of the service are elsewhere", Unexplained, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"y"`),
+			logLine("n1", 100, `"event":"server.announced","server":"i-2","service":"other","state":"ready","dataCentre":"x"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
+		{"the server in the evacuated data centre had left", NoServers, []string{
+			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready","dataCentre":"x"`),
+			logLine("n1", 200, `"event":"server.left","server":"i-1","service":"s"`),
+			logLine("n1", 300, `"event":"evacuation.applied","dataCentres":["x"],"count":1`),
+			requestEnded("n1", 900, "r", "noServer", `"runs":0`, ""),
+		}},
 		{"servers outside of the home only", NoneInRegions, []string{
 			logLine("n1", 100, `"event":"server.announced","server":"i-1","service":"s","state":"ready"`),
 			requestEnded("n1", 900, "r", "noServer", `"runs":0,"regions":["x"]`, ""),
@@ -142,6 +159,19 @@
 			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
 			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
 		}},
+		{"a server said in a response that it is cold", ServersHeldOff, []string{
+			logLine("n2", 300, `"event":"server.cold","server":"i-1","service":"s","forMs":2000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"a server announced that it is cold", ServersHeldOff, []string{
+			logLine("n2", 300, `"event":"server.announced","server":"i-1","service":"s","state":"ready","cold":true,"forMs":2000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
+		{"a server had been cold, and one of another service is", Unexplained, []string{
+			logLine("n2", 300, `"event":"server.cold","server":"i-1","service":"s","forMs":500`),
+			logLine("n2", 300, `"event":"server.cold","server":"i-2","service":"other","forMs":5000`),
+			requestEnded("n1", 900, "r", "heldOff", `"runs":0`, ""),
+		}},
 		{"the limit of the only server had ended", Unexplained, []string{
 			logLine("n2", 300, `"event":"server.limit","server":"i-1","service":"s","limited":true,"rate":1,"part":0.5`),
 			logLine("n3", 400, `"event":"server.limit","server":"i-1","service":"s","limited":false`),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -257,10 +257,14 @@
 	e.mu.Unlock()
 	if changed {
 		e.updateServers(now)
-		e.cfg.Log.WithFields(log.Fields{
+		fields := log.Fields{
 			"event": "server.announced", "server": s.ID, "service": s.Service, "state": s.State.String(), "version": s.Version,
-			"cold": s.Cold(now),
-		}).Info("backend server state changed")
+			"cold": s.Cold(now), "dataCentre": s.DataCentre,
+		}
+		if s.Cold(now) {
+			fields["forMs"] = s.ColdEnd().Sub(now).Milliseconds()
+		}
+		e.cfg.Log.WithFields(fields).Info("backend server state changed")
 	}
 	if s.State == world.Ready {
 		if changed {
@@ -303,10 +307,10 @@
 func (e *Edge) updateServers(now time.Time) {
 	e.serversMu.Lock()
 	defer e.serversMu.Unlock()
-	servers := e.roster.Present()
+	servers, c := e.roster.Present(), e.proxy.Config()
 	e.mu.Lock()
 	e.limits.any = slices.ContainsFunc(servers, func(s roster.Server) bool { return s.Limit.Named })
-	e.limits.setCold(servers, e.proxy.Config(), now)
+	e.limits.setCold(servers, c, now)
 	e.mu.Unlock()
 	e.proxy.SetServers(servers, now)
 }
--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -77,15 +77,15 @@
 }
 
 // regionsAfter returns the regions of the data centres after a new list of instances. Those of
-// data centres whose instances have ended are kept, as their servers may still run. Of
-// instances that contradict each other the first one counts.
+// data centres whose instances have ended are kept, as their servers may still run. Instances
+// that state no region change none. Of those that contradict each other the first one counts.
 func regionsAfter(known map[string]string, instances []coord.Instance) map[string]string {
 	out := maps.Clone(known)
 	if out == nil {
 		out = map[string]string{}
 	}
 	for _, inst := range slices.Backward(instances) {
-		if inst.DataCentre != "" {
+		if _, ok := out[inst.DataCentre]; inst.DataCentre != "" && (inst.Region != "" || !ok) {
 			out[inst.DataCentre] = inst.Region
 		}
 	}
@@ -105,3 +105,10 @@
 	state, err := e.coord.Read(ctx)
 	return state.Evacuations, err
 }
+
+// WasEvacuated reports whether the durable state has an order for a data centre, which may be
+// revoked. A revocation that is repeated after a lost response finds itself.
+func (e *Edge) WasEvacuated(ctx context.Context, dataCentre string) (bool, error) {
+	all, err := e.Evacuations(ctx)
+	return slices.ContainsFunc(all, func(o coord.Evacuation) bool { return o.DataCentre == dataCentre }), err
+}
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -38,25 +38,26 @@
 	Overshoot, Slack float64
 }
 
+// limitsCold reports whether a configuration, which may be nil, limits the rate of a service's
+// cold servers.
+func limitsCold(c *routes.Config, service string) bool {
+	if c == nil {
+		return false
+	}
+	svc := c.Service(service)
+	return svc != nil && svc.ColdRate > 0
+}
+
 // setCold records which of the servers are cold whose service has a rate for cold servers.
 func (l *limitState) setCold(servers []roster.Server, c *routes.Config, now time.Time) {
 	l.anyCold = false
 	for _, s := range servers {
-		if end := s.ColdEnd(); limitedWhenCold(s, c) && s.Cold(now) && (!l.anyCold || end.Before(l.coldEndAt)) {
+		if end := s.ColdEnd(); s.Cold(now) && limitsCold(c, s.Service) && (!l.anyCold || end.Before(l.coldEndAt)) {
 			l.anyCold, l.coldEndAt = true, end
 		}
 	}
 }
 
-// limitedWhenCold reports whether the service of a server has a rate for cold servers.
-func limitedWhenCold(s roster.Server, c *routes.Config) bool {
-	if c == nil {
-		return false
-	}
-	svc := c.Service(s.Service)
-	return svc != nil && svc.ColdRate > 0
-}
-
 // markLimit records the rate limit that a backend server names in its response to a request
 // sent at the given time, or that it names none, and reports a change to the other instances.
 func (e *Edge) markLimit(s roster.Server, l roster.Limit, sent time.Time) {
@@ -155,18 +156,30 @@
 }
 
 // withColdStart returns an announcement with the time for which the server is cold if it has
-// just started and the announcement does not state it.
+// just started and the announcement does not state it. If the configuration does not limit
+// cold servers, the result states no time: each change of it would go to all instances.
 func (e *Edge) withColdStart(s roster.Server, now time.Time) roster.Server {
 	c := e.proxy.Config()
-	if !limitedWhenCold(s, c) {
+	switch {
+	case c == nil: // the first configuration may limit them
 		return s
+	case !limitsCold(c, s.Service):
+		s.ColdFor, s.ColdUntil = 0, time.Time{}
+		return s
+	}
+	if coldStart := c.Service(s.Service).ColdStart; coldStart > 0 {
+		return e.roster.WithColdStart(s, coldStart, now)
 	}
-	return e.roster.WithColdStart(s, c.Service(s.Service).ColdStart, now)
+	return s
 }
 
 // markCold records that a backend server says in its response for how long it is cold, and
-// reports it to the other instances.
+// reports it to the other instances. It does nothing for services whose cold servers are not
+// limited.
 func (e *Edge) markCold(s roster.Server, coldFor time.Duration) {
+	if !limitsCold(e.proxy.Config(), s.Service) {
+		return
+	}
 	now := e.cfg.Clock()
 	known, changed := e.roster.MarkCold(s.ID, s.Incarnation, coldFor, now)
 	if !changed {
--- a/internal/edge/observe.go
+++ b/internal/edge/observe.go
@@ -90,7 +90,7 @@
 		return out
 	}
 	for _, s := range e.roster.Present() {
-		if limitedWhenCold(s, c) && s.Cold(now) {
+		if limitsCold(c, s.Service) && s.Cold(now) {
 			out[s.Service]++
 		}
 	}
