guard: Evict stalled bodies before the account is full

Callers whose stalled bodies were ended and who reconnected at once kept the account full, so that ordinary callers got 503. Nothing was evicted before the account was full, then one body per look, while a new body becomes late only after 1 s; and 64 hostile bodies occupied all places of those that may wait for memory.

All bodies that are behind now lose their memory together, at most once in 20 ms, from half of the account on; 1,024 bodies may wait, and look less often when they are many.

TestSlowest tested the choice of one body and becomes TestStalled, with the same cases: of two bodies that are behind, both end now, and a body that is being ended no longer protects the others.

--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -183,6 +183,8 @@
 		if err := r.wait(n, deadline); err != nil {
 			return err
 		}
+	} else if r.guard.Used() > r.guard.cfg.Bytes/evictShare {
+		r.guard.endStalled()
 	}
 	r.held += n
 	if r.conn != nil {
@@ -210,8 +212,8 @@
 		if r.conn != nil && Phase(r.conn.phase.Load()) == PhaseEnded {
 			return ErrTooSlow.New("others waited for memory")
 		}
-		g.endSlowest()
-		time.Sleep(waitInterval)
+		g.endStalled()
+		time.Sleep(waitInterval * time.Duration(1+others/waitersPerInterval))
 		if g.take(n) {
 			return nil
 		}
--- a/internal/guard/choose.go
+++ b/internal/guard/choose.go
@@ -39,21 +39,11 @@
 	return now.Sub(u.Since) - time.Duration(float64(u.Received)/minRate*float64(time.Second))
 }
 
-// Slowest returns the index of the body that loses its memory in favour of others: the one
-// furthest behind, if it is behind by more than maxLag. It returns -1 if there is none, or if
-// one that was chosen before still holds memory.
-func Slowest(all []Usage, now time.Time) int {
-	chosen, most := -1, maxLag
-	for i, u := range all {
-		switch {
-		case u.Held == 0:
-		case u.Phase == PhaseEnded:
-			return -1
-		case u.Phase == PhaseBody && !u.Waiting && u.Lag(now) > most:
-			chosen, most = i, u.Lag(now)
-		}
-	}
-	return chosen
+// Stalled reports whether a body loses its memory in favour of others: it is behind by more
+// than maxLag. All such bodies lose it together, since callers that reconnect occupy the memory
+// faster than it becomes free one body at a time.
+func (u Usage) Stalled(now time.Time) bool {
+	return u.Held > 0 && u.Phase == PhaseBody && !u.Waiting && u.Lag(now) > maxLag
 }
 
 // Oldest returns the index of the connection that is closed in favour of a new one: the one
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -32,12 +32,20 @@
 	// freeBytes are what a head or a body may occupy without a charge to the account, so that
 	// most requests do not touch it.
 	freeBytes = 4 << 10
-	// maxWaiting bounds the bodies that wait for memory. Others are refused at once.
-	maxWaiting = 64
+	// maxWaiting bounds the bodies that wait for memory. Others are refused at once, so that
+	// hostile callers which occupy all places have every ordinary caller refused.
+	maxWaiting = 1024
 	// waitInterval is how often a waiting body looks for memory, and maxWait how long.
 	waitInterval = 20 * time.Millisecond
 	maxWait      = 2 * time.Second
 	waitShare    = 3 // of the time until the deadline
+	// waitersPerInterval is the number of waiting bodies from which on each looks less often,
+	// since 1,024 of them would wake up 51,000 times a second.
+	waitersPerInterval = 256
+	// evictShare is the part of the account from which on bodies that are behind lose their
+	// memory. A body becomes late only after maxLag; the rest of the account serves the bodies
+	// that arrive during that time.
+	evictShare = 2
 	// connShards is the number of locks of the set of connections, taken when one is opened
 	// or closed.
 	connShards = 16
@@ -76,7 +84,8 @@
 	cfg     Config
 	used    atomic.Int64
 	waiting atomic.Int32
-	scan    sync.Mutex // held while a body that loses its memory is chosen
+	scan    sync.Mutex // held while bodies that lose their memory are chosen
+	scanned time.Time  // the last such choice; guarded by scan
 	shards  [connShards]struct {
 		sync.Mutex
 		conns map[*Conn]struct{}
@@ -358,14 +367,21 @@
 	return i >= 0 && conns[i].end(all[i].Phase)
 }
 
-// endSlowest ends a body that is behind, unless another call just looks for one.
-func (g *Guard) endSlowest() {
+// endStalled ends the bodies that are behind, at most once in waitInterval.
+func (g *Guard) endStalled() {
 	if !g.scan.TryLock() {
 		return
 	}
 	defer g.scan.Unlock()
+	now := g.cfg.Clock()
+	if now.Sub(g.scanned) < waitInterval {
+		return
+	}
+	g.scanned = now
 	conns, all := g.usages(nil)
-	if i := Slowest(all, g.cfg.Clock()); i >= 0 && conns[i].end(PhaseBody) {
-		g.Refuse(RateBound)
+	for i, u := range all {
+		if u.Stalled(now) && conns[i].end(PhaseBody) {
+			g.Refuse(RateBound)
+		}
 	}
 }
