guard: Leave room for the pieces of the largest body

A body just below half of the account was received and then refused with 503, also without any other caller, since its pieces round up to whole segments. Callers would repeat it in vain.

The largest body is now half of the account less a segment; larger ones get 413 at once, as those over half of it did.

TestLargestBodyFits failed before: "no memory for the body" at 524,288 bytes and an account of 1 MiB, with and without a declared length.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -114,8 +114,9 @@
 // Used returns the bytes that callers hold.
 func (g *Guard) Used() int64 { return g.used.Load() }
 
-// MaxBody returns the size of the largest body that the account can hold while it is joined.
-func (g *Guard) MaxBody() int64 { return g.cfg.Bytes / 2 }
+// MaxBody returns the size of the largest body that the account can hold while it is joined, of
+// which the pieces may have nearly segmentBytes more.
+func (g *Guard) MaxBody() int64 { return g.cfg.Bytes/2 - segmentBytes }
 
 func (g *Guard) take(n int64) bool {
 	if g.used.Add(n) <= g.cfg.Bytes {
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -253,6 +253,18 @@
 	}
 }
 
+// Guards against a largest body that never fits into the account, since its pieces take more.
+func TestLargestBodyFits(t *testing.T) {
+	g := newGuard(t, 1<<20)
+	for _, length := range []int64{g.MaxBody(), -1} {
+		r, err := g.ReadBody(nil, bytes.NewReader(make([]byte, g.MaxBody())), length, testLimit, in(50*time.Millisecond))
+		if err != nil {
+			t.Errorf("length %d: %v", length, err)
+		}
+		r.Release()
+	}
+}
+
 // Guards against a scan of all connections for every body that looks for memory, and against
 // garbage of scans: 64 waiting bodies beside 1,152 connections used 0.26 of a core.
 func TestScansAreRare(t *testing.T) {
