--- a/internal/contrl/http.go
+++ b/internal/contrl/http.go
@@ -160,7 +160,7 @@
 		writeError(c, err)
 		return
 	}
-	body, err := s.cfg.Guard.ReadFast(c, maxBodyBytes, time.Now().Add(readTimeout))
+	body, err := s.cfg.Guard.ReadFastReserved(c, maxBodyBytes, time.Now().Add(readTimeout))
 	if err != nil {
 		writeBodyError(c, err)
 		return
--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -19,10 +19,11 @@
 
 // Received is a body that was received completely.
 type Received struct {
-	bytes []byte
-	guard *Guard
-	conn  *Conn
-	held  int64
+	bytes   []byte
+	guard   *Guard
+	account *account
+	conn    *Conn
+	held    int64
 }
 
 // Content returns the bytes of the body; nil without a body.
@@ -38,7 +39,7 @@
 	if r == nil || r.held == 0 {
 		return
 	}
-	r.guard.used.Add(-r.held)
+	r.account.used.Add(-r.held)
 	if r.conn != nil {
 		r.conn.held.Store(0)
 	}
@@ -49,14 +50,32 @@
 // is not known. The errors are those of in and of this package; after an error, the caller of
 // ReadBody must close the connection without reading the rest.
 func (g *Guard) ReadBody(conn *Conn, in io.Reader, length, limit int64, deadline time.Time) (*Received, error) {
-	r := &Received{guard: g, conn: conn}
-	limit = min(limit, g.MaxBody())
+	return g.readInto(&g.callers, conn, in, length, limit, deadline)
+}
+
+// ReadReserved reads the body of a server or operator, like ReadBody. Bodies that fit into the
+// reserve do not depend on what callers hold; larger ones share the account with them.
+func (g *Guard) ReadReserved(conn *Conn, in io.Reader, length, limit int64, deadline time.Time) (*Received, error) {
+	largest := limit
+	if length >= 0 {
+		largest = min(largest, length)
+	}
+	if largest <= g.reserve.maxBody() {
+		return g.readInto(&g.reserve, conn, in, length, limit, deadline)
+	}
+	return g.readInto(&g.callers, conn, in, length, limit, deadline)
+}
+
+func (g *Guard) readInto(a *account, conn *Conn, in io.Reader, length, limit int64, deadline time.Time) (*Received, error) {
+	r := &Received{guard: g, account: a, conn: conn}
+	limit = min(limit, a.maxBody())
 	if length > limit {
 		g.Refuse(SizeBound)
 		return nil, ErrTooLarge.New("%d bytes, the limit is %d", length, limit)
 	}
 	if conn != nil {
 		conn.received.Store(0)
+		conn.account.Store(a)
 		conn.setPhase(PhaseBody)
 	}
 	err := r.read(in, length, limit, deadline)
@@ -77,7 +96,7 @@
 }
 
 func (r *Received) read(in io.Reader, length, limit int64, deadline time.Time) error {
-	direct := length >= 0 && (length <= freeBytes || length <= maxDirectBytes && r.guard.Used()+length <= r.guard.cfg.Bytes/2)
+	direct := length >= 0 && (length <= freeBytes || length <= maxDirectBytes && r.account.used.Load()+length <= r.account.size/2)
 	if !direct {
 		return r.readSegments(in, length, limit, deadline)
 	}
@@ -200,7 +219,7 @@
 
 func (r *Received) giveBack(n int64) {
 	r.held -= n
-	r.guard.used.Add(-n)
+	r.account.used.Add(-n)
 	if r.conn != nil {
 		r.conn.held.Add(-n)
 	}
@@ -208,12 +227,12 @@
 
 // hold charges n more bytes to the account, and waits for them while others release theirs.
 func (r *Received) hold(n int64, deadline time.Time) error {
-	if !r.guard.take(n) {
+	if !r.account.take(n) {
 		if err := r.wait(n, deadline); err != nil {
 			return err
 		}
-	} else if r.guard.Used() > r.guard.cfg.Bytes/evictShare {
-		r.guard.endStalled()
+	} else if r.account.used.Load() > r.account.size/evictShare {
+		r.guard.endStalled(r.account)
 	}
 	r.held += n
 	if r.conn != nil {
@@ -223,9 +242,9 @@
 }
 
 func (r *Received) wait(n int64, deadline time.Time) error {
-	g := r.guard
-	others := int(g.waiting.Add(1)) - 1
-	defer g.waiting.Add(-1)
+	g, a := r.guard, r.account
+	others := int(a.waiting.Add(1)) - 1
+	defer a.waiting.Add(-1)
 	start := g.cfg.Clock()
 	// The rest of the caller's time is for running the request, or for another instance.
 	deadline = start.Add(min(maxWait, deadline.Sub(start)/waitShare))
@@ -237,16 +256,16 @@
 			r.conn.waiting.Store(false)
 		}()
 	}
-	for mayWait(r.held, n, g.cfg.Bytes, others) && g.cfg.Clock().Before(deadline) {
+	for mayWait(r.held, n, a.size, others) && g.cfg.Clock().Before(deadline) {
 		if r.conn != nil && Phase(r.conn.phase.Load()) == PhaseEnded {
 			return ErrTooSlow.New("others waited for memory")
 		}
-		g.endStalled()
+		g.endStalled(a)
 		time.Sleep(waitInterval * time.Duration(1+others/waitersPerInterval))
-		if g.take(n) {
+		if a.take(n) {
 			return nil
 		}
-		others = int(g.waiting.Load()) - 1
+		others = int(a.waiting.Load()) - 1
 	}
-	return ErrFull.New("%d bytes are held", g.Used())
+	return ErrFull.New("%d bytes are held", a.used.Load())
 }
--- a/internal/guard/fast.go
+++ b/internal/guard/fast.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"io"
 	"net"
 	"time"
 
@@ -44,6 +45,17 @@
 // ReadFast reads the body of a request to a server of BoundFast. The caller must release it
 // after the request.
 func (g *Guard) ReadFast(ctx *fasthttp.RequestCtx, limit int, deadline time.Time) (*Received, error) {
+	return g.readFast(ctx, g.ReadBody, limit, deadline)
+}
+
+// ReadFastReserved is ReadFast for servers and operators.
+func (g *Guard) ReadFastReserved(ctx *fasthttp.RequestCtx, limit int, deadline time.Time) (*Received, error) {
+	return g.readFast(ctx, g.ReadReserved, limit, deadline)
+}
+
+type bodyReader func(conn *Conn, in io.Reader, length, limit int64, deadline time.Time) (*Received, error)
+
+func (g *Guard) readFast(ctx *fasthttp.RequestCtx, read bodyReader, limit int, deadline time.Time) (*Received, error) {
 	if len(ctx.Request.Header.Peek(overLengthHeader)) > 0 {
 		g.Refuse(SizeBound)
 		return nil, ErrTooLarge.New("the limit is %d bytes", limit)
@@ -56,7 +68,7 @@
 		return nil, nil
 	}
 	_ = ctx.Conn().SetReadDeadline(deadline) // fails only on a closed connection
-	body, err := g.ReadBody(conn, in, int64(ctx.Request.Header.ContentLength()), int64(limit), deadline)
+	body, err := read(conn, in, int64(ctx.Request.Header.ContentLength()), int64(limit), deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -56,13 +56,17 @@
 	// must not hold its connection and its body, or delay a planned stop, for ever. A bound on a
 	// whole response would cut off long streams.
 	writeTimeout = time.Minute
+	// reserveShare is the part of the account's size that servers and operators have beside it, so
+	// that their small bodies are received while callers hold the account. Heartbeats have up to
+	// 64 KiB.
+	reserveShare = 16
 	// logInterval is the shortest time between two log lines.
 	logInterval = 10 * time.Second
 )
 
 // Config configures a Guard.
 type Config struct {
-	Bytes int64            // size of the account
+	Bytes int64            // size of the account of callers
 	Clock func() time.Time // nil means time.Now
 	Log   log.Interface    // nil disables log lines
 	Meter metric.Meter     // nil disables metrics
@@ -82,12 +86,11 @@
 // Guard bounds the callers of a process. It is safe for concurrent use.
 type Guard struct {
 	cfg     Config
-	used    atomic.Int64
-	waiting atomic.Int32
-	scan    sync.Mutex   // held while connections that are closed in favour of others are chosen
-	scanned atomic.Int64 // the last choice of bodies that lose their memory, Unix time in ns
-	conns   []*Conn      // reused by usages; guarded by scan
-	all     []Usage      // likewise
+	callers account
+	reserve account    // of servers and operators
+	scan    sync.Mutex // held while connections that are closed in favour of others are chosen
+	conns   []*Conn    // reused by usages; guarded by scan
+	all     []Usage    // likewise
 	shards  [connShards]struct {
 		sync.Mutex
 		conns map[*Conn]struct{}
@@ -105,6 +108,7 @@
 		cfg.Clock = time.Now
 	}
 	g := &Guard{cfg: cfg}
+	g.callers.size, g.reserve.size = cfg.Bytes, cfg.Bytes/reserveShare
 	for i := range g.shards {
 		g.shards[i].conns = map[*Conn]struct{}{}
 	}
@@ -112,17 +116,29 @@
 }
 
 // Used returns the bytes that callers hold.
-func (g *Guard) Used() int64 { return g.used.Load() }
+func (g *Guard) Used() int64 { return g.callers.used.Load() }
 
 // MaxBody returns the size of the largest body that the account can hold while it is joined, of
 // which the pieces may have nearly segmentBytes more.
-func (g *Guard) MaxBody() int64 { return g.cfg.Bytes/2 - segmentBytes }
+func (g *Guard) MaxBody() int64 { return g.callers.maxBody() }
+
+func (g *Guard) take(n int64) bool { return g.callers.take(n) }
+
+// account counts bytes that bodies and heads hold.
+type account struct {
+	size    int64
+	used    atomic.Int64
+	waiting atomic.Int32 // bodies that wait for memory
+	scanned atomic.Int64 // the last choice of bodies that lose their memory, Unix time in ns
+}
+
+func (a *account) maxBody() int64 { return a.size/2 - segmentBytes }
 
-func (g *Guard) take(n int64) bool {
-	if g.used.Add(n) <= g.cfg.Bytes {
+func (a *account) take(n int64) bool {
+	if a.used.Add(n) <= a.size {
 		return true
 	}
-	g.used.Add(-n)
+	a.used.Add(-n)
 	return false
 }
 
@@ -138,7 +154,8 @@
 	phase    atomic.Int32
 	since    atomic.Int64 // Unix time in ns
 	received atomic.Int64
-	held     atomic.Int64 // of the body
+	held     atomic.Int64            // of the body
+	account  atomic.Pointer[account] // of the body
 	waiting  atomic.Bool
 	head     int64        // bytes of the current head; used by the reading goroutine
 	headHeld atomic.Int64 // of the head, and of the response
@@ -221,7 +238,7 @@
 		s.Unlock()
 		c.ln.open.Add(-1)
 		c.closed.Store(true)
-		c.guard.used.Add(-c.headHeld.Swap(0))
+		c.guard.callers.used.Add(-c.headHeld.Swap(0))
 	})
 	return c.Conn.Close()
 }
@@ -251,7 +268,7 @@
 		}
 		c.headHeld.Add(more)
 		if c.closed.Load() { // by another goroutine, which has returned what was held until then
-			c.guard.used.Add(-c.headHeld.Swap(0))
+			c.guard.callers.used.Add(-c.headHeld.Swap(0))
 		}
 	}
 	return n, err
@@ -273,7 +290,7 @@
 func (c *Conn) SetIdle() {
 	c.head = 0
 	if held := c.headHeld.Swap(0); held > 0 {
-		c.guard.used.Add(-held)
+		c.guard.callers.used.Add(-held)
 	}
 	c.setPhase(PhaseIdle)
 }
@@ -290,7 +307,7 @@
 	}
 	c.headHeld.Add(int64(n))
 	if c.closed.Load() {
-		c.guard.used.Add(-c.headHeld.Swap(0))
+		c.guard.callers.used.Add(-c.headHeld.Swap(0))
 	}
 	return true
 }
@@ -377,10 +394,10 @@
 	return i >= 0 && conns[i].end(all[i].Phase)
 }
 
-// endStalled ends the bodies that are behind, at most once in waitInterval.
-func (g *Guard) endStalled() {
-	now, last := g.cfg.Clock(), g.scanned.Load()
-	if now.UnixNano()-last < int64(waitInterval) || !g.scanned.CompareAndSwap(last, now.UnixNano()) {
+// endStalled ends the bodies of an account that are behind, at most once in waitInterval.
+func (g *Guard) endStalled(a *account) {
+	now, last := g.cfg.Clock(), a.scanned.Load()
+	if now.UnixNano()-last < int64(waitInterval) || !a.scanned.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
 	g.scan.Lock()
@@ -388,7 +405,7 @@
 	conns, all := g.usages(nil)
 	defer g.forget()
 	for i, u := range all {
-		if u.Stalled(now) && conns[i].end(PhaseBody) {
+		if u.Stalled(now) && conns[i].account.Load() == a && conns[i].end(PhaseBody) {
 			g.Refuse(RateBound)
 		}
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -253,6 +253,39 @@
 	}
 }
 
+// Guards against heartbeats and small orders that are refused while callers hold the account, and
+// against a reserve that large bodies exceed or that is not returned.
+func TestReserve(t *testing.T) {
+	g := newGuard(t, 16<<20)
+	g.take(16 << 20)
+	deadline := func() time.Time { return in(50 * time.Millisecond) }
+	for _, c := range []struct {
+		size, length, limit int64
+		full                bool
+	}{
+		{64 << 10, 64 << 10, 64 << 10, false},
+		{64 << 10, -1, 64 << 10, false},
+		{300_000, 300_000, testLimit, false},
+		{300_000, -1, testLimit, true}, // could become larger than the reserve
+		{1 << 20, 1 << 20, testLimit, true},
+	} {
+		r, err := g.ReadReserved(nil, bytes.NewReader(make([]byte, c.size)), c.length, c.limit, deadline())
+		if full := ErrFull.Has(err); full != c.full || !full && (err != nil || len(r.Content()) != int(c.size)) {
+			t.Errorf("%d bytes, length %d: got %d bytes and %v", c.size, c.length, len(r.Content()), err)
+		}
+		r.Release()
+		if g.reserve.used.Load() != 0 || g.Used() != 16<<20 {
+			t.Errorf("%d bytes, length %d: %d and %d bytes are held", c.size, c.length, g.reserve.used.Load(), g.Used())
+		}
+	}
+	g.callers.used.Store(0)
+	r, err := g.ReadReserved(nil, bytes.NewReader(make([]byte, 1<<20)), 1<<20, testLimit, deadline())
+	if err != nil {
+		t.Errorf("a large body while callers hold nothing: %v", err)
+	}
+	r.Release()
+}
+
 // Guards against a largest body that never fits into the account, since its pieces take more.
 func TestLargestBodyFits(t *testing.T) {
 	g := newGuard(t, 1<<20)
@@ -275,15 +308,15 @@
 		g.add(l, nil)
 	}
 	scan := func() {
-		g.scanned.Store(0)
-		g.endStalled()
+		g.callers.scanned.Store(0)
+		g.endStalled(&g.callers)
 	}
 	scan()
 	if n := testing.AllocsPerRun(100, scan); n > 0 {
 		t.Errorf("%v allocations a scan", n)
 	}
 	g.conns = nil
-	if g.endStalled(); g.conns != nil {
+	if g.endStalled(&g.callers); g.conns != nil {
 		t.Error("a second scan at the same time")
 	}
 }
