--- a/internal/coord/evacuations.go
+++ b/internal/coord/evacuations.go
@@ -34,7 +34,8 @@
 // Evacuations are the evacuated data centres as known at one time. Values are immutable; the
 // zero value knows nothing.
 type Evacuations struct {
-	// Version is 1 more than the number of orders accepted until then; 0 if none are known.
+	// Version is 1 plus the sum of the serial numbers of all data centres; 0 if no leader has
+	// said any.
 	Version uint64
 	// DataCentres are the evacuated ones, sorted.
 	DataCentres []string
