--- a/internal/admit/overload_test.go
+++ b/internal/admit/overload_test.go
@@ -23,22 +23,41 @@
 // selection of package route, all without admission.
 func TestScarceCapacity(t *testing.T) {
 	checkBurst := []simLoadCurve{{0, rates(65)}, {4 * time.Second, [3]float64{26, 2.4 * 40, 20}}, {8 * time.Second, rates(65)}}
-	for _, c := range []struct {
-		name     string
-		scenario simScenario
-		gain     float64 // least gain of value over package route without admission
-		others   bool    // compare with the other selections as well
-	}{
+	checkScarceCapacity(t, []scarceCase{
 		{"enough capacity", simScenario{curve: steady(60), length: 10 * time.Second, orgShares: simEqual}, -0.02, true},
 		{"enough capacity, equal urgency", simScenario{curve: steady(60), length: 10 * time.Second, orgShares: simEqual, equal: true}, -0.02, false},
-		{"twice the capacity", simScenario{curve: steady(180), length: 12 * time.Second, orgShares: simEqual}, 0, true},
 		{"two heavy organisations", simScenario{curve: steady(150), length: 10 * time.Second, orgShares: simHeavy, equal: true}, 0.1, true},
 		{"burst of checks", simScenario{curve: checkBurst, length: 12 * time.Second, orgShares: simEqual, equal: true}, 0.1, true},
-		// Known cost: refusals begin a little too early if all kinds have the same urgency.
-		{"a little beyond the capacity", simScenario{curve: steady(90), length: 12 * time.Second, orgShares: simEqual, equal: true}, -0.05, false},
 		{"a quarter reclaimed at a high load", simScenario{curve: steady(100), length: 12 * time.Second, orgShares: simEqual, reclaim: 5 * time.Second, equal: true}, 0.05, true},
-		{"leader lost for 3 s", simScenario{curve: steady(150), length: 12 * time.Second, orgShares: simEqual, equal: true, leaderOut: [2]time.Duration{6 * time.Second, 9 * time.Second}}, 0.05, false},
-	} {
+		{"leader lost for 3 s", simScenario{curve: steady(150), length: 12 * time.Second, orgShares: simEqual, equal: true, leaderOut: [2]time.Duration{6 * time.Second, 9 * time.Second}}, 0.1, false},
+	})
+}
+
+// Guards against refusals that begin too early if all kinds have the same urgency.
+func TestSlightOverload(t *testing.T) {
+	checkScarceCapacity(t, []scarceCase{
+		{"a little beyond the capacity", simScenario{curve: steady(90), length: 12 * time.Second, orgShares: simEqual, equal: true}, -0.03, false},
+	})
+}
+
+// Guards against shedding that gains nothing where the most urgent kinds alone fill the servers.
+func TestTwiceTheCapacity(t *testing.T) {
+	checkScarceCapacity(t, []scarceCase{
+		{"twice the capacity", simScenario{curve: steady(180), length: 12 * time.Second, orgShares: simEqual}, 0.04, true},
+	})
+}
+
+// scarceCase is a load that is compared with and without admission.
+type scarceCase struct {
+	name     string
+	scenario simScenario
+	gain     float64 // least gain of value over package route without admission
+	others   bool    // compare with the other selections as well
+}
+
+func checkScarceCapacity(t *testing.T, cases []scarceCase) {
+	t.Helper()
+	for _, c := range cases {
 		t.Log(c.name)
 		values := map[string]float64{}
 		for _, policy := range simPolicies {
