guard: Keep the write deadlines that servers set

An operator or a reader of metrics that stops reading held its connection and its response for 1 min instead of 15 or 10 s: each write replaced the deadline that the server had set.

The deadline of the guard now applies only while the server has set none. The platform's callers keep it: connections with a running request are never closed in favour of others, so callers that read nothing could occupy all of them otherwise.

TestWriteDeadlineHolds failed before: a write did not end within 10 s by a deadline of 50 ms.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -150,15 +150,16 @@
 	shard uint32
 	once  sync.Once
 
-	closed   atomic.Bool
-	phase    atomic.Int32
-	since    atomic.Int64 // Unix time in ns
-	received atomic.Int64
-	held     atomic.Int64            // of the body
-	account  atomic.Pointer[account] // of the body
-	waiting  atomic.Bool
-	head     int64        // bytes of the current head; used by the reading goroutine
-	headHeld atomic.Int64 // of the head, and of the response
+	closed     atomic.Bool
+	writeBound atomic.Bool // the server has set a deadline for writes
+	phase      atomic.Int32
+	since      atomic.Int64 // Unix time in ns
+	received   atomic.Int64
+	held       atomic.Int64            // of the body
+	account    atomic.Pointer[account] // of the body
+	waiting    atomic.Bool
+	head       int64        // bytes of the current head; used by the reading goroutine
+	headHeld   atomic.Int64 // of the head, and of the response
 }
 
 // defaultBytes is the size of the account of a process whose memory is not known.
@@ -243,14 +244,28 @@
 	return c.Conn.Close()
 }
 
-// Write bounds how long the caller may not read.
+// Write bounds how long the caller may not read, unless the server has set a deadline.
 func (c *Conn) Write(b []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	if !c.writeBound.Load() {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(b)
 }
 
+// SetWriteDeadline sets the deadline of writes; without one, each has writeTimeout.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeBound.Store(!t.IsZero())
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.writeBound.Store(!t.IsZero())
+	return c.Conn.SetDeadline(t)
+}
+
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -321,6 +322,35 @@
 	}
 }
 
+// Guards against a deadline for writes that the guard replaces by its own, later one.
+func TestWriteDeadlineHolds(t *testing.T) {
+	for _, set := range []func(*Conn, time.Time) error{(*Conn).SetWriteDeadline, (*Conn).SetDeadline} {
+		g := newGuard(t, 1<<20)
+		ln, err := g.Listen("127.0.0.1:0", 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		c, _ := connect(t, ln)
+		if err := set(c, in(50*time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		result := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, 64<<20)) // more than the buffers of the kernel
+			result <- err
+		}()
+		select {
+		case err := <-result:
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("got %v, want the end by the deadline", err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Error("the write did not end by its deadline")
+		}
+	}
+}
+
 // Guards against large responses that callers do not read, and that together hold more than
 // the account, and against a charge that outlives its response.
 func TestResponsesAreCharged(t *testing.T) {
