guard: Leave descriptors for the servers of running requests

An instance whose callers and other ports were at their bounds had an eighth of its descriptors for servers and peers, although each running request needs a connection to a server: 0.5 for callers and 0.125 for each of three other ports.

Callers have 0.35 now, the three other ports 0.26 together.

TestLimitsFor checks that a server for each caller fits; it failed before: 3,368 and 4,151 of 3,075 descriptors. Its expected figures of two machines change with the share (1,152 and 1,437 connections to 1,006).

--- a/internal/guard/choose_test.go
+++ b/internal/guard/choose_test.go
@@ -65,16 +65,16 @@
 }
 
 // Guards against bounds that ordinary callers reach: hundreds of kept connections and bodies
-// of 4 MiB on the smallest machine.
+// of 4 MiB on the smallest machine, and against callers that leave no descriptors for servers.
 func TestLimitsFor(t *testing.T) {
 	for _, c := range []struct {
 		memoryMB    float64
 		descriptors int
 		want        Limits
 	}{
-		{144, 3075, Limits{Bytes: 30198988, Conns: 1152, OtherConns: 288}},
+		{144, 3075, Limits{Bytes: 30198988, Conns: 1006, OtherConns: 251}},
 		{424, 10250, Limits{Bytes: 88919244, Conns: 3392, OtherConns: 848}},
-		{424, 3075, Limits{Bytes: 88919244, Conns: 1437, OtherConns: 359}},
+		{424, 3075, Limits{Bytes: 88919244, Conns: 1006, OtherConns: 251}},
 		{256, 0, Limits{Bytes: 53687091, Conns: 2048, OtherConns: 512}},
 		{256, 100, Limits{Bytes: 53687091, Conns: minConns, OtherConns: minConns}},
 	} {
@@ -82,6 +82,10 @@
 		if got != c.want {
 			t.Errorf("%v MB, %d descriptors: %+v, want %+v", c.memoryMB, c.descriptors, got, c.want)
 		}
+		// Each running request needs a descriptor for its server, besides those for peers.
+		if total := 2*got.Conns + 3*got.OtherConns + reservedDescriptors; c.descriptors > 1000 && total > c.descriptors {
+			t.Errorf("%v MB, %d descriptors: %d are used with a server for each caller", c.memoryMB, c.descriptors, total)
+		}
 		if got.Bytes/2 < 4<<20 {
 			t.Errorf("%v MB: no body of 4 MiB fits", c.memoryMB)
 		}
--- a/internal/guard/size.go
+++ b/internal/guard/size.go
@@ -18,9 +18,10 @@
 	connBytes = 128 << 10
 	// reservedDescriptors are kept free for the program's own files.
 	reservedDescriptors = 200
-	// callerShare is the share of the other descriptors for callers; servers, peers and the
-	// other ports have the rest.
-	callerShare = 0.5
+	// callerShare is the share of the other descriptors for callers. The three other ports have
+	// three quarters as many together, and servers and peers the rest: a running request needs a
+	// connection to a server.
+	callerShare = 0.35
 	// otherShare is the number of connections to each other port, by those of callers.
 	otherShare = 0.25
 	minConns   = 16
