guard: Don't take the mark of long bodies from callers

A request with a header X-Over-Length of its own was answered 413 although its body was inside the limit: the header is what marks a body over the limit inside the process. It is deleted before it is set.

TestOverLengthIsNotTakenFromCallers failed before: 10 bytes were marked.

--- a/internal/guard/fast.go
+++ b/internal/guard/fast.go
@@ -33,6 +33,7 @@
 	s.HeaderReceived = func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 		// fasthttp waits for the first 8 KiB of a body before it calls the handler, also of one
 		// that is refused for its length.
+		h.Del(overLengthHeader) // of the caller
 		if h.ContentLength() > limit {
 			h.SetContentLength(0)
 			h.SetConnectionClose()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -351,6 +351,25 @@
 	}
 }
 
+// Guards against a caller that marks its own request as too long, and against such a mark that
+// replaces the response to one that is.
+func TestOverLengthIsNotTakenFromCallers(t *testing.T) {
+	for _, c := range []struct {
+		length int
+		want   bool
+	}{{10, false}, {1001, true}} {
+		s := &fasthttp.Server{MaxRequestBodySize: 1000}
+		BoundFast(s)
+		var h fasthttp.RequestHeader
+		h.Set(overLengthHeader, "1")
+		h.SetContentLength(c.length)
+		s.HeaderReceived(&h)
+		if got := len(h.Peek(overLengthHeader)) > 0; got != c.want {
+			t.Errorf("%d bytes: marked %v, want %v", c.length, got, c.want)
+		}
+	}
+}
+
 // Guards against large responses that callers do not read, and that together hold more than
 // the account, and against a charge that outlives its response.
 func TestResponsesAreCharged(t *testing.T) {
