intact: Reject responses whose status HTTP does not define

Callers got a response with the status 000 as 200 on the own interface, and one with 001 to 099 or 600 to 999 as it was. On the platform a response with 000 to 099 was skipped like an interim one: the bytes after its head, which may look like a response, became the answer, or the request waited for its deadline and ended with 504. Operators' commands and calls of plain services took 000 for an answer, and package caller sent a call again that such a response claimed not to have run.

Cause: fasthttp reports status 0 as 200, and package net/http passes on any number of three characters, "+99" included. Nobody checked it.

Package intact now checks the bytes of each head below the parser: the form of the status line and a status of 100 to 599. The connections of package backnd use it for Forward, Call and the calls to engines; a transport with the same connections serves the clients of the cloud, the platform's duties, callers and operators. Package oprcli uses net/http instead of fasthttp's client, which hides the status 000 and its connections. What a rejected response leaves is an attempt that may have run: 502 for a request that may run once, another server for one that may be repeated, the next member with the same command id for a command.

Each test sends the response from a stand-in, in all framings and after an interim response.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,6 @@
 # their seeds.
 FUZZTIME ?= 10s
 fuzz:
-	for target in ./internal/guard:FuzzReadBody ./internal/guard:FuzzConnection ./internal/link:FuzzReadFrame \
+	for target in ./internal/guard:FuzzReadBody ./internal/guard:FuzzConnection ./internal/link:FuzzReadFrame ./internal/intact:FuzzScanner \
 		./platform:FuzzDecodeConfig ./platform:FuzzDecodeHeartbeat ./platform:FuzzDecodeRollout ./platform:FuzzParseHeaders; do \
 		$(GO) test -run '^$$' -fuzz "^$${target#*:}$$" -fuzztime $(FUZZTIME) $${target%:*} || exit 1; done
--- a/internal/backnd/conn.go
+++ b/internal/backnd/conn.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"cranberrypath.example/cranberrypath/internal/buffer"
+	"cranberrypath.example/cranberrypath/internal/intact"
 	"cranberrypath.example/cranberrypath/internal/peek"
 )
 
@@ -52,7 +53,7 @@
 // conn is a connection with its own read buffer, so that excess bytes after a
 // response cannot be read by a call on another connection.
 type conn struct {
-	net.Conn
+	*intact.Conn
 	addr         string
 	br           *bufio.Reader
 	input        *boundedReader
@@ -96,20 +97,24 @@
 // allow sets how many bytes may be read from now on.
 func (c *conn) allow(n int64) { c.input.left = n }
 
+// expectHead prepares the connection for reading a response header.
+func (c *conn) expectHead() error {
+	c.allow(maxHeadBytes)
+	buffered, _ := c.br.Peek(c.br.Buffered()) // cannot fail: the bytes are there
+	return c.ExpectHead(buffered)
+}
+
 func newConn(nc net.Conn, addr string, bufferBytes int) *conn {
-	input := &boundedReader{r: nc}
-	return &conn{Conn: nc, addr: addr, input: input, br: bufio.NewReaderSize(input, bufferBytes)}
+	checked := intact.NewConn(nc)
+	input := &boundedReader{r: checked}
+	return &conn{Conn: checked, addr: addr, input: input, br: bufio.NewReaderSize(input, bufferBytes)}
 }
 
 // abort closes the connection with a reset. After a normal close the kernel keeps sending
 // what was written, for example until a partition heals, and a server would run a request
 // that was given up long before.
 func (c *conn) abort() {
-	nc := c.Conn
-	if w, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = w.NetConn()
-	}
-	if tcp, ok := nc.(interface{ SetLinger(sec int) error }); ok {
+	if tcp, ok := c.NetConn().(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	_ = c.Conn.Close()
@@ -286,7 +291,9 @@
 	x.resp.SkipBody = req.IsHead()
 	x.resp.Header.SetNoDefaultContentType(true)
 	x.resp.Header.DisableNormalizing()
-	x.cn.allow(maxHeadBytes)
+	if err := x.cn.expectHead(); err != nil {
+		return err
+	}
 	if err := x.resp.ReadLimitBody(x.cn.br, 0); err != nil {
 		return err
 	}
--- a/internal/backnd/forward.go
+++ b/internal/backnd/forward.go
@@ -115,7 +115,9 @@
 		}()
 	}
 	for range maxStaleResponses {
-		f.cn.allow(maxHeadBytes)
+		if err := f.cn.expectHead(); err != nil {
+			return nil, err
+		}
 		f.cn.input.lease, f.cn.input.kept = f.head, 0
 		resp, err := readResponse(f.cn.br, req.Method)
 		f.cn.input.lease = nil
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"cranberrypath.example/cranberrypath/internal/intact"
 )
 
 // Error is the class of this package's errors.
@@ -128,7 +130,7 @@
 	WeightStore string // URL without path
 	Token       string // bearer token; optional
 	// HTTP replaces the HTTP client. The default is a client of the standard library,
-	// which suffices for the low rate of calls.
+	// which suffices for the low rate of calls. It rejects malformed responses.
 	HTTP *http.Client
 }
 
@@ -144,7 +146,7 @@
 	c := &Client{cfg: cfg, http: cfg.HTTP}
 	if c.http == nil {
 		c.ownTransport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}
-		c.http = &http.Client{Transport: c.ownTransport}
+		c.http = &http.Client{Transport: intact.NewTransport(c.ownTransport)}
 	}
 	return c
 }
--- /dev/null
+++ b/internal/intact/intact.go
@@ -0,0 +1,73 @@
+// Package intact keeps responses that are malformed from passing for sound ones. The HTTP parsers
+// of package net/http and of fasthttp accept statuses that are none.
+package intact
+
+import (
+	"net"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of the errors for broken responses.
+var Error = errs.Class("broken response")
+
+var errStatusLine = Error.New("malformed status line")
+
+// Conn is the client's end of a connection to an HTTP server. It is safe for concurrent use.
+type Conn struct {
+	net.Conn
+
+	mu     sync.Mutex // guards the fields below
+	heads  scanner
+	broken error // why the current response is malformed; nil if it is not
+}
+
+// NewConn returns a connection that checks the heads of responses after ExpectHead.
+func NewConn(nc net.Conn) *Conn {
+	return &Conn{Conn: nc, heads: scanner{headsEnded: true}}
+}
+
+// NetConn returns the connection to the server without the checks and without TLS.
+func (c *Conn) NetConn() net.Conn {
+	if w, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return w.NetConn()
+	}
+	return c.Conn
+}
+
+// ExpectHead says that the next bytes are a response. buffered holds those that were read
+// before.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads = scanner{}
+	if c.broken == nil {
+		_, c.broken = c.heads.scan(buffered)
+	}
+	return c.broken
+}
+
+// Read implements io.Reader. It returns a malformed head up to the byte that shows it, and then
+// an error.
+func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.headError(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n, c.broken = c.heads.scan(b[:n]); c.broken != nil {
+		if n > 0 {
+			return n, nil
+		}
+		return 0, c.broken
+	}
+	return n, err
+}
+
+func (c *Conn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
--- a/internal/oprcli/oprcli.go
+++ b/internal/oprcli/oprcli.go
@@ -4,17 +4,21 @@
 package oprcli
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"io"
+	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"cranberrypath.example/cranberrypath/internal/intact"
 )
 
 // Error is the class of this package's errors.
@@ -27,7 +31,10 @@
 	// retryDelay is the delay after an attempt failed at every address.
 	retryDelay = 300 * time.Millisecond
 	// requestTimeout is the longest time for one request with all its attempts.
-	requestTimeout   = 30 * time.Second
+	requestTimeout = 30 * time.Second
+	// idleTimeout closes connections before members do.
+	idleTimeout      = 10 * time.Second
+	maxHeaderBytes   = 64 << 10 // of a response
 	maxResponseBytes = 64 << 20
 )
 
@@ -38,22 +45,24 @@
 	Token     string // bearer token; not needed on loopback
 	Operator  string // operator's name on loopback; optional
 
-	http   fasthttp.Client
+	http   *http.Client
 	scheme string
 }
 
 // WithTLS returns a copy of the client that uses HTTPS with the given configuration.
 func (c *Client) WithTLS(cfg *tls.Config) *Client {
-	n := New(c.Addresses, c.Token)
-	n.Operator, n.scheme, n.http.TLSConfig = c.Operator, "https", cfg
-	return n
+	return &Client{Addresses: c.Addresses, Token: c.Token, Operator: c.Operator, scheme: "https", http: newHTTPClient(cfg)}
 }
 
 // New returns a client for the given addresses.
 func New(addresses []string, token string) *Client {
-	return &Client{
-		Addresses: addresses, Token: token, scheme: "http",
-		http: fasthttp.Client{MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true},
+	return &Client{Addresses: addresses, Token: token, scheme: "http", http: newHTTPClient(nil)}
+}
+
+func newHTTPClient(cfg *tls.Config) *http.Client {
+	return &http.Client{
+		Transport:     intact.NewTransport(&http.Transport{TLSClientConfig: cfg, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes}),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }, // members never redirect
 	}
 }
 
@@ -325,7 +334,7 @@
 		for _, addr := range c.Addresses {
 			err := c.attempt(ctx, addr, r)
 			var respErr *ResponseError
-			if err == nil || (errors.As(err, &respErr) && respErr.Status != fasthttp.StatusServiceUnavailable) {
+			if err == nil || (errors.As(err, &respErr) && respErr.Status != http.StatusServiceUnavailable) {
 				return err
 			}
 			lastErr = err
@@ -344,14 +353,14 @@
 }
 
 func (c *Client) attempt(ctx context.Context, addr string, r request) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(c.scheme + "://" + addr + r.path)
-	req.Header.SetMethod(r.method)
-	req.SetBody(r.body)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, r.method, c.scheme+"://"+addr+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	if r.body != nil {
-		req.Header.SetContentType("application/json")
+		req.Header.Set("Content-Type", "application/json")
 	}
 	if r.commandID != "" {
 		req.Header.Set("Command-Id", r.commandID)
@@ -362,22 +371,26 @@
 	if c.Operator != "" {
 		req.Header.Set("Operator", c.Operator)
 	}
-	deadline := time.Now().Add(attemptTimeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	resp, err := c.http.Do(req)
+	if err != nil {
 		return Error.New("%s: %v", addr, err)
 	}
-	if resp.StatusCode() == fasthttp.StatusOK {
-		return Error.Wrap(json.Unmarshal(resp.Body(), r.out))
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	switch {
+	case err != nil:
+		return Error.New("%s: %v", addr, err)
+	case len(body) > maxResponseBytes:
+		return Error.New("%s: response is larger than %d bytes", addr, maxResponseBytes)
+	case resp.StatusCode == http.StatusOK:
+		return Error.Wrap(json.Unmarshal(body, r.out))
 	}
 	var in struct {
 		Error ResponseError `json:"error"`
 	}
-	if err := json.Unmarshal(resp.Body(), &in); err != nil || in.Error.Code == "" {
-		return Error.New("%s: status %d without an error body", addr, resp.StatusCode())
+	if err := json.Unmarshal(body, &in); err != nil || in.Error.Code == "" {
+		return Error.New("%s: status %d without an error body", addr, resp.StatusCode)
 	}
-	in.Error.Status = resp.StatusCode()
+	in.Error.Status = resp.StatusCode
 	return Error.Wrap(&in.Error)
 }
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"cranberrypath.example/cranberrypath/internal/intact"
 )
 
 // Error is the class of this package's errors.
@@ -63,8 +65,8 @@
 	DataCentre string
 	// MaxAttempts is the maximum number of attempts for one request; 8 if zero.
 	MaxAttempts int
-	// HTTP replaces the default HTTP client. Its timeout must exceed the duration of
-	// any stream.
+	// HTTP replaces the default HTTP client, which rejects malformed responses. Its
+	// timeout must exceed the duration of any stream.
 	HTTP *http.Client
 }
 
@@ -86,7 +88,7 @@
 	}
 	c := &Client{cfg: cfg, http: cfg.HTTP}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}}
+		c.http = &http.Client{Transport: intact.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second})}
 	}
 	return c
 }
