intact: Reject malformed heads and those that state two ends of the body

Callers got responses in whose head the name of a field held a blank: with that line passed on, on the own interface and to users of package caller, or with a body that was not the server's, where the blank stood in the name of the length or the coding, so that the framing was ignored. The same holds for folded lines, whose second part became part of the field before, and for control bytes in the status line. "Transfer-Encoding: chunked" in a response of HTTP/1.0 gave callers the chunks with their sizes as the body.

Cause: package net/http keeps a field whose name holds a blank under that name and fasthttp removes blanks before the colon; both join folded lines and ignore the coding of HTTP/1.0. Of a length and chunks both prefer the chunks; RFC 9112 asks for an error, since one of them is wrong. An interim response that declares a body hid that the bytes of this body were read as the next head.

Package intact checks each byte of a head, so it sees what the parsers remove: names are tokens, values and reasons hold no control bytes, lines are not folded, carriage returns end lines, and no head declares a body that the next head or the parser would read differently. Control bytes in names were rejected before, except that they are part of the tests now.

Sound forms pass before and after: all bytes that names and values may hold, empty values, trailers, chunk extensions, interim responses, HTTP/1.0 with a length.

--- a/internal/backnd/broken_test.go
+++ b/internal/backnd/broken_test.go
@@ -111,6 +111,9 @@
 func TestBrokenRefusalIsNoPromise(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 Service Unavailable\r\nX-Not-Run: true\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nX A: b\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run : true\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: tr\r\n ue\r\n",
 	} {
 		for _, call := range callers {
 			t.Run(fmt.Sprintf("%q/%s", head, call.name), func(t *testing.T) {
@@ -121,6 +124,113 @@
 	}
 }
 
+// Guards against heads that the libraries accept although they are malformed: a field that is
+// passed on under no valid name, or framing that the client and the server read differently.
+func TestMalformedHeads(t *testing.T) {
+	type defect struct{ name, line, fields string }
+	const ok = "HTTP/1.1 200 OK"
+	defects := []defect{
+		{"blank within a name", ok, "X A: b\r\n"},
+		{"blank after a name", ok, "X-A : b\r\n"},
+		{"blank in the name of the id", ok, "X-Id : r2\r\n"},
+		{"blank after the name of the length", ok, "Content-Length : 2\r\n"},
+		{"blank after the name of the coding", ok, "Transfer-Encoding : chunked\r\n"},
+		{"no name", ok, ": b\r\n"},
+		{"no colon", ok, "X-A\r\n"},
+		{"folded with a blank", ok, "X-A: b\r\n c\r\n"},
+		{"folded with a tab", ok, "X-A: b\r\n\tc\r\n"},
+		{"folded length", ok, "X-A: b\r\n Content-Length: 2\r\n"},
+		{"bare carriage return in a value", ok, "X-A: b\rX-B: c\r\n"},
+		{"bare carriage return before the end of a line", ok, "X-A: b\r\r\n"},
+		{"bare carriage return in the status line", ok + "\rX-B: c", ""},
+		{"control byte in the status line", ok + "\x00", ""},
+		{"other protocol", "ICY 200 OK", ""},
+		{"other version", "HTTP/2.0 200 OK", ""},
+		{"lower-case protocol", "http/1.1 200 OK", ""},
+		{"no blank in the status line", "HTTP/1.1\t200 OK", ""},
+		{"empty line first", "\r\n" + ok, ""},
+	}
+	for _, c := range []byte("\x00\x01\t\x0b\x0c\x1b\x7f\x80\xff()<>@,;\\\"/[]?={}") {
+		defects = append(defects, defect{fmt.Sprintf("%q in a name", c), ok, "X" + string([]byte{c}) + "A: b\r\n"})
+	}
+	for _, c := range []byte("\x00\x01\x08\x0b\x1f\x7f") {
+		defects = append(defects, defect{fmt.Sprintf("%q in a value", c), ok, "X-A: a" + string([]byte{c}) + "b\r\n"})
+	}
+	for _, b := range bodies {
+		for _, call := range plainCalls {
+			t.Run(b.name+"/"+call.name, func(t *testing.T) {
+				for _, d := range defects {
+					t.Run(d.name, func(t *testing.T) {
+						t.Parallel()
+						whole := ok + "\r\n" + identifiers + b.fields + "\r\n" + b.content
+						for _, text := range []string{
+							d.line + "\r\n" + d.fields + identifiers + b.fields + "\r\n" + b.content,
+							d.line + "\r\n" + identifiers + b.fields + d.fields + "\r\n" + b.content,
+							strings.Replace(d.line, "200 OK", "103 Early Hints", 1) + "\r\n" + d.fields + "\r\n" + whole,
+						} {
+							checkBroken(t, call.do, text)
+						}
+					})
+				}
+				for _, fields := range []string{
+					"", "X-A:b\r\n", "X-A:   b \t \r\n", "X-A:\r\n", "X-A: \xe9\t\"a: b\"\r\n", "!#$%&'*+-.^_`|~09azAZ: b\r\n", "X-A: b\r\nX-A: c\r\n",
+				} {
+					for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 Any\r\n\r\n"} {
+						t.Run(fmt.Sprintf("sound/%q %q", interim, fields), func(t *testing.T) {
+							t.Parallel()
+							checkSound(t, call.name, call.do, b.name, interim+ok+"\r\n"+identifiers+fields+b.fields+"\r\n"+b.content, "200")
+						})
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against a body that is not the server's because the head states its end in several
+// ways, or in one that the client does not know.
+func TestAmbiguousFraming(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	for _, c := range []struct {
+		name, line, fields, body string
+		sound                    bool
+	}{
+		{"length and chunks", "HTTP/1.1 200 OK", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", chunks, false},
+		{"chunks and length", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n", chunks, false},
+		{"chunks in version 1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", chunks, false},
+		{"chunks and length in version 1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n", chunks, false},
+		{"chunks twice", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunks, false},
+		{"another coding", "HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n", chunks, false},
+		{"unknown coding", "HTTP/1.1 200 OK", "Transfer-Encoding: xchunked\r\n", chunks, false},
+		{"no coding", "HTTP/1.1 200 OK", "Transfer-Encoding:\r\nContent-Length: 5\r\n", "whole", false},
+		{"two lengths", "HTTP/1.1 200 OK", "Content-Length: 5\r\nContent-Length: 3\r\n", "whole", false},
+		{"two lengths in a line", "HTTP/1.1 200 OK", "Content-Length: 5, 3\r\n", "whole", false},
+		{"signed length", "HTTP/1.1 200 OK", "Content-Length: +5\r\n", "whole", false},
+		{"negative length", "HTTP/1.1 200 OK", "Content-Length: -5\r\n", "whole", false},
+		{"hexadecimal length", "HTTP/1.1 200 OK", "Content-Length: 0x5\r\n", "whole", false},
+		{"empty length", "HTTP/1.1 200 OK", "Content-Length:\r\n", "whole", false},
+		{"length out of range", "HTTP/1.1 200 OK", "Content-Length: 18446744073709551621\r\n", "whole", false},
+		{"interim response with a length", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 5\r\n", "whole", false},
+		{"interim response with chunks", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 5\r\n", "whole", false},
+		{"length in version 1.0", "HTTP/1.0 200 OK", "Content-Length: 5\r\n", "whole", true},
+		{"other case", "HTTP/1.1 200 OK", "transfer-encoding: Chunked\r\n", chunks, true},
+		{"chunk extension", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", "5;a=b\r\nwhole\r\n0\r\n\r\n", true},
+		{"undeclared trailer", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\nX-A: b\r\n\r\n", true},
+	} {
+		for _, call := range plainCalls {
+			t.Run(c.name+"/"+call.name, func(t *testing.T) {
+				t.Parallel()
+				text := c.line + "\r\n" + identifiers + c.fields + "\r\n" + c.body
+				if c.sound {
+					checkSound(t, call.name, call.do, c.name, text, "200")
+					return
+				}
+				checkBroken(t, call.do, text)
+			})
+		}
+	}
+}
+
 // Guards against losing a response because an interim response, or one to an earlier request,
 // comes in the same segment, and against not checking the heads of all of them.
 func TestHeadsInOneSegment(t *testing.T) {
@@ -130,7 +240,9 @@
 		sound        bool
 	}{
 		{"sound", hints + responseTo("r0", "X A: b\r\n\r\n") + hints, true},
-		{"status out of range after an earlier response", responseTo("r0", "stray") + "HTTP/1.1 000 OK\r\n\r\n", false},
+		{"malformed interim response", hints + "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n", false},
+		{"malformed earlier response", strings.Replace(responseTo("r0", "stray"), "X-Id", "X A: b\r\nX-Id", 1), false},
+		{"malformed interim response after an earlier one", responseTo("r0", "stray") + "HTTP/1.1 000 OK\r\n\r\n", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
--- a/internal/faults/response.go
+++ b/internal/faults/response.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 )
 
 // Response is a response as it is sent, and the end of its connection.
@@ -69,6 +70,8 @@
 		rest := fields + f.fields(body) + "\r\n" + f.encode(body)
 		for _, head := range []string{
 			"HTTP/1.1 000 OK\r\n", "HTTP/1.1 000\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 000 OK\r\n\r\n" + line,
+			line + "X A: b\r\n", line + "X-A : b\r\n", line + "Content-Length : 2\r\n", line + "Transfer-Encoding : chunked\r\n",
+			line + "X\x01A: b\r\n", line + "X\x00A: b\r\n", line + "X-A: b\r\n Content-Length: 2\r\n", line + "X-A: b\x01\r\n",
 		} {
 			out = append(out, Response{Name: fmt.Sprintf("%s, %q", f.name, head), Text: head + rest, Closes: f.closes})
 		}
@@ -81,5 +84,11 @@
 			}
 		}
 	}
-	return out
+	chunked := strings.Replace(line, "HTTP/1.1", "HTTP/1.0", 1) + fields + "Transfer-Encoding: chunked\r\n"
+	content := "\r\n" + encodeChunk(body) + "0\r\n\r\n"
+	return append(
+		out,
+		Response{Name: "chunks in version 1.0", Text: chunked + content, Closes: true},
+		Response{Name: "length and chunks", Text: line + fields + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + content},
+	)
 }
--- a/internal/intact/intact.go
+++ b/internal/intact/intact.go
@@ -1,5 +1,6 @@
 // Package intact keeps responses that are malformed from passing for sound ones. The HTTP parsers
-// of package net/http and of fasthttp accept statuses that are none.
+// of package net/http and of fasthttp accept statuses that are none, names of fields that contain
+// blanks, and heads that state the end of the body in two ways.
 package intact
 
 import (
@@ -41,7 +42,7 @@
 func (c *Conn) ExpectHead(buffered []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heads = scanner{}
+	c.heads = scanner{name: c.heads.name[:0]}
 	if c.broken == nil {
 		_, c.broken = c.heads.scan(buffered)
 	}
--- a/internal/intact/intact_test.go
+++ b/internal/intact/intact_test.go
@@ -151,7 +151,7 @@
 }
 
 // FuzzScanner guards against a head that is accepted although package net/http reads it as one
-// with a status that HTTP does not define.
+// with a status or the name of a field that HTTP does not allow.
 func FuzzScanner(f *testing.F) {
 	for _, r := range append(faults.SoundResponses("200 OK", "", body), faults.BrokenResponses("200 OK", "", body)...) {
 		f.Add(r.Text)
@@ -166,6 +166,11 @@
 			if err != nil {
 				return
 			}
+			for name := range resp.Header {
+				if strings.TrimFunc(name, func(c rune) bool { return c < 0x80 && isTokenByte(byte(c)) }) != "" {
+					t.Errorf("accepted the name %q in %q", name, text)
+				}
+			}
 			if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 				t.Errorf("accepted status %d in %q", resp.StatusCode, text)
 			}
