intact: Report a connection that broke while a request was written

Cause: the kernel reports a reset to one system call. If a write of the request is in progress, that write gets ECONNRESET, and a read then returns the end of the connection as after a regular close, which completes a body without a length. The error of the write was not looked at, and often it comes after the read.

Writes of package intact's connections keep the error that reported the break. A read that gets to the end of the connection asks for it, and waits for a write that is in progress, which it ends by a deadline: the server sends nothing any more, so what is left of the request is in vain. The deadline cannot hide a reset, because the write that the reset ended has left the kernel with its error. EPIPE is no break: a write gets it if the server has closed its side before, and then the body is whole. A timeout of the kernel counts like a reset.

Tests: a stand-in answers early in all framings and then resets, closes without reading, reads a part, closes only its side, or reads everything.

--- a/internal/backnd/broken_test.go
+++ b/internal/backnd/broken_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -268,3 +269,74 @@
 		})
 	}
 }
+
+// Guards against taking a part of a body for the whole because the write of a long request,
+// and not the read, has noticed that the connection was reset. If the server has closed its side
+// before, the body is whole, whatever becomes of the request.
+func TestResetDuringARequest(t *testing.T) {
+	reset := func(conn *net.TCPConn, _ *bufio.Reader) {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	for _, b := range bodies {
+		unframed := strings.HasPrefix(b.name, "end of the connection")
+		for _, end := range []struct {
+			name  string
+			do    func(conn *net.TCPConn, br *bufio.Reader)
+			whole bool
+		}{
+			{"reset", reset, !unframed},
+			{"closed without reading", func(conn *net.TCPConn, _ *bufio.Reader) { _ = conn.Close() }, !unframed},
+			{"reset after reading a part", func(conn *net.TCPConn, br *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, br, 1<<20)
+				reset(conn, br)
+			}, !unframed},
+			{"closed for writing, then reset", func(conn *net.TCPConn, br *bufio.Reader) {
+				_ = conn.CloseWrite()
+				time.Sleep(20 * time.Millisecond)
+				reset(conn, br)
+			}, true},
+			{"closed for writing", func(conn *net.TCPConn, br *bufio.Reader) {
+				_ = conn.CloseWrite()
+				_, _ = io.Copy(io.Discard, br)
+			}, true},
+			{"closed after reading", func(conn *net.TCPConn, br *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, br, longBody)
+				_ = conn.Close()
+			}, true},
+		} {
+			for _, delay := range []time.Duration{0, time.Millisecond, 60 * time.Millisecond} {
+				t.Run(fmt.Sprint(b.name, "/", end.name, "/", delay), func(t *testing.T) {
+					t.Parallel()
+					s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+						if _, err := http.ReadRequest(br); err != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+identifiers+b.fields+"\r\n"+b.content)
+						time.Sleep(5 * time.Millisecond) // the head is read before the connection ends
+						end.do(conn.(*net.TCPConn), br)
+					})
+					cl := New(Config{})
+					defer cl.Close()
+					ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+					defer cancel()
+					req := opaque("r1")
+					req.Body = make([]byte, longBody)
+					resp, err := cl.Forward(ctx, s.ln.Addr().String(), req)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer resp.Body.Close()
+					time.Sleep(delay)
+					body, err := io.ReadAll(resp.Body)
+					if end.whole && (err != nil || string(body) != "whole") || !end.whole && err == nil {
+						t.Errorf("got %q, %v, want the whole body: %v", body, err, end.whole)
+					}
+				})
+			}
+		}
+	}
+}
+
+// longBody is the length of a request that the buffers of a connection cannot hold.
+const longBody = 16 << 20
--- a/internal/intact/intact_test.go
+++ b/internal/intact/intact_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +151,70 @@
 	}
 }
 
+// endedConn is a connection of which nothing can be read any more. Writes return an error once
+// they may.
+type endedConn struct {
+	net.Conn
+	writeErr error
+	returns  chan struct{}
+}
+
+func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *endedConn) Write([]byte) (int, error) {
+	<-c.returns
+	return 0, c.writeErr
+}
+
+func (c *endedConn) SetWriteDeadline(time.Time) error {
+	close(c.returns)
+	return nil
+}
+
+// Guards against an end of the connection that looks regular because a write, which may not have
+// returned yet, has received the error that broke it.
+func TestBreakReportedToAWrite(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		writeErr error
+		broken   bool
+	}{
+		{"reset", &net.OpError{Op: "write", Err: syscall.ECONNRESET}, true},
+		{"timeout of the kernel", &net.OpError{Op: "write", Err: syscall.ETIMEDOUT}, true},
+		{"closed by the server", &net.OpError{Op: "write", Err: syscall.EPIPE}, false},
+		{"deadline", &net.OpError{Op: "write", Err: context.DeadlineExceeded}, false},
+		{"none", nil, false},
+	} {
+		for _, returned := range []bool{true, false} {
+			t.Run(fmt.Sprint(c.name, "/", returned), func(t *testing.T) {
+				inner := &endedConn{writeErr: c.writeErr, returns: make(chan struct{})}
+				conn := NewConn(inner)
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					_, _ = conn.Write([]byte("request"))
+				}()
+				if returned {
+					close(inner.returns)
+					<-written
+				} else {
+					for conn.writing.TryLock() { // until the write is in progress
+						conn.writing.Unlock()
+						time.Sleep(time.Millisecond)
+					}
+				}
+				for range 2 {
+					_, err := conn.Read(make([]byte, 1))
+					if got := !errors.Is(err, io.EOF); got != c.broken {
+						t.Errorf("got %v, want a broken connection: %v", err, c.broken)
+					}
+				}
+				<-written
+			})
+		}
+	}
+}
+
 // FuzzScanner guards against a head that is accepted although package net/http reads it as one
 // with a status or the name of a field that HTTP does not allow.
 func FuzzScanner(f *testing.F) {
--- a/internal/oprcli/oprcli_test.go
+++ b/internal/oprcli/oprcli_test.go
@@ -72,3 +72,19 @@
 		})
 	}
 }
+
+// Guards against a declaration that counts as applied because a part of the answer came before
+// the connection was reset while the declaration was being sent.
+func TestResetDuringACommand(t *testing.T) {
+	cut := faults.Response{Text: "HTTP/1.1 200 OK\r\n\r\n" + `{"command": "o.c1", "version": 6}`, Resets: true}
+	whole := faults.SoundResponses("200 OK", "", `{"command": "o.c1", "version": 7}`)[0]
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		c := New([]string{newMember(t, cut).Addr(), newMember(t, whole).Addr()}, "")
+		if got, err := c.Apply(ctx, "c1", 0, "f", make([]byte, 16<<20)); err != nil || got.Version != 7 {
+			t.Errorf("got %+v, %v", got, err)
+		}
+		c.Close()
+		cancel()
+	}
+}
--- a/pkg/caller/broken_test.go
+++ b/pkg/caller/broken_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -178,3 +179,39 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that passes for the whole because the connection was reset
+// while a long call was being sent.
+func TestResetDuringACall(t *testing.T) {
+	for range 20 {
+		e := newScriptedEntry(t, faults.Response{Text: "HTTP/1.1 200 OK\r\nX-Outcome: answer\r\n\r\npart", Resets: true})
+		ctx, c := newTestClient(t, e.Addr())
+		if got, err := c.Call(ctx, "POST", "/orders", "", make([]byte, 16<<20)); err == nil {
+			t.Errorf("got %q as the whole answer", got.Body)
+		}
+	}
+}
+
+// Guards against losing a whole answer that ends with the connection while a long call is being
+// sent.
+func TestWholeAnswerDuringACall(t *testing.T) {
+	s, err := faults.NewResponder(func(conn *net.TCPConn, r *http.Request) {
+		if r.URL.Path == "/v1/addresses" {
+			faults.SoundResponses("200 OK", "", fmt.Sprintf(`{"addresses": [{"address": %q}], "keepSeconds": 60}`, conn.LocalAddr()))[0].Send(conn)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Outcome: answer\r\n\r\nwhole")
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, r.Body) // ends when the client closes the connection
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for range 20 {
+		ctx, c := newTestClient(t, s.Addr())
+		if got, err := c.Call(ctx, "POST", "/orders", "", make([]byte, 16<<20)); err != nil || string(got.Body) != "whole" {
+			t.Errorf("got %q, %v", got.Body, err)
+		}
+	}
+}
