cloud: Refuse weights without a length

Weights that the store sent without a length and broke off by closing the connection, as a process that ends does, looked whole to their reader, against the promise that truncated weights end with an error.

Cause: only the end of the connection ends such a body, and a cut cannot be told from it. docs/contract-platform.md asks the store for a Content-Length, so weights with neither a length nor chunks are refused before a byte is read.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -217,6 +217,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		_ = resp.Body.Close()
+		return nil, 0, Error.New("weights without a length") // a cut could not be told from their end
+	}
 	return resp.Body, resp.ContentLength, nil
 }
 
