oprcli: Bound the time to connect to a member as before

Cause: a dialer of package net has no timeout of its own. It is 3 s again. By reading, without a test; the tests of packages oprcli and contrl pass.

--- a/internal/oprcli/oprcli.go
+++ b/internal/oprcli/oprcli.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -28,6 +29,8 @@
 	// attemptTimeout is the timeout of one attempt. It is longer than a control member
 	// takes to find the leader after an election.
 	attemptTimeout = 10 * time.Second
+	// dialTimeout leaves time for other members if one does not answer at all.
+	dialTimeout = 3 * time.Second
 	// retryDelay is the delay after an attempt failed at every address.
 	retryDelay = 300 * time.Millisecond
 	// requestTimeout is the longest time for one request with all its attempts.
@@ -61,7 +64,10 @@
 
 func newHTTPClient(cfg *tls.Config) *http.Client {
 	return &http.Client{
-		Transport:     intact.NewTransport(&http.Transport{TLSClientConfig: cfg, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes}),
+		Transport: intact.NewTransport(&http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, TLSClientConfig: cfg, DisableCompression: true,
+			IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }, // members never redirect
 	}
 }
