backnd: Test that a reset during a long call shows it

Handled before: Call and the calls to engines write the whole request before they read, so the error of the write ends them, and they take no body that ends with the connection.

--- a/internal/backnd/broken_test.go
+++ b/internal/backnd/broken_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cranberrypath.example/cranberrypath/internal/world"
 )
 
 // plainCalls are the calls that pass a response on as it is.
@@ -270,6 +272,9 @@
 	}
 }
 
+// longBody is the length of a request that the buffers of a connection cannot hold.
+const longBody = 16 << 20
+
 // Guards against taking a part of a body for the whole because the write of a long request,
 // and not the read, has noticed that the connection was reset. If the server has closed its side
 // before, the body is whole, whatever becomes of the request.
@@ -338,5 +343,35 @@
 	}
 }
 
-// longBody is the length of a request that the buffers of a connection cannot hold.
-const longBody = 16 << 20
+// Guards against a part of a body that passes for the whole, or for a call that was not run, if
+// the server resets the connection while it is sent a long call.
+func TestResetDuringALongCall(t *testing.T) {
+	for _, b := range bodies {
+		for _, sent := range []string{"", b.content[:1], b.content} {
+			t.Run(fmt.Sprintf("%s/%q", b.name, sent), func(t *testing.T) {
+				t.Parallel()
+				s := newConnServer(t, func(_ int, conn net.Conn, br *bufio.Reader) {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+identifiers+b.fields+"\r\n"+sent)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				})
+				cl := New(Config{})
+				defer cl.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				server := world.Backend{Address: s.ln.Addr().String()}
+				resp, err := cl.Call(ctx, server, Call{RequestID: "r1", Attempt: 1, Method: "POST", Path: "/", Body: make([]byte, longBody)})
+				var body []byte
+				if err == nil {
+					defer resp.Close()
+					body, err = io.ReadAll(resp)
+				}
+				if OutcomeOf(err) != Unknown && string(body) != "whole" {
+					t.Errorf("got %q, %v, want an unknown outcome or the whole body", body, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/intact/scanner.go
+++ b/internal/intact/scanner.go
@@ -93,7 +93,7 @@
 
 func (s *scanner) status() int {
 	n := 0
-	for _, c := range s.start[len(statusLine)-3:] {
+	for _, c := range s.start[len(version10)+1:] {
 		n = 10*n + int(c-'0')
 	}
 	return n
