coord: End the calls of a test when none is in flight

The whole script failed once in TestUnknownOutcomeIsKept/not_the_leader: "got coord: outcome unknown; link: context deadline exceeded after 29 calls, want coord: no leader can answer now".

Cause: the test ended its retries by a deadline of 1.5 s. If it passed during a call, that call may have run, and ErrUnknown is the right answer. The code is as before; the check was wrong.

Now the peer's third answer names another leader, and the context is cancelled before a connection to it is made, so no call is in flight. All three cases end this way, so an unknown outcome can only be that of the first call.

The test still fails if every remote error or every call that was not sent counts as possibly run, if unknown outcomes are not kept, and if a later answer discards them.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -511,7 +512,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			addr := freeAddress()
+			addr, nextLeader := freeAddress(), freeAddress()
 			peer, err := link.Listen(link.Config{Node: addr, Listen: addr})
 			if err != nil {
 				t.Fatal(err)
@@ -519,17 +520,34 @@
 			defer peer.Close()
 			var calls atomic.Int32
 			peer.Handle(callPropose, func(ctx context.Context, _ link.Peer, _ []byte) (proto.Message, error) {
-				if calls.Add(1) == 1 {
+				switch calls.Add(1) {
+				case 1:
 					return nil, c.first(ctx)
+				case 2:
+					return nil, &link.RemoteError{Code: codeNotLeader}
 				}
-				return nil, &link.RemoteError{Code: codeNotLeader}
+				return nil, &link.RemoteError{Code: codeNotLeader, Message: nextLeader}
 			})
-			d := &deployment{t: t, seeds: []string{addr}, links: faults.New()}
+			// Ends the retries before a connection to the next leader, when no call is in
+			// flight. A deadline may pass during a call, whose outcome is then unknown too.
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
 			inst := &instance{addr: freeAddress()}
-			d.start(inst, false)
+			d := &deployment{t: t, seeds: []string{addr}, links: faults.New()}
+			dial := d.links.Dialer(inst.addr)
+			transport, err := link.Listen(link.Config{Node: inst.addr, Listen: freeAddress(), Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				if addr == nextLeader {
+					cancel()
+					return nil, errors.New("unreachable")
+				}
+				return dial(ctx, addr)
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer transport.Close()
+			d.startWith(inst, func(cfg *Config) { cfg.Net = transport })
 			defer d.stop(inst)
-			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-			defer cancel()
 			if _, err := inst.coord.Configure(ctx, 1, nil); !errors.Is(err, c.want) || errors.Is(err, ErrUnknown) != (c.want == ErrUnknown) {
 				t.Errorf("got %v after %d calls, want %v", err, calls.Load(), c.want)
 			}
