caller: Don't send a call without a key a second time

What callers saw: a call without an idempotency key, with GET, HEAD or OPTIONS and no body, ran twice if the connection, used before, was closed or reset without a response, or if the response began with a bare line feed. The answer was that of the second run. A call that may have run is not sent again without a key.

Cause: net/http sends such requests again by itself. newRequest removes GetBody against that, which has no effect on requests without a body.

Change: these requests get a body that the transport finds empty only when it reads it, so it can't take them for repeatable. Requests on the wire are the same (TestCallsWithoutABody, also before). As with POST, a call on a reused connection that closed before anything was written is an error now.

--- a/pkg/caller/broken_test.go
+++ b/pkg/caller/broken_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -89,6 +90,63 @@
 	}
 }
 
+// Guards against a call that the transport sends a second time by itself if a connection that was
+// used before ends without a response.
+func TestNoResponseOnAReusedConnection(t *testing.T) {
+	sound := faults.SoundResponses("200 OK", "X-Outcome: answer\r\n", "whole")[0]
+	for _, r := range []faults.Response{
+		{Name: "closed", Closes: true},
+		{Name: "reset", Resets: true},
+		{Name: "line feed", Text: "\n"},
+		{Name: "line feed before a response", Text: "\n" + sound.Text},
+	} {
+		for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "POST"} {
+			for name, body := range map[string][]byte{"no body": nil, "empty body": {}, "body": []byte("body")} {
+				t.Run(fmt.Sprint(r.Name, "/", method, "/", name), func(t *testing.T) {
+					t.Parallel()
+					e := newScriptedEntry(t, r, sound)
+					ctx, c := newTestClient(t, e.Addr()) // the connection is used for the addresses first
+					var refusal *Failure
+					if got, err := c.Call(ctx, method, "/orders", "", body); err == nil || errors.As(err, &refusal) || ctx.Err() != nil {
+						t.Errorf("got %+v, %v", got, err)
+					}
+					if n := e.requests.Load(); n != 1 {
+						t.Errorf("%d requests, want 1: the call may have run", n)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against calls that get a body or a coding, which some servers reject, so that they are
+// not sent a second time.
+func TestCallsWithoutABody(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "DELETE", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			got := make(chan *http.Request, 2)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/v1/addresses" {
+					_, _ = fmt.Fprintf(w, `{"addresses": [{"address": %q}], "keepSeconds": 60}`, r.Host)
+					return
+				}
+				got <- r
+				w.Header().Set("X-Outcome", Answered)
+			}))
+			defer srv.Close()
+			ctx, c := newTestClient(t, srv.Listener.Addr().String())
+			for _, body := range [][]byte{nil, {}} {
+				if _, err := c.Call(ctx, method, "/orders", "", body); err != nil {
+					t.Fatal(err)
+				}
+				if r := <-got; r.ContentLength != 0 || r.TransferEncoding != nil {
+					t.Errorf("length %d, coding %q", r.ContentLength, r.TransferEncoding)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a call that is sent again because a malformed response says that it has not run.
 func TestBrokenRefusals(t *testing.T) {
 	const (
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -180,6 +180,20 @@
 	return req, nil
 }
 
+// preventRetry keeps the transport from sending a request without a body a second time by itself.
+// It would do so for the methods below, which HTTP calls safe, if a connection that was used before
+// ends without a response, although the service may have run the call.
+func preventRetry(req *http.Request) {
+	if req.Body != nil && req.Body != http.NoBody {
+		return // cannot be read a second time
+	}
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		// The transport does not know that this body is empty until it reads it.
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
 // decodeBody decodes a JSON body, which must be complete.
 func decodeBody(resp *http.Response, out any) error {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
@@ -271,6 +285,8 @@
 	}
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
+	} else {
+		preventRetry(req)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
