coord: Ask operators to confirm an order that may have been sent long ago

Cause: an order names the number of the last order so that late copies are void, but the instance reads that number when it handles the request. Whether the operator still waits was told only by the end of the connection, which comes after the request, and by the time since the request was read.

Change: package fresh bounds from below when a request was sent: after the response before it on its connection was written, or after the connection was accepted if the process ran all the while. If an order can be older than 0.6 s it is not carried out; its operator is redirected with the number of the last order. Evacuations the same; deregistrations are redirected with the server's incarnation, as a late one ended a server that had started again under its id.

It works because an operator that follows the redirect has received a number read while it waited; all other copies are void.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -266,27 +266,18 @@
 	return state.GetConfig().GetVersion(), nil
 }
 
-// orderTimeout bounds the time from receiving an order of a rollout to its last proposal.
-// Operators wait about a second for a response and then repeat the order elsewhere.
-const orderTimeout = time.Second
-
 // OrderRollout commits an order to move a service to a version. The order names the service's
 // last order, so that a copy of it that is held up on its way has no effect after a later order.
-// abandoned reports whether the operator has given up the call.
-func (c *Coord) OrderRollout(ctx context.Context, r Rollout, abandoned func() bool) error {
+// The error is an *UnconfirmedError if the order may be such a copy itself.
+func (c *Coord) OrderRollout(ctx context.Context, r Rollout, o Origin) error {
 	r.Serial, r.Phase = 0, Running
 	received := c.leaseTime(c.cfg.Clock())
 	for {
-		last, err := c.lastOrder(ctx, r.Service)
+		after, err := c.orderAfter(ctx, o, received, func() (uint64, error) { return c.lastOrder(ctx, r.Service) })
 		if err != nil {
 			return err
 		}
-		// The operator may have given up the call before the instance received it, or while
-		// the instance was frozen, and may have given orders since that last includes.
-		if ctx.Err() != nil || abandoned() || c.leaseTime(c.cfg.Clock()).Sub(received) > orderTimeout {
-			return errors.Join(ErrUnavailable, ctx.Err())
-		}
-		state, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto(), AfterSerial: &last})
+		state, err := c.propose(ctx, &coordpb.Command{Rollout: r.proto(), AfterSerial: &after})
 		if err != nil {
 			return err
 		}
@@ -295,8 +286,11 @@
 			return nil
 		}
 		c.cfg.Log.WithFields(log.Fields{
-			"event": "rollout.overtaken", "service": r.Service, "target": r.Target, "after": last,
-		}).Info("another order was accepted first; the order is proposed again")
+			"event": "rollout.overtaken", "service": r.Service, "target": r.Target, "after": after,
+		}).Info("another order was accepted first")
+		if o.Confirmed {
+			return errors.Join(ErrUnavailable, Error.New("another order of service %s was accepted after the one numbered %d", r.Service, after))
+		}
 	}
 }
 
--- a/internal/coord/disks_test.go
+++ b/internal/coord/disks_test.go
@@ -123,7 +123,7 @@
 			return nil
 		})
 		within(t, ackTime, "an order at "+inst.addr, func(ctx context.Context) error {
-			return inst.coord.OrderRollout(ctx, orderOf("v"+inst.addr, time.Now()), waits)
+			return inst.coord.OrderRollout(ctx, orderOf("v"+inst.addr, time.Now()), waits())
 		})
 		within(t, ackTime, "a departure at "+inst.addr, func(ctx context.Context) error {
 			return inst.coord.RecordDeparture(ctx, roster.Server{ID: "e" + inst.addr, Incarnation: 1, Service: "s", Address: "10.0.0.1:1", State: world.Leaving})
--- a/internal/coord/evacuations.go
+++ b/internal/coord/evacuations.go
@@ -130,35 +130,37 @@
 
 // OrderEvacuation commits an order to evacuate a data centre, or with active false to revoke
 // that. It returns nil once the order, or an equal one given at the same time, is durable.
-// abandoned reports whether the operator has given up the call.
-func (c *Coord) OrderEvacuation(ctx context.Context, dataCentre string, active bool, abandoned func() bool) error {
+// The error is an *UnconfirmedError if the order may be a late copy; see OrderRollout.
+func (c *Coord) OrderEvacuation(ctx context.Context, dataCentre string, active bool, o Origin) error {
 	received := c.leaseTime(c.cfg.Clock())
 	for {
-		last, err := c.lastEvacuation(ctx, dataCentre)
+		after, err := c.orderAfter(ctx, o, received, func() (uint64, error) {
+			last, err := c.lastEvacuation(ctx, dataCentre)
+			return last.Serial, err
+		})
 		if err != nil {
 			return err
 		}
-		// The operator may have given orders elsewhere that last includes; see OrderRollout.
-		if ctx.Err() != nil || abandoned() || c.leaseTime(c.cfg.Clock()).Sub(received) > orderTimeout {
-			return errors.Join(ErrUnavailable, ctx.Err())
-		}
 		state, err := c.propose(ctx, &coordpb.Command{
-			Evacuation: &coordpb.Evacuation{DataCentre: dataCentre, Active: active}, AfterSerial: &last.Serial,
+			Evacuation: &coordpb.Evacuation{DataCentre: dataCentre, Active: active}, AfterSerial: &after,
 		})
 		if err != nil {
 			return err
 		}
 		held := evacuationsFromProto(state.GetEvacuations())
-		if len(held) != 1 || held[0].Serial <= last.Serial {
+		if len(held) != 1 || held[0].Serial <= after {
 			return errors.Join(ErrUnavailable, Error.New("the leader does not know evacuations"))
 		}
-		if held[0].acceptedAfter(active, last.Serial) {
+		if held[0].acceptedAfter(active, after) {
 			c.SyncSoon()
 			return nil
 		}
 		c.cfg.Log.WithFields(log.Fields{
-			"event": "evacuation.overtaken", "dataCentre": dataCentre, "active": active, "after": last.Serial,
-		}).Info("another order was accepted first; the order is proposed again")
+			"event": "evacuation.overtaken", "dataCentre": dataCentre, "active": active, "after": after,
+		}).Info("another order was accepted first")
+		if o.Confirmed {
+			return errors.Join(ErrUnavailable, Error.New("another order for data centre %s was accepted after the one numbered %d", dataCentre, after))
+		}
 	}
 }
 
--- a/internal/coord/evacuations_test.go
+++ b/internal/coord/evacuations_test.go
@@ -326,7 +326,7 @@
 func (d *deployment) evacuate(inst *instance, dataCentre string, active bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return inst.coord.OrderEvacuation(ctx, dataCentre, active, waits)
+	return inst.coord.OrderEvacuation(ctx, dataCentre, active, waits())
 }
 
 // evacuated reports whether an instance sends nothing to the servers of a data centre.
@@ -554,7 +554,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		result <- inst.coord.OrderEvacuation(ctx, "a", true, waits)
+		result <- inst.coord.OrderEvacuation(ctx, "a", true, waits())
 	}()
 	time.Sleep(200 * time.Millisecond) // the instance asks for the last order
 	inst.suspended.Store(int64(2 * orderTimeout))
@@ -563,7 +563,7 @@
 		t.Errorf("the order returned %v, want %v", err, ErrUnavailable)
 	}
 	eventually(t, "another order is acknowledged", func() bool { return d.evacuate(d.instances[0], "b", true) == nil })
-	err := d.instances[0].coord.OrderEvacuation(context.Background(), "a", true, func() bool { return true })
+	err := d.instances[0].coord.OrderEvacuation(context.Background(), "a", true, Origin{SentAfter: time.Now(), Abandoned: func() bool { return true }})
 	if !errors.Is(err, ErrUnavailable) {
 		t.Errorf("the order of an operator who has left returned %v, want %v", err, ErrUnavailable)
 	}
--- a/internal/coord/orders_test.go
+++ b/internal/coord/orders_test.go
@@ -18,13 +18,14 @@
 	return Rollout{Service: "s", Target: target, Phase: Running, Started: at, ShareAt: at, Duration: time.Minute}
 }
 
-func waits() bool { return false }
+// waits is the origin of an order whose operator has just sent it and waits for the response.
+func waits() Origin { return Origin{SentAfter: time.Now(), Abandoned: func() bool { return false }} }
 
 // order gives an order through an instance, as an operator does that waits for a second.
 func (d *deployment) order(inst *instance, target string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return inst.coord.OrderRollout(ctx, orderOf(target, time.Now()), waits)
+	return inst.coord.OrderRollout(ctx, orderOf(target, time.Now()), waits())
 }
 
 // cutOff cuts an instance off from all others, or ends the partition.
@@ -148,7 +149,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		result <- inst.coord.OrderRollout(ctx, orderOf("v2", time.Now()), waits)
+		result <- inst.coord.OrderRollout(ctx, orderOf("v2", time.Now()), waits())
 	}()
 	time.Sleep(200 * time.Millisecond) // the instance asks for the last order
 	inst.suspended.Store(int64(2 * orderTimeout))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -275,10 +275,14 @@
 	return e.coord.RecordDeparture(ctx, s)
 }
 
-// Leave deregisters a backend server that stops. It returns once that is durable.
-func (e *Edge) Leave(ctx context.Context, id string) error {
+// Leave deregisters a backend server that stops: its incarnation, or all that have started if
+// that is 0. It returns once that is durable.
+func (e *Edge) Leave(ctx context.Context, id string, incarnation int64) error {
 	now := e.cfg.Clock()
-	s := e.roster.Leave(id, now)
+	s, ok := e.roster.Leave(id, incarnation, now)
+	if !ok {
+		return nil // a later incarnation has started, so this one has ended
+	}
 	e.mu.Lock()
 	e.outbox.add(s)
 	e.mu.Unlock()
@@ -287,6 +291,9 @@
 	return e.coord.RecordDeparture(ctx, s)
 }
 
+// Incarnation returns the last known incarnation of a backend server, for Leave.
+func (e *Edge) Incarnation(id string) int64 { return e.roster.Incarnation(id, e.cfg.Clock()) }
+
 // markLeaving records that a backend server has said in its response to a request sent at the
 // given time that it leaves, and reports it to the other instances.
 func (e *Edge) markLeaving(s roster.Server, sent time.Time) {
@@ -383,11 +390,10 @@
 }
 
 // OrderRollout records an order to move a service to the target version within duration.
-// abandoned reports whether the operator has given up the call.
-func (e *Edge) OrderRollout(ctx context.Context, service, target string, duration time.Duration, abandoned func() bool) error {
+func (e *Edge) OrderRollout(ctx context.Context, service, target string, duration time.Duration, o coord.Origin) error {
 	return e.coord.OrderRollout(ctx, coord.Rollout{
 		Service: service, Target: target, Started: e.cfg.Clock(), ShareAt: e.cfg.Clock(), Duration: duration, Reason: "ordered",
-	}, abandoned)
+	}, o)
 }
 
 // IsInstanceAddress reports whether an instance accepts callers, operators or peers on an
--- a/internal/edge/evacuations.go
+++ b/internal/edge/evacuations.go
@@ -13,10 +13,9 @@
 
 // OrderEvacuation records an order that the backend servers of a data centre get no new
 // requests, or with active false that they do again. It returns nil once that is durable.
-// abandoned reports whether the operator has given up the call.
-func (e *Edge) OrderEvacuation(ctx context.Context, dataCentre string, active bool, abandoned func() bool) error {
+func (e *Edge) OrderEvacuation(ctx context.Context, dataCentre string, active bool, o coord.Origin) error {
 	received := e.cfg.Clock()
-	err := e.coord.OrderEvacuation(ctx, dataCentre, active, abandoned)
+	err := e.coord.OrderEvacuation(ctx, dataCentre, active, o)
 	l := e.cfg.Log.WithFields(log.Fields{
 		"event": "evacuation.ordered", "dataCentre": dataCentre, "active": active, "tookMs": e.cfg.Clock().Sub(received).Milliseconds(),
 	})
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -20,7 +20,7 @@
 
 // At returns the input of a connection. Another goroutine may be reading from it.
 func At(nc net.Conn) Input {
-	if w, ok := nc.(interface{ NetConn() net.Conn }); ok {
+	for w, ok := nc.(interface{ NetConn() net.Conn }); ok; w, ok = nc.(interface{ NetConn() net.Conn }) {
 		nc = w.NetConn()
 	}
 	sc, ok := nc.(syscall.Conn)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -288,23 +288,45 @@
 // the server announces its end.
 const maxClockSkew = time.Second
 
-// Leave records that a server announced its end. The announcement names no incarnation
-// and therefore ends all incarnations started by now: an announcement of the server
-// received a moment ago by another instance must not revive the server here.
-func (r *Roster) Leave(id string, now time.Time) Server {
+// Leave records that a server announced its end, and reports whether it had not known of that. An
+// announcement that names no incarnation (0) ends all that were started by now: an announcement of
+// the server received a moment ago by another instance must not revive the server here. One that
+// names an incarnation says nothing of later ones.
+func (r *Roster) Leave(id string, incarnation int64, now time.Time) (Server, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.servers[id]
-	if e == nil {
+	switch {
+	case e == nil:
 		e = &entry{server: Server{ID: id}}
 		r.servers[id] = e
+	case incarnation > 0 && e.server.Incarnation > incarnation:
+		return e.server, false
 	}
 	if !e.server.announcedEnd() {
 		r.lastChange++
 		e.server.State, e.server.Expired, e.lastAnnouncedAt, e.changeNumber = world.Gone, false, now, r.lastChange
-		e.server.Incarnation = max(e.server.Incarnation, now.Add(maxClockSkew).UnixMilli())
+		if incarnation > 0 {
+			e.server.Incarnation = incarnation
+		} else {
+			e.server.Incarnation = max(e.server.Incarnation, startedBy(now))
+		}
+	}
+	return e.server, true
+}
+
+// startedBy returns the incarnation number of a server that starts at a time, by its own clock.
+func startedBy(t time.Time) int64 { return t.Add(maxClockSkew).UnixMilli() }
+
+// Incarnation returns the number of a server's last known incarnation, or that of one that starts
+// now if none is known.
+func (r *Roster) Incarnation(id string, now time.Time) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.servers[id]; e != nil && e.server.Incarnation > 0 {
+		return e.server.Incarnation
 	}
-	return e.server
+	return startedBy(now)
 }
 
 // RefreshAll treats all servers as announced at now, after a time in which
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -134,7 +134,8 @@
 		for _, s := range c.earlier {
 			r.Put(s, now)
 		}
-		replica.Put(r.Leave("a", now), now)
+		left, _ := r.Leave("a", 0, now)
+		replica.Put(left, now)
 		for _, roster := range []*Roster{r, replica} {
 			roster.Put(c.late, now)
 			if got := len(roster.Usable()); got != c.want {
