coord: Tell the leader to instances that know only each other

Cause: the settings file was read only at a signal; only the leader told others who leads, and only the seeds of its own file; instances that are cut off asked only members and seeds. Nobody looked for instances that had reported before.

Change: each instance in contact with the leader tells it to seeds and earlier instances that do not report, ever more rarely, and at a rate that does not grow with the deployment. Instances that search also ask the others that they knew, and log that they search.

It works because contact is restored by those who have it.

--- a/internal/coord/aggregator.go
+++ b/internal/coord/aggregator.go
@@ -52,7 +52,6 @@
 	useRelays      bool
 	relays         []Instance // live instances that may serve as relays
 	lastTick       time.Time
-	greetedAt      map[string]time.Time
 	versionResults [][]byte // encoded results not yet taken by the rollout controller
 }
 
@@ -109,7 +108,7 @@
 func newAggregator(self string, f *feed, term uint64, counted []*coordpb.Counted, now time.Time) *aggregator {
 	agg := &aggregator{
 		self: self, term: term, electedAt: now, feed: f, ledger: quota.NewLedger(),
-		processes: map[processKey]*processState{}, loads: loadSums{}, admission: admit.NewLedger(now), lastTick: now, greetedAt: map[string]time.Time{},
+		processes: map[processKey]*processState{}, loads: loadSums{}, admission: admit.NewLedger(now), lastTick: now,
 	}
 	for _, inst := range f.listed() {
 		agg.processes[keyOf(inst)] = &processState{instance: inst, lastReport: now.Add(relayGrace)}
@@ -273,23 +272,6 @@
 	return ""
 }
 
-// greetInterval is the interval at which a seed that does not report is told the leader.
-const greetInterval = time.Second
-
-// shouldGreet reports whether a seed should be told the leader now.
-func (a *aggregator) shouldGreet(id string, now time.Time) bool {
-	if a.feed.isListed(id) {
-		return false
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if now.Sub(a.greetedAt[id]) < greetInterval {
-		return false
-	}
-	a.greetedAt[id] = now
-	return true
-}
-
 // applyReport applies the report of an instance, and with the report of a relay the
 // changes of the instances behind it.
 func (a *aggregator) applyReport(req *coordpb.Sync, now time.Time) {
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -128,9 +128,10 @@
 
 	mu                sync.Mutex
 	choice            relayChoice
-	instances         map[string]Instance // that report, by ID
-	serverIDs         map[uint32]string   // by the number in the feed of the last reply
-	windowsSent       map[int64]float64   // sum of the counts last confirmed, by window
+	instances         map[string]Instance // that report, by ID; replaced on each change
+	absent            *absentees
+	serverIDs         map[uint32]string // by the number in the feed of the last reply
+	windowsSent       map[int64]float64 // sum of the counts last confirmed, by window
 	windowsSentAt     time.Time
 	member            *member     // nil without a disk or while the log is not open
 	aggregator        *aggregator // of the term led by this instance, or nil
@@ -166,7 +167,7 @@
 	}
 	c := &Coord{
 		cfg: cfg, ctx: ctx, cancel: cancel, syncRequests: make(chan chan error, 16), feed: newFeed(cfg.Self), relay: newRelay(),
-		instances: map[string]Instance{}, serverIDs: map[uint32]string{}, windowsSent: map[int64]float64{},
+		instances: map[string]Instance{}, absent: newAbsentees(), serverIDs: map[uint32]string{}, windowsSent: map[int64]float64{},
 	}
 	c.links = raft.NewLinkTransport(cfg.Net, func(id string) string { return id })
 	cfg.Net.Handle(callSync, c.handleSync)
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -18,6 +20,13 @@
 	"cranberrypath.example/cranberrypath/internal/raft"
 )
 
+const (
+	// maxSearched bounds the instances beside members and seeds that are asked for the leader.
+	maxSearched = 32
+	// minLoggedFailures is the number of failed reports from which on they are logged.
+	minLoggedFailures = 16
+)
+
 // SyncNow sends a report at once and returns once the leader has answered it.
 func (c *Coord) SyncNow(ctx context.Context) error {
 	done := make(chan error, 1)
@@ -97,6 +106,7 @@
 		}
 		if err != nil {
 			failures++
+			c.logSearch(failures, err)
 			t.Reset(searchInterval(failures, c.instanceCount(), rand.Float64()))
 			continue
 		}
@@ -119,6 +129,17 @@
 	return time.Duration((0.5 + random) * float64(d))
 }
 
+// logSearch logs that this instance has found no leader for a while, ever more rarely.
+func (c *Coord) logSearch(failures int, err error) {
+	if failures < minLoggedFailures || failures&(failures-1) != 0 {
+		return
+	}
+	c.mu.Lock()
+	fields := log.Fields{"event": "leader.searching", "failures": failures, "seeds": c.cfg.Seeds(), "members": c.members, "instances": len(c.instances)}
+	c.mu.Unlock()
+	c.cfg.Log.WithError(err).WithFields(fields).Warn("no leader was found so far")
+}
+
 func (c *Coord) reportInterval() time.Duration {
 	if c.relay.hasChildren() {
 		return relayInterval
@@ -137,12 +158,7 @@
 	now := c.cfg.Clock()
 	c.updateLeadership(now)
 	c.mu.Lock()
-	seen, agg := c.seen, c.aggregator
-	c.mu.Unlock()
-	if agg != nil {
-		c.greetSeeds(agg, now)
-	}
-	c.mu.Lock()
+	seen := c.seen
 	direct := c.choice.target(c.cfg.Self, now) == ""
 	c.mu.Unlock()
 	// A relay has the servers from the leader, and a new leader has them as a relay.
@@ -160,6 +176,7 @@
 		return err
 	}
 	c.applyReply(reply, req, sentAt, confirmedAt, now)
+	c.greetAbsent(now)
 	c.relay.finish(children, reply.Epoch, nil)
 	c.confirmWindows(windows, reply, seen, now)
 	c.crashesSent = lastCrash
@@ -354,7 +371,7 @@
 	v.Evacuations = c.evacuations
 	v.Loads = c.loadsFromReply(reply, req.Feed, now)
 	if reply.NodesChanged {
-		v.Instances = c.instancesFromReply(reply)
+		v.Instances = c.instancesFromReply(reply, now)
 	}
 	c.choice.enabled, c.choice.refusals = reply.UseRelays, 0
 	if reply.UseRelays {
@@ -391,9 +408,11 @@
 
 // instancesFromReply applies the changes of the list of instances and returns the list.
 // mu must be held.
-func (c *Coord) instancesFromReply(reply *coordpb.SyncReply) []Instance {
-	if reply.NodesAll {
-		c.instances = make(map[string]Instance, len(reply.Nodes))
+func (c *Coord) instancesFromReply(reply *coordpb.SyncReply, now time.Time) []Instance {
+	before := c.instances
+	c.instances = make(map[string]Instance, max(len(reply.Nodes), len(before)))
+	if !reply.NodesAll {
+		maps.Copy(c.instances, before)
 	}
 	for _, n := range reply.Nodes {
 		if n.Gone {
@@ -402,6 +421,11 @@
 		}
 		c.instances[n.Id] = instanceFromProto(n)
 	}
+	for id := range before {
+		if _, ok := c.instances[id]; !ok {
+			c.absent.add(now, id)
+		}
+	}
 	out := make([]Instance, 0, len(c.instances))
 	c.choice.relays = nil
 	for _, inst := range c.instances {
@@ -581,44 +605,8 @@
 	agg.configure(version, rules, lastLevels, now)
 }
 
-// greetSeeds announces this leader to the seeds that do not report to it. New instances
-// know only the seeds, and a seed need not be a member.
-func (c *Coord) greetSeeds(agg *aggregator, now time.Time) {
-	for _, id := range c.cfg.Seeds() {
-		if id == c.cfg.Self.ID || !agg.shouldGreet(id, now) {
-			continue
-		}
-		c.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(c.ctx, syncTimeout)
-			defer cancel()
-			req := &coordpb.Ask{Id: c.cfg.Self.ID}
-			if err := c.cfg.Net.Call(ctx, id, callGreet, req, &coordpb.Answer{}); err != nil {
-				c.cfg.Log.WithError(err).WithField("event", "seed.unreachable").WithField("seed", id).Debug("a seed did not answer the leader announcement")
-			}
-		})
-	}
-}
-
-// handleGreet accepts the announcement of a leader, unless a leader is already known.
-func (c *Coord) handleGreet(_ context.Context, from link.Peer, body []byte) (proto.Message, error) {
-	var req coordpb.Ask
-	if err := proto.Unmarshal(body, &req); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if req.Id != from.Node {
-		return nil, Error.New("%q greets as %q", from.Node, req.Id)
-	}
-	c.mu.Lock()
-	if c.leader == "" {
-		c.leader = req.Id
-	}
-	c.mu.Unlock()
-	c.SyncSoon()
-	return &coordpb.Answer{}, nil
-}
-
 // leaderOrPeer returns the last known leader. If there is none, it returns "" or, with
-// search, a different member or seed on each call, which may know the leader.
+// search, a different member, seed or other instance on each call, which may know the leader.
 func (c *Coord) leaderOrPeer(search bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -629,7 +617,9 @@
 		return c.leader
 	}
 	var peers []string
-	for _, id := range slices.Concat(c.members, c.cfg.Seeds()) {
+	// While this instance was cut off, all members and seeds that it knows may have been replaced.
+	known := slices.Sorted(maps.Keys(c.instances))
+	for _, id := range slices.Concat(c.members, c.cfg.Seeds(), known[:min(len(known), maxSearched)]) {
 		if id != c.cfg.Self.ID && !slices.Contains(peers, id) {
 			peers = append(peers, id)
 		}
