coord: Record which versions are in force when a rollout is ordered

Cause: nothing in the state said which version is in force. All versions but the target and those on the lists of bad ones counted as accepted, so none was left when the target itself was in force.

Change: an order records the versions in force, from the order before it or, for a service's first order, from the servers that the leader knows. If the target is one of them, its servers keep all requests, nothing is judged, a roll-back excludes nobody, and the rollout is done once no request runs at other versions. Servers of replaced versions no longer count as capacity of the versions in force.

It works because the servers that serve before the order are in the durable state and serve after it.

--- /dev/null
+++ b/internal/coord/accepted.go
@@ -0,0 +1,61 @@
+package coord
+
+import (
+	"slices"
+
+	"cranberrypath.example/cranberrypath/internal/coord/coordpb"
+)
+
+// acceptedVersions returns the versions of a service that are in force when its next order is
+// given, for a target: those that serve all requests which no running rollout sends elsewhere.
+// last is the order before, which may be empty, and present are the versions of the service's
+// servers that the leader knows.
+//
+// An order that is done leaves its target. Versions that no order has named were there before, or
+// replaced those that were. The target of a first order counts among them only if there is no
+// other version: its servers may be faster than its order.
+func acceptedVersions(last *coordpb.Rollout, target string, present []string) []string {
+	before := last.Accepted
+	if Phase(last.State) == Done {
+		before = []string{last.Target}
+	}
+	running := slices.DeleteFunc(slices.Clone(before), func(v string) bool { return !slices.Contains(present, v) })
+	if len(running) > 0 {
+		return running
+	}
+	named := slices.Concat(last.RolledBack, last.Superseded)
+	if last.Serial > 0 && !last.InForce {
+		named = append(named, last.Target)
+	}
+	others := slices.DeleteFunc(slices.Clone(present), func(v string) bool { return v == target || slices.Contains(named, v) })
+	switch {
+	case len(others) > 0:
+		return others
+	case slices.Contains(present, target) && !slices.Contains(named, target):
+		return []string{target}
+	}
+	return before
+}
+
+// addPresentVersions adds to an order the versions of the service's servers, which only the
+// leader knows. It returns an error while this leader may not have heard of all of them yet.
+func (c *Coord) addPresentVersions(cmd *coordpb.Command) error {
+	r := cmd.Rollout
+	cmd.PresentVersions = nil
+	for _, s := range c.feed.roster.Present() {
+		if s.Service == r.Service && !slices.Contains(cmd.PresentVersions, s.Version) {
+			cmd.PresentVersions = append(cmd.PresentVersions, s.Version)
+		}
+	}
+	slices.Sort(cmd.PresentVersions)
+	if slices.ContainsFunc(cmd.PresentVersions, func(v string) bool { return v != r.Target }) {
+		return nil
+	}
+	c.mu.Lock()
+	agg := c.aggregator
+	c.mu.Unlock()
+	if agg == nil || c.cfg.Clock().Sub(agg.electedAt) < 2*c.cfg.Heartbeat {
+		return Error.New("the leader does not know the servers of service %s yet", r.Service)
+	}
+	return nil
+}
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -414,6 +414,11 @@
 		}
 		cmd.EvacuationsBefore = before
 	}
+	if cmd.Rollout != nil && cmd.Rollout.Serial == 0 {
+		if err := c.addPresentVersions(cmd); err != nil {
+			return err
+		}
+	}
 	return c.commit(ctx, m, cmd, out)
 }
 
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -442,12 +442,12 @@
 		t.Errorf("usage %v, want the first counts", got)
 	}
 	order := Rollout{Service: "s", Target: "v2", Phase: Running, Duration: time.Second}
-	first := s.applyRollout(order.proto(), nil)
-	if again := s.applyRollout(order.proto(), nil); again.Serial != first.Serial {
+	first := s.applyRollout(order.proto(), nil, nil)
+	if again := s.applyRollout(order.proto(), nil, nil); again.Serial != first.Serial {
 		t.Error("a repeated order started a second rollout")
 	}
-	s.applyRollout(rolloutFromProto(first).WithPhase(RolledBack, "bad").proto(), nil)
-	s.applyRollout(rolloutFromProto(first).WithPhase(Done, "late").proto(), nil)
+	s.applyRollout(rolloutFromProto(first).WithPhase(RolledBack, "bad").proto(), nil, nil)
+	s.applyRollout(rolloutFromProto(first).WithPhase(Done, "late").proto(), nil, nil)
 	if got := s.rollouts()[0].Phase; got != RolledBack {
 		t.Errorf("phase %d after a late change, want %d", got, RolledBack)
 	}
@@ -488,10 +488,10 @@
 		{"another target", Rollout{Started: start.Add(4 * time.Second), Duration: time.Minute, Target: "v3"}, Running},
 	} {
 		s := newStateMachine(ignoreDepartures)
-		first := s.applyRollout(Rollout{Service: "s", Target: "v2", Phase: Running, Started: start, Duration: time.Minute}.proto(), nil)
-		s.applyRollout(rolloutFromProto(first).WithPhase(RolledBack, "bad").proto(), nil)
+		first := s.applyRollout(Rollout{Service: "s", Target: "v2", Phase: Running, Started: start, Duration: time.Minute}.proto(), nil, nil)
+		s.applyRollout(rolloutFromProto(first).WithPhase(RolledBack, "bad").proto(), nil, nil)
 		c.again.Service, c.again.Phase = "s", Running
-		s.applyRollout(c.again.proto(), nil)
+		s.applyRollout(c.again.proto(), nil, nil)
 		if got := s.rollouts()[0].Phase; got != c.want {
 			t.Errorf("%s: phase %d, want %d", c.name, got, c.want)
 		}
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -40,13 +40,22 @@
 	// RolledBack and Superseded are the versions of earlier orders that no later one has named
 	// and that were rolled back, or whose rollout another order replaced while it was running.
 	RolledBack, Superseded []string
+	// Accepted are the versions that were in force when the order was given; empty if they are not
+	// known. InForce means that the target is one of them: it needs no evidence, and its servers
+	// never cease to serve because of this order.
+	Accepted []string
+	InForce  bool
 }
 
 // WasRolledBack reports whether a version was rolled back and not ordered again since.
 func (r Rollout) WasRolledBack(version string) bool {
-	return r.Phase == RolledBack && version == r.Target || slices.Contains(r.RolledBack, version)
+	return r.Phase == RolledBack && version == r.Target && !r.InForce || slices.Contains(r.RolledBack, version)
 }
 
+// Judges reports whether the rollout is running and its target is compared with the versions in
+// force, so that it gets only a share of the requests.
+func (r Rollout) Judges() bool { return r.Phase == Running && !r.InForce }
+
 // WasSuperseded reports whether another order replaced the rollout of a version while it was
 // running, and the version was not ordered again since.
 func (r Rollout) WasSuperseded(version string) bool { return slices.Contains(r.Superseded, version) }
@@ -71,7 +80,7 @@
 		Service: p.Service, Target: p.Target, Started: time.UnixMilli(p.StartedMs),
 		Duration: time.Duration(p.DurationMs) * time.Millisecond,
 		Phase:    Phase(p.State), Share: p.Share, ShareAt: time.UnixMilli(p.ShareAtMs), Reason: p.Reason,
-		Serial: p.Serial, Revision: p.Revision, RolledBack: p.RolledBack, Superseded: p.Superseded,
+		Serial: p.Serial, Revision: p.Revision, RolledBack: p.RolledBack, Superseded: p.Superseded, Accepted: p.Accepted, InForce: p.InForce,
 	}
 }
 
@@ -79,7 +88,7 @@
 	return &coordpb.Rollout{
 		Service: r.Service, Target: r.Target, StartedMs: r.Started.UnixMilli(), DurationMs: r.Duration.Milliseconds(),
 		State: uint32(r.Phase), Share: r.Share, ShareAtMs: r.ShareAt.UnixMilli(), Reason: r.Reason,
-		Serial: r.Serial, Revision: r.Revision, RolledBack: r.RolledBack, Superseded: r.Superseded,
+		Serial: r.Serial, Revision: r.Revision, RolledBack: r.RolledBack, Superseded: r.Superseded, Accepted: r.Accepted, InForce: r.InForce,
 	}
 }
 
@@ -126,7 +135,7 @@
 		}
 		out.Config = &coordpb.Configure{Version: m.state.Config.Version}
 	case c.Rollout != nil:
-		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout, c.AfterSerial)}
+		out.Rollouts = []*coordpb.Rollout{m.applyRollout(c.Rollout, c.AfterSerial, c.PresentVersions)}
 	case c.Usage != nil:
 		out.Usage = []*coordpb.Window{m.applyUsage(c.Usage)}
 	case c.Departure.GetServer() != nil:
@@ -153,11 +162,11 @@
 }
 
 // applyRollout records a new order (serial 0) or a change to an order, and returns the
-// service's rollout that is in force then.
-func (m *stateMachine) applyRollout(r *coordpb.Rollout, after *uint64) *coordpb.Rollout {
+// service's rollout that holds then. present are the versions of the service's servers.
+func (m *stateMachine) applyRollout(r *coordpb.Rollout, after *uint64, present []string) *coordpb.Rollout {
 	i := slices.IndexFunc(m.state.Rollouts, func(o *coordpb.Rollout) bool { return o.Service == r.Service })
 	if r.Serial == 0 {
-		return m.applyOrder(r, after, i)
+		return m.applyOrder(r, after, present, i)
 	}
 	if i < 0 {
 		return nil
@@ -169,7 +178,8 @@
 	if r.Revision > 0 {
 		r.Revision++
 	}
-	r.RolledBack, r.Superseded = o.RolledBack, o.Superseded // earlier program versions leave them out
+	// Earlier program versions leave these out.
+	r.RolledBack, r.Superseded, r.Accepted, r.InForce = o.RolledBack, o.Superseded, o.Accepted, o.InForce
 	m.state.Rollouts[i] = r
 	return r
 }
@@ -177,7 +187,7 @@
 // applyOrder records a new order of the service whose rollout has index i, or -1. An order that
 // repeats the last one has no effect, nor has one that was given before the last one: a copy of
 // an order can be held up by a partition while the operator gives others through other instances.
-func (m *stateMachine) applyOrder(r *coordpb.Rollout, after *uint64, i int) *coordpb.Rollout {
+func (m *stateMachine) applyOrder(r *coordpb.Rollout, after *uint64, present []string, i int) *coordpb.Rollout {
 	last := &coordpb.Rollout{}
 	if i >= 0 {
 		last = m.state.Rollouts[i]
@@ -189,8 +199,12 @@
 		return last
 	}
 	r.RolledBack, r.Superseded = withoutVersion(last.RolledBack, r.Target), withoutVersion(last.Superseded, r.Target)
+	r.Accepted = acceptedVersions(last, r.Target, present)
+	if r.InForce = slices.Contains(r.Accepted, r.Target); r.InForce {
+		r.Share = 1 // its servers get all requests, at once
+	}
 	switch {
-	case last.Target == r.Target:
+	case last.Target == r.Target, last.InForce:
 	case Phase(last.State) == RolledBack:
 		r.RolledBack = addVersion(r.RolledBack, last.Target)
 	case Phase(last.State) == Running:
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -29,6 +29,9 @@
 	// endMargin is the time between the end of a rollout and its deadline, by which
 	// the outcome must be durable and visible to the operator.
 	endMargin = 500 * time.Millisecond
+	// inForceHold is how long the rollout of a version that is in force already runs at least, or
+	// half of its time: servers that its order starts take a few seconds.
+	inForceHold = 5 * time.Second
 )
 
 // rolloutController decides the steps of rollouts while this instance is the leader.
@@ -78,6 +81,7 @@
 		rc.term, rc.judges = leadership.Term, map[uint64]*judge.Judge{}
 	}
 	byMove := map[string]coord.Rollout{}
+	var steps []moves.Step
 	v := moves.View{
 		Verdicts: map[string]judge.Verdict{}, New: map[string]moves.Capacity{}, Old: map[string]moves.Capacity{},
 		Demand: map[string]float64{},
@@ -89,6 +93,12 @@
 		}
 		m := moveOf(r)
 		byMove[m.ID] = r
+		if r.InForce {
+			if s, ok := rc.stepInForce(m, r, now); ok {
+				steps = append(steps, s)
+			}
+			continue
+		}
 		v.Moves = append(v.Moves, m)
 		rc.addCapacity(&v, m, r)
 		j := rc.judges[r.Serial]
@@ -102,7 +112,7 @@
 	for _, m := range v.Moves {
 		v.Verdicts[m.ID] = rc.judges[byMove[m.ID].Serial].Verdict(now)
 	}
-	for _, s := range rc.plan.Next(now, v) {
+	for _, s := range append(steps, rc.plan.Next(now, v)...) {
 		rc.applyStep(ctx, byMove[s.Move], s, now)
 	}
 }
@@ -115,13 +125,39 @@
 	}
 }
 
+// stepInForce ends the rollout of a version that was in force when it was ordered. Its servers get
+// all requests from the order on, so there is nothing to compare; servers of other versions are
+// stopped once it is done, and those that the order starts may take their place.
+func (rc *rolloutController) stepInForce(m world.Move, r coord.Rollout, now time.Time) (moves.Step, bool) {
+	loads := rc.e.coord.Loads()
+	ready, runningElsewhere := 0, 0
+	for _, s := range rc.e.roster.Present() {
+		switch {
+		case s.Service != r.Service:
+		case s.Version != r.Target:
+			runningElsewhere += loads[s.ID].Running
+		case s.State == world.Ready:
+			ready++
+		}
+	}
+	overdue := !now.Before(m.Deadline)
+	held := now.Sub(r.Started) >= min(inForceHold, r.Duration/2)
+	switch {
+	case ready > 0 && (overdue || held && runningElsewhere == 0):
+		return moves.Step{Kind: moves.End, Move: m.ID, Outcome: world.Done, Reason: r.Target + " was in force when it was ordered and serves all requests"}, true
+	case overdue:
+		return moves.Step{Kind: moves.End, Move: m.ID, Outcome: world.RolledBack, Reason: "the deadline passed: no server of " + r.Target + " was ready"}, true
+	}
+	return moves.Step{}, false
+}
+
 // addCapacity adds the capacity of both versions and the demand to the view.
 func (rc *rolloutController) addCapacity(v *moves.View, m world.Move, r coord.Rollout) {
 	loads, evacuated := rc.e.coord.Loads(), rc.e.evacuatedDataCentres()
 	var newCapacity, oldCapacity moves.Capacity
 	demand := 0.0
 	for _, s := range rc.e.roster.Usable() {
-		if s.Service != r.Service || r.WasRolledBack(s.Version) || slices.Contains(evacuated, s.DataCentre) {
+		if s.Service != r.Service || r.WasRolledBack(s.Version) || r.WasSuperseded(s.Version) || slices.Contains(evacuated, s.DataCentre) {
 			continue
 		}
 		c := &oldCapacity
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -289,7 +289,7 @@
 		running = l.Running
 	}
 	p.mu.Unlock()
-	if !ok || r.Phase != coord.Running || p.cfg.VersionResults == nil || t.status == 0 && !t.failed {
+	if !ok || !r.Judges() || p.cfg.VersionResults == nil || t.status == 0 && !t.failed {
 		return
 	}
 	version := OtherVersions
--- a/internal/proxy/versions.go
+++ b/internal/proxy/versions.go
@@ -9,7 +9,7 @@
 // servers. Servers of a version that was rolled back are in no group.
 const (
 	// acceptedGroup has the servers that get all requests which are not for the target of a
-	// running rollout.
+	// running rollout. If that target was in force when it was ordered, it has its servers as well.
 	acceptedGroup = "accepted"
 	// supersededGroup has the servers of versions whose rollout another one replaced while it
 	// was running: nobody knows whether they are good. They serve if there is no accepted one.
@@ -28,7 +28,7 @@
 		return ""
 	case r.WasSuperseded(s.Version):
 		return supersededGroup
-	case r.Phase == coord.Running && s.Version == r.Target:
+	case r.Judges() && s.Version == r.Target:
 		return targetGroup + r.Target
 	}
 	return acceptedGroup
@@ -39,7 +39,7 @@
 func (p *Proxy) versionGroup(service string) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r, ok := p.rollouts[service]; ok && r.Phase == coord.Running && p.rng.Float64() < r.Share {
+	if r, ok := p.rollouts[service]; ok && r.Judges() && p.rng.Float64() < r.Share {
 		return targetGroup + r.Target
 	}
 	return acceptedGroup
--- a/internal/proxy/versions_test.go
+++ b/internal/proxy/versions_test.go
@@ -38,6 +38,10 @@
 		{"superseded, without others", coord.Rollout{Target: "v3", Phase: coord.Running, Share: 0.5, Superseded: superseded}, "v2 v3", "v2 v3"},
 		{"superseded, target without servers", coord.Rollout{Target: "v3", Phase: coord.Running, Share: 1, Superseded: superseded}, "v2", "v2"},
 		{"superseded, then done", coord.Rollout{Target: "v3", Phase: coord.Done, Superseded: superseded}, "v2 v3", "v3"},
+		{"version in force", coord.Rollout{Target: "v1", Phase: coord.Running, InForce: true, Superseded: superseded}, "v1 v2", "v1"},
+		{"version in force, the other rolled back", coord.Rollout{Target: "v1", Phase: coord.Running, InForce: true, RolledBack: rolledBack}, "v1 v2", "v1"},
+		{"version in force, rolled back", coord.Rollout{Target: "v1", Phase: coord.RolledBack, InForce: true, Superseded: superseded}, "v1 v2", "v1"},
+		{"version in force without others", coord.Rollout{Target: "v1", Phase: coord.Running, InForce: true}, "v1", "v1"},
 		{"server without a version", coord.Rollout{Target: "v3", Phase: coord.Running, Share: 0.5, RolledBack: rolledBack}, " v2 v3", " v3"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
