coord: Compare a target with others that are in force as well

If several versions are in force, an order of one of them moves the requests of the others to it step by step, as before; only the sole version in force needs no evidence. Otherwise the rollout would end with requests still running at the others. A version in force whose rollout another order replaces stays in force.

--- a/internal/coord/accepted.go
+++ b/internal/coord/accepted.go
@@ -15,23 +15,25 @@
 // replaced those that were. The target of a first order counts among them only if there is no
 // other version: its servers may be faster than its order.
 func acceptedVersions(last *coordpb.Rollout, target string, present []string) []string {
+	named := slices.Concat(last.RolledBack, last.Superseded)
 	before := last.Accepted
-	if Phase(last.State) == Done {
+	switch {
+	case Phase(last.State) == Done:
 		before = []string{last.Target}
+	case last.Serial > 0 && (Phase(last.State) == RolledBack && !last.InForce || !slices.Contains(before, last.Target)):
+		named = append(named, last.Target)
 	}
+	isNamed := func(v string) bool { return slices.Contains(named, v) }
+	before = slices.DeleteFunc(slices.Clone(before), isNamed)
 	running := slices.DeleteFunc(slices.Clone(before), func(v string) bool { return !slices.Contains(present, v) })
 	if len(running) > 0 {
 		return running
 	}
-	named := slices.Concat(last.RolledBack, last.Superseded)
-	if last.Serial > 0 && !last.InForce {
-		named = append(named, last.Target)
-	}
-	others := slices.DeleteFunc(slices.Clone(present), func(v string) bool { return v == target || slices.Contains(named, v) })
+	others := slices.DeleteFunc(slices.Clone(present), func(v string) bool { return v == target || isNamed(v) })
 	switch {
 	case len(others) > 0:
 		return others
-	case slices.Contains(present, target) && !slices.Contains(named, target):
+	case slices.Contains(present, target) && !isNamed(target):
 		return []string{target}
 	}
 	return before
@@ -54,7 +56,7 @@
 	c.mu.Lock()
 	agg := c.aggregator
 	c.mu.Unlock()
-	if agg == nil || c.cfg.Clock().Sub(agg.electedAt) < 2*c.cfg.Heartbeat {
+	if agg == nil || c.cfg.Clock().Sub(agg.electedAt) < c.cfg.Heartbeat+2*syncInterval {
 		return Error.New("the leader does not know the servers of service %s yet", r.Service)
 	}
 	return nil
--- a/internal/coord/accepted_test.go
+++ b/internal/coord/accepted_test.go
@@ -34,7 +34,14 @@
 		{"no servers", []step{{"v2", "", false, ""}, {"v1", "v1 v2", true, "v1"}}},
 		{"target without others, ordered before", []step{{"v2", "v1 v2", false, "v1"}, {"rolledBack", "", false, "v1"}, {"v2", "v2", false, "v1"}}},
 		{"replaced without an order", []step{{"v2", "v1 v2", false, "v1"}, {"rolledBack", "", false, "v1"}, {"v1b", "v1b", true, "v1b"}}},
-		{"two in force", []step{{"v3", "v1 v2 v3", false, "v1 v2"}, {"v2", "v1 v2 v3", true, "v1 v2"}}},
+		{"two in force", []step{
+			{"v3", "v1 v2 v3", false, "v1 v2"},
+			{"v2", "v1 v2 v3", false, "v1 v2"},
+			{"v1", "v1 v2 v3", false, "v1 v2"},
+			{"rolledBack", "", false, "v1 v2"},
+			{"v2", "v1 v2", true, "v2"},
+		}},
+		{"two in force, one of them done", []step{{"v2", "v1 v2", false, "v1"}, {"rolledBack", "", false, "v1"}, {"v1b", "v1 v1b", false, "v1"}, {"done", "", false, "v1"}, {"v1b", "v1 v1b", true, "v1b"}}},
 	} {
 		s := newStateMachine(ignoreDepartures)
 		for i, st := range c.steps {
--- a/internal/coord/greet.go
+++ b/internal/coord/greet.go
@@ -18,7 +18,7 @@
 	// greetInterval and maxGreetInterval bound the interval at which an absent instance is told
 	// the leader. It grows with the time for which the instance has been absent.
 	greetInterval    = time.Second
-	maxGreetInterval = 30 * time.Second
+	maxGreetInterval = 10 * time.Second
 	// greetRate is the number of times a second that all instances but the leader together may
 	// tell an absent one.
 	greetRate = 5
--- a/internal/coord/state.go
+++ b/internal/coord/state.go
@@ -41,7 +41,7 @@
 	// and that were rolled back, or whose rollout another order replaced while it was running.
 	RolledBack, Superseded []string
 	// Accepted are the versions that were in force when the order was given; empty if they are not
-	// known. InForce means that the target is one of them: it needs no evidence, and its servers
+	// known. InForce means that the target is the only one: it needs no evidence, and its servers
 	// never cease to serve because of this order.
 	Accepted []string
 	InForce  bool
@@ -200,14 +200,14 @@
 	}
 	r.RolledBack, r.Superseded = withoutVersion(last.RolledBack, r.Target), withoutVersion(last.Superseded, r.Target)
 	r.Accepted = acceptedVersions(last, r.Target, present)
-	if r.InForce = slices.Contains(r.Accepted, r.Target); r.InForce {
+	if r.InForce = slices.Equal(r.Accepted, []string{r.Target}); r.InForce {
 		r.Share = 1 // its servers get all requests, at once
 	}
 	switch {
 	case last.Target == r.Target, last.InForce:
 	case Phase(last.State) == RolledBack:
 		r.RolledBack = addVersion(r.RolledBack, last.Target)
-	case Phase(last.State) == Running:
+	case Phase(last.State) == Running && !slices.Contains(last.Accepted, last.Target):
 		r.Superseded = addVersion(r.Superseded, last.Target)
 	}
 	m.state.Serial++
