coord: Keep the known instances on the disk

After an end of all processes, machines without a disk whose settings name only each other were not found: nobody in contact with the leader had reported beside them. Instances with a disk now keep the IDs of those that they know, and tell them the leader if they do not report.

It works because the list outlives the processes on at least a majority of the members.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -181,6 +181,7 @@
 	if cfg.Self.Durable {
 		c.wg.Go(c.runMember)
 		c.wg.Go(c.manageMembers)
+		c.wg.Go(c.keepKnown)
 	}
 	return c
 }
--- a/internal/coord/greet.go
+++ b/internal/coord/greet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -63,6 +64,13 @@
 	}
 }
 
+// ids returns the IDs of the absent instances.
+func (a *absentees) ids() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.all))
+}
+
 // due returns the absent instances that are to be told the leader now. listed are the instances
 // that report; leads tells whether this one is the leader.
 func (a *absentees) due(seeds []string, self string, listed map[string]Instance, leads bool, now time.Time) []string {
--- a/internal/coord/greet_test.go
+++ b/internal/coord/greet_test.go
@@ -29,6 +29,7 @@
 		leaderEnds  bool // with the seeds
 		onlySeed    bool // one of the seeds restarts, the others never run again
 		memberEnds  bool // a member with its disk restarts with the seeds, knowing only these
+		allEnd      bool // all processes end at once, and only these restart with these seeds
 		replacement bool // a new instance with a disk knows only these seeds
 	}{
 		{name: "seeds of all, after a restart of the others", seedsOfAll: true},
@@ -36,6 +37,7 @@
 		{name: "beside the leader", leaderEnds: true, replacement: true},
 		{name: "one of three", onlySeed: true, replacement: true},
 		{name: "beside a member", memberEnds: true},
+		{name: "after a restart of all, with other seeds", allEnd: true, replacement: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -51,6 +53,19 @@
 			if c.memberEnds {
 				restarted = append(restarted, d.instances[0])
 			}
+			if c.allEnd {
+				eventually(t, "all instances are known on a disk", func() bool {
+					saved, err := disk.Read(d.instances[0].fs, "data/known/instances")
+					return err == nil && len(parseKnown(string(saved))) == len(d.instances)
+				})
+				for _, inst := range d.instances {
+					d.stop(inst)
+				}
+				for _, inst := range d.instances[:4] {
+					d.startWith(inst, func(cfg *Config) { cfg.Seeds = func() []string { return []string{d.instances[0].addr} } })
+				}
+				d.awaitLeader()
+			}
 			if c.leaderEnds {
 				d.stop(d.awaitLeader())
 			}
@@ -87,6 +102,23 @@
 	}
 }
 
+// Guards against a damaged file of known instances that keeps an instance from starting.
+func TestParseKnown(t *testing.T) {
+	for _, c := range []struct {
+		content string
+		want    []string
+	}{
+		{"", nil},
+		{"10.0.0.1:7600", []string{"10.0.0.1:7600"}},
+		{"10.0.0.1:7600\n10.0.0.2:7600", []string{"10.0.0.1:7600", "10.0.0.2:7600"}},
+		{"10.0.0.1:7600\n10.0.\x00\n\nx:1\n10.0.0.2:7600\n10.0.0.3", []string{"10.0.0.1:7600", "10.0.0.2:7600"}},
+	} {
+		if got := parseKnown(c.content); !slices.Equal(got, c.want) {
+			t.Errorf("%q: %q, want %q", c.content, got, c.want)
+		}
+	}
+}
+
 // Guards against an instance that was cut off while all members and seeds that it knows were
 // replaced, and that asks only these when it is back.
 func TestAllMembersReplacedDuringAPartition(t *testing.T) {
