coord: Search members and seeds for the leader before other instances

After the leader was lost, an instance asked up to 32 others in turn with members and seeds, most of which had lost it as well, so it would have found the next leader later. TestAllMembersReplacedDuringAPartition, which needs the others, passes.

--- a/internal/coord/borrow.go
+++ b/internal/coord/borrow.go
@@ -31,7 +31,7 @@
 		out, err := c.lend(req)
 		return out.GetAdmitted(), out.GetLevel(), err
 	}
-	leader := c.leaderOrPeer(false)
+	leader := c.leaderOrPeer(false, c.cfg.Clock())
 	if leader == "" || leader == c.cfg.Self.ID {
 		return false, 0, ErrUnavailable
 	}
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -461,7 +461,7 @@
 			lastErr = err
 			continue
 		}
-		target := c.leaderOrPeer(true)
+		target := c.leaderOrPeer(true, c.cfg.Clock())
 		if target == "" || target == c.cfg.Self.ID {
 			lastErr = ErrUnavailable
 			continue
@@ -518,7 +518,7 @@
 	m := c.member
 	c.mu.Unlock()
 	if m == nil {
-		return nil, &link.RemoteError{Code: codeNotLeader, Message: c.leaderOrPeer(false)}
+		return nil, &link.RemoteError{Code: codeNotLeader, Message: c.leaderOrPeer(false, c.cfg.Clock())}
 	}
 	if st := m.group.Status(); st.Role != raft.Leader {
 		return nil, &link.RemoteError{Code: codeNotLeader, Message: st.Leader}
--- a/internal/coord/sync.go
+++ b/internal/coord/sync.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	// maxSearched bounds the instances beside members and seeds that are asked for the leader.
-	maxSearched = 32
+	// othersSearched is the number of searches for the leader of which one asks an instance that
+	// is neither a member nor a seed.
+	othersSearched = 3
 	// minLoggedFailures is the number of failed reports from which on they are logged.
 	minLoggedFailures = 16
 )
@@ -59,7 +60,7 @@
 }
 
 // Leader returns the ID of the last known leader, or "".
-func (c *Coord) Leader() string { return c.leaderOrPeer(false) }
+func (c *Coord) Leader() string { return c.leaderOrPeer(false, c.cfg.Clock()) }
 
 // Suspect returns the leader that last failed to answer, or "" once a leader has
 // answered.
@@ -273,7 +274,7 @@
 	}
 	target, timeout := relay, relayTimeout
 	if relay == "" {
-		target, timeout = c.leaderOrPeer(true), syncTimeout
+		target, timeout = c.leaderOrPeer(true, now), syncTimeout
 	}
 	if target == "" || target == c.cfg.Self.ID {
 		return nil, ErrUnavailable
@@ -607,7 +608,7 @@
 
 // leaderOrPeer returns the last known leader. If there is none, it returns "" or, with
 // search, a different member, seed or other instance on each call, which may know the leader.
-func (c *Coord) leaderOrPeer(search bool) string {
+func (c *Coord) leaderOrPeer(search bool, now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == c.cfg.Self.ID && c.aggregator == nil {
@@ -616,19 +617,19 @@
 	if c.leader != "" || !search {
 		return c.leader
 	}
-	var peers []string
-	// While this instance was cut off, all members and seeds that it knows may have been replaced.
-	known := slices.Sorted(maps.Keys(c.instances))
-	for _, id := range slices.Concat(c.members, c.cfg.Seeds(), known[:min(len(known), maxSearched)]) {
-		if id != c.cfg.Self.ID && !slices.Contains(peers, id) {
-			peers = append(peers, id)
-		}
-	}
+	c.searchIndex++
+	peers, i := slices.Concat(c.members, c.cfg.Seeds()), c.searchIndex-c.searchIndex/othersSearched
+	// While this instance was cut off, all members and seeds that it knows may have been
+	// replaced. Shortly after it lost the leader, the others have lost it too.
+	if c.searchIndex%othersSearched == 0 && now.Sub(c.lastSync) >= contactTime {
+		peers, i = slices.Collect(maps.Keys(c.instances)), c.searchIndex/othersSearched
+	}
+	slices.Sort(peers)
+	peers = slices.DeleteFunc(slices.Compact(peers), func(id string) bool { return id == c.cfg.Self.ID })
 	if len(peers) == 0 {
 		return ""
 	}
-	c.searchIndex++
-	return peers[c.searchIndex%len(peers)]
+	return peers[i%len(peers)]
 }
 
 // leaderFailed handles a failed call to the leader: it forgets the leader or follows the
