--- a/internal/coord/greet_test.go
+++ b/internal/coord/greet_test.go
@@ -61,8 +61,9 @@
 				for _, inst := range d.instances {
 					d.stop(inst)
 				}
+				first := []string{d.instances[0].addr}
 				for _, inst := range d.instances[:4] {
-					d.startWith(inst, func(cfg *Config) { cfg.Seeds = func() []string { return []string{d.instances[0].addr} } })
+					d.startWith(inst, func(cfg *Config) { cfg.Seeds = func() []string { return first } })
 				}
 				d.awaitLeader()
 			}
